Set down the workspace, the core types and the shared actors

The core folds the log, admits and routes requests, and decides for pools, without I/O or clock. The node crate holds the actors that both daemons share: supervisor, log follower, peer links, metrics, dump.

--- /dev/null
+++ b/crates/core/src/finding/mod.rs
@@ -0,0 +1,104 @@
+//! Problems of operator input, collected with their place and reported together.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// `Place` is where a problem stands: a line and, in a sheet, a column.
+#[derive(Clone, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Place {
+    /// Line, counted from 1.
+    pub line: usize,
+    /// Column or key, empty when the whole line is meant.
+    pub column: String,
+}
+
+/// `Finding` is one problem with its place, the value seen and what would be accepted.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Finding {
+    /// Where the problem stands.
+    pub place: Place,
+    /// The value as it was read.
+    pub value: String,
+    /// What is wrong with the value.
+    pub problem: String,
+    /// What would be accepted in its place.
+    pub accepted: String,
+}
+
+/// `Findings` is a list of problems of one input.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Findings {
+    /// The problems in the order in which they were found.
+    pub items: Vec<Finding>,
+}
+
+impl Findings {
+    /// Adds a problem.
+    pub fn add(
+        &mut self,
+        line: usize,
+        column: &str,
+        value: &str,
+        problem: impl Into<String>,
+        accepted: impl Into<String>,
+    ) {
+        self.items.push(Finding {
+            place: Place {
+                line,
+                column: column.to_owned(),
+            },
+            value: value.to_owned(),
+            problem: problem.into(),
+            accepted: accepted.into(),
+        });
+    }
+
+    /// Gets whether there is no problem.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Returns the value when there is no problem, else the problems sorted by place.
+    ///
+    /// # Errors
+    ///
+    /// Returns the findings when there is at least one.
+    pub fn finish<T>(mut self, value: T) -> Result<T, Self> {
+        if self.is_empty() {
+            return Ok(value);
+        }
+        self.items.sort();
+        Err(self)
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}", self.place.line)?;
+        if !self.place.column.is_empty() {
+            write!(f, ", {}", self.place.column)?;
+        }
+        write!(f, ": {}", self.problem)?;
+        if !self.value.is_empty() {
+            write!(f, ": {:?}", self.value)?;
+        }
+        if !self.accepted.is_empty() {
+            write!(f, "; accepted: {}", self.accepted)?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.items.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate/track.rs
@@ -0,0 +1,28 @@
+//! Requests between arrival and outcome.
+
+use crate::ids;
+use crate::request::Request;
+
+/// `Place` is where a request stands.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Place {
+    /// Waits for the log to decide the claim on its key.
+    Claiming,
+    /// Waits for a slot.
+    Queued,
+    /// Is in flight on a host.
+    Sent(ids::Host),
+}
+
+/// `Track` is one request with its history.
+#[derive(Clone, Debug)]
+pub(crate) struct Track {
+    pub(crate) request: Request,
+    pub(crate) place: Place,
+    /// Sends so far.
+    pub(crate) attempts: u32,
+    /// Hosts that refused it or failed it.
+    pub(crate) avoid: Vec<ids::Host>,
+    /// Whether the caller was told an outcome already.
+    pub(crate) finished: bool,
+}
--- /dev/null
+++ b/crates/core/src/ids/mod.rs
@@ -0,0 +1,40 @@
+//! Aliases for identifiers.
+//!
+//! Names are UTF-8 text that shares its buffer, checked once when they enter a process.
+
+use bytestring::ByteString;
+
+/// `Caller` names a caller or the team it belongs to.
+pub type Caller = ByteString;
+/// `Generation` counts the starts of a host, as the platform numbers them.
+pub type Generation = u64;
+/// `Host` names a host of the fleet; the worker on it has the same name.
+pub type Host = ByteString;
+/// `Incarnation` tells two runs of a process under the same instance name apart.
+pub type Incarnation = u64;
+/// `Instance` names a process of the system.
+pub type Instance = ByteString;
+/// `Key` is an idempotency key: a `UUIDv7` (RFC 9562) as a number.
+pub type Key = u128;
+/// `Offset` is a position in the platform's log.
+pub type Offset = u64;
+/// `Operator` names the person who applied a sheet or steered a wave.
+pub type Operator = ByteString;
+/// `Pool` names a pool of hosts.
+pub type Pool = ByteString;
+/// `Rack` names a rack of hosts.
+pub type Rack = ByteString;
+/// `Request` identifies a request inside one process.
+pub type Request = u64;
+/// `Revision` is the offset of the record that last changed a thing.
+pub type Revision = u64;
+/// `Sequence` counts the records of one author.
+pub type Sequence = u64;
+/// `Service` names a service that callers address.
+pub type Service = ByteString;
+/// `Term` numbers the claims on a pool.
+pub type Term = u64;
+/// `Wave` names a maintenance wave.
+pub type Wave = ByteString;
+/// `Zone` names an availability zone.
+pub type Zone = ByteString;
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,30 @@
+//! Decisions of persimmongate.
+//!
+//! This crate does no I/O and reads no clock. Each decision takes the current time and an event and
+//! returns actions; daemons carry the actions out.
+//!
+//! - [`errors`]: the error type, its alias and its constructors
+//! - [`finding`]: problems of operator input, with their place
+//! - [`fleet`]: claims, moves, drains and waves of one pool
+//! - [`gate`]: admission, routing and retries of one entry host
+//! - [`ids`]: aliases for identifiers
+//! - [`map`]: hash maps with a fast hasher
+//! - [`outcome`]: what a caller is told of a request
+//! - [`record`]: records of the log
+//! - [`request`]: requests of callers
+//! - [`settings`]: settings of the daemons
+//! - [`sheet`]: the planners' sheet
+//! - [`state`]: the fold of the log
+
+pub mod errors;
+pub mod finding;
+pub mod fleet;
+pub mod gate;
+pub mod ids;
+pub mod map;
+pub mod outcome;
+pub mod record;
+pub mod request;
+pub mod settings;
+pub mod sheet;
+pub mod state;
--- /dev/null
+++ b/crates/core/src/request/mod.rs
@@ -0,0 +1,150 @@
+//! Requests of callers.
+
+use std::time::Duration;
+use std::time::{Instant, SystemTime};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::errors::{Error, Result, value_error};
+use crate::ids;
+
+/// Bits of a `UUIDv7` below its millisecond time stamp.
+const KEY_TIME_SHIFT: u32 = 80;
+/// Bits of a `UUIDv7` below its version field.
+const KEY_VERSION_SHIFT: u32 = 76;
+/// Version of the UUIDs accepted as idempotency keys.
+const KEY_VERSION: u128 = 7;
+
+/// `Urgency` orders the requests of one caller.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub enum Urgency {
+    /// A person waits for the answer.
+    Urgent,
+    /// Work of the day.
+    #[default]
+    Normal,
+    /// Work that may wait for the night.
+    Batch,
+}
+
+/// `Kind` tells whether a request may safely run more than once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// The request may run again.
+    Idempotent,
+    /// The request runs at most once, under this key.
+    Once(ids::Key),
+}
+
+/// `Request` is a checked request of a caller.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Identifier inside this process.
+    pub id: ids::Request,
+    /// Service addressed.
+    pub service: ids::Service,
+    /// Caller that sent it.
+    pub caller: ids::Caller,
+    /// Order among the caller's own requests.
+    pub urgency: Urgency,
+    /// Whether it may run again.
+    pub kind: Kind,
+    /// Time by which the answer is of use.
+    pub deadline: Instant,
+    /// Path below the service.
+    pub path: Bytes,
+    /// Body as received.
+    pub body: Bytes,
+}
+
+impl Request {
+    /// Gets whether the request may run more than once.
+    #[must_use]
+    pub fn is_idempotent(&self) -> bool {
+        self.kind == Kind::Idempotent
+    }
+}
+
+/// Parses an idempotency key: a `UUIDv7` in its hyphenated form.
+///
+/// # Errors
+///
+/// Returns a value error when the text is no `UUIDv7`.
+pub fn parse_key(text: &[u8]) -> Result<ids::Key> {
+    const GROUPS: [usize; 5] = [8, 4, 4, 4, 12];
+    let fail = || {
+        value_error(
+            "idempotency key",
+            "expected a UUIDv7 such as 018f0d5c-7a00-7000-8000-000000000000",
+        )
+    };
+    let text = std::str::from_utf8(text).map_err(|_| fail())?;
+    let groups: Vec<&str> = text.split('-').collect();
+    if groups.len() != GROUPS.len()
+        || groups
+            .iter()
+            .zip(GROUPS)
+            .any(|(group, len)| group.len() != len)
+    {
+        return Err(fail());
+    }
+    let digits = groups.concat();
+    if !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return Err(fail());
+    }
+    let key = u128::from_str_radix(&digits, 16).map_err(|_| fail())?;
+    if (key >> KEY_VERSION_SHIFT) & 0xf != KEY_VERSION {
+        return Err(fail());
+    }
+    Ok(key)
+}
+
+/// Formats an idempotency key in its hyphenated form.
+#[must_use]
+pub fn format_key(key: ids::Key) -> String {
+    let hex = format!("{key:032x}");
+    format!(
+        "{}-{}-{}-{}-{}",
+        &hex[..8],
+        &hex[8..12],
+        &hex[12..16],
+        &hex[16..20],
+        &hex[20..]
+    )
+}
+
+/// Makes an idempotency key from its time stamp and 74 random bits.
+#[must_use]
+pub fn make_key(at: SystemTime, random: u128) -> ids::Key {
+    const VARIANT_MASK: u128 = 0x3 << 62;
+    const VARIANT: u128 = 0x2 << 62;
+    let millis = at
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis();
+    let low = random & ((1 << KEY_VERSION_SHIFT) - 1) & !VARIANT_MASK;
+    (millis << KEY_TIME_SHIFT) | (KEY_VERSION << KEY_VERSION_SHIFT) | VARIANT | low
+}
+
+/// Gets the time stamp of an idempotency key.
+#[must_use]
+pub fn key_time(key: ids::Key) -> SystemTime {
+    let millis = u64::try_from(key >> KEY_TIME_SHIFT).unwrap_or(u64::MAX);
+    SystemTime::UNIX_EPOCH + Duration::from_millis(millis)
+}
+
+impl TryFrom<&[u8]> for Urgency {
+    type Error = Error;
+
+    fn try_from(text: &[u8]) -> Result<Self> {
+        match text {
+            b"urgent" => Ok(Self::Urgent),
+            b"normal" => Ok(Self::Normal),
+            b"batch" => Ok(Self::Batch),
+            _ => Err(value_error("urgency", "expected urgent, normal or batch")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/settings/entry.rs
@@ -0,0 +1,53 @@
+//! Settings of the entry daemon.
+
+use std::time::Duration;
+
+use super::Node;
+use crate::errors::{Error, Result};
+use crate::gate::Options;
+
+/// Default of the largest body of a request, in bytes.
+const BODY_MAX: usize = 1024 * 1024;
+/// Default time for a request without a deadline of its own.
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// `Entry` holds the settings of the entry daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Settings that every daemon has.
+    pub node: Node,
+    /// Largest body of a request or an answer, in bytes.
+    pub body_max: usize,
+    /// Time for a request without a deadline of its own.
+    pub deadline: Duration,
+    /// Policy of the gate.
+    pub gate: Options,
+}
+
+impl TryFrom<&str> for Entry {
+    type Error = Error;
+
+    fn try_from(text: &str) -> Result<Self> {
+        super::parse(text, |reader| {
+            let node = Node::read(reader);
+            let body_max = reader.size("body_max", BODY_MAX);
+            let deadline = reader.duration("deadline", DEADLINE);
+            let defaults = Options::default();
+            let probe_after = reader.duration("probe_after", defaults.probe_after);
+            let slow_start = reader.duration("slow_start", defaults.slow_start);
+            let node = node?;
+            let gate = Options {
+                probe_after: probe_after?,
+                slow_start: slow_start?,
+                zone: node.zone.clone(),
+                ..defaults
+            };
+            Some(Self {
+                node,
+                body_max: body_max?,
+                deadline: deadline?,
+                gate,
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/entry.rs
@@ -0,0 +1,204 @@
+//! What the fold keeps.
+
+use std::net::SocketAddr;
+use std::time::SystemTime;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Change, Keys};
+use crate::ids;
+use crate::map::Map;
+use crate::record::{self, Phase};
+
+/// `State` is the result of folding the log up to an offset.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct State {
+    /// Offset of the next record to fold.
+    pub next: ids::Offset,
+    /// Latest time that the log gave a record.
+    pub at: SystemTime,
+    /// Offset of the sheet in force.
+    pub revision: ids::Revision,
+    /// Members by name.
+    pub members: Map<ids::Instance, Member>,
+    /// Hosts by name; a host is in exactly one pool because this map gives it one.
+    pub hosts: Map<ids::Host, Host>,
+    /// Pools by name.
+    pub pools: Map<ids::Pool, Pool>,
+    /// Serving hosts that each service promises.
+    pub budgets: Map<ids::Service, u32>,
+    /// Guaranteed slots by service and caller.
+    pub quotas: Map<ids::Service, Map<ids::Caller, u32>>,
+    /// Hosts that the sheet puts into a pool by name.
+    pub pins: Map<ids::Host, ids::Pool>,
+    /// Waves by name.
+    pub waves: Map<ids::Wave, Wave>,
+    /// Idempotency keys that were claimed.
+    pub keys: Keys,
+}
+
+/// `Member` is a process that joined.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// The process as it announced itself.
+    pub about: record::Member,
+    /// Run of the process.
+    pub incarnation: ids::Incarnation,
+    /// Highest sequence applied.
+    pub sequence: ids::Sequence,
+    /// Offset of the latest record of the process.
+    pub renewed: ids::Offset,
+}
+
+/// `Stage` is where a host stands between service and maintenance.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Stage {
+    /// Gets no new work and is about to be stopped.
+    Draining {
+        /// Wave the drain belongs to.
+        wave: ids::Wave,
+        /// Offset of the drain record; entries report against it.
+        since: ids::Offset,
+    },
+    /// Failed without a plan.
+    Lost,
+    /// Gets work.
+    Serving,
+}
+
+/// `Host` is a host of the fleet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Host {
+    /// Address of the worker on it.
+    pub address: SocketAddr,
+    /// Availability zone it stands in.
+    pub zone: ids::Zone,
+    /// Rack it stands in.
+    pub rack: ids::Rack,
+    /// The one pool it belongs to.
+    pub pool: ids::Pool,
+    /// Where it stands between service and maintenance.
+    pub stage: Stage,
+    /// Number of its current start.
+    pub generation: ids::Generation,
+    /// Offset of the record that last changed it.
+    pub revision: ids::Revision,
+    /// Offset of its latest return from maintenance.
+    pub maintained: ids::Offset,
+    /// Requests that the worker runs at once.
+    pub slots: u16,
+    /// Connections that the worker accepts.
+    pub connections: u16,
+}
+
+/// `Pool` is a pool of hosts.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Pool {
+    /// Service that its hosts run, none for the spare pool.
+    pub service: Option<ids::Service>,
+    /// Hosts that the sheet asks for.
+    pub target: u32,
+    /// Term of the claim in force, 0 before the first.
+    pub term: ids::Term,
+    /// Process that decides for the pool.
+    pub holder: Option<ids::Instance>,
+}
+
+/// `Wave` is a maintenance wave over a pool.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Wave {
+    /// Pool whose hosts are maintained.
+    pub pool: ids::Pool,
+    /// Hosts out of service at once, at most.
+    pub batch: u32,
+    /// Offset of the sheet that asked for it; hosts maintained later are done.
+    pub since: ids::Offset,
+    /// Where the wave stands.
+    pub phase: Phase,
+    /// Why it stands there, in words for the operator.
+    pub reason: String,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            next: 0,
+            at: SystemTime::UNIX_EPOCH,
+            revision: 0,
+            members: Map::default(),
+            hosts: Map::default(),
+            pools: [(super::SPARE.into(), Pool::default())]
+                .into_iter()
+                .collect(),
+            budgets: Map::default(),
+            quotas: Map::default(),
+            pins: Map::default(),
+            waves: Map::default(),
+            keys: Keys::default(),
+        }
+    }
+}
+
+impl Host {
+    /// Gets whether the host gets work.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        self.stage == Stage::Serving
+    }
+}
+
+impl State {
+    /// Gets the service that a pool's hosts run.
+    #[must_use]
+    pub fn service_of(&self, pool: &ids::Pool) -> Option<&ids::Service> {
+        self.pools.get(pool)?.service.as_ref()
+    }
+
+    /// Gets the number of hosts that serve a service.
+    #[must_use]
+    pub fn serving(&self, service: &ids::Service) -> u32 {
+        let count = self
+            .hosts
+            .values()
+            .filter(|host| host.is_serving() && self.service_of(&host.pool) == Some(service))
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Gets the whole state as changes, for a view that starts from nothing.
+    #[must_use]
+    pub fn changes(&self) -> Vec<Change> {
+        let mut changes = Vec::new();
+        changes.extend(
+            self.pools
+                .iter()
+                .map(|(id, pool)| Change::Pool(id.clone(), pool.clone())),
+        );
+        changes.extend(
+            self.budgets
+                .iter()
+                .map(|(id, hosts)| Change::Budget(id.clone(), *hosts)),
+        );
+        for (service, callers) in &self.quotas {
+            let quota = |(caller, slots): (&ids::Caller, &u32)| {
+                Change::Quota(service.clone(), caller.clone(), *slots)
+            };
+            changes.extend(callers.iter().map(quota));
+        }
+        changes.extend(
+            self.hosts
+                .iter()
+                .map(|(id, host)| Change::Host(id.clone(), host.clone())),
+        );
+        changes.extend(
+            self.waves
+                .iter()
+                .map(|(id, wave)| Change::Wave(id.clone(), wave.clone())),
+        );
+        let member = |(id, member): (&ids::Instance, &Member)| {
+            Change::Member(id.clone(), Some(member.clone()))
+        };
+        changes.extend(self.members.iter().map(member));
+        changes
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/mod.rs
@@ -0,0 +1,18 @@
+//! The fold of the log.
+//!
+//! Every process folds the same records in the same order to the same state. The fold decides
+//! whether a record counts; safety never depends on a clock.
+
+mod apply;
+mod change;
+mod entry;
+mod keys;
+mod verdict;
+
+pub use change::Change;
+pub use entry::{Host, Member, Pool, Stage, State, Wave};
+pub use keys::{KEY_WINDOW, Keys, Standing};
+pub use verdict::{Reason, Verdict};
+
+/// Name of the pool that new hosts enter and that all services share.
+pub const SPARE: &str = "spare";
--- /dev/null
+++ b/crates/node/src/errors/mod.rs
@@ -0,0 +1,49 @@
+//! The error type of the daemons, its alias and its constructors.
+
+use std::io;
+
+/// `Result` is a result with the daemons' [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// `Error` lists what stops a daemon or one of its calls.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// Settings or other input is refused.
+    #[error(transparent)]
+    Core(#[from] persimmongate_core::errors::Error),
+    /// A socket or a file failed.
+    #[error("{what}: {source}")]
+    Io {
+        /// What was tried.
+        what: String,
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// Metrics could not be set up.
+    #[error("metrics: {0}")]
+    Metrics(String),
+    /// The platform refused a call or could not be reached.
+    #[error("platform: {0}")]
+    Platform(String),
+    /// A message could not be encoded or decoded.
+    #[error(transparent)]
+    Wire(#[from] persimmongate_wire::errors::Error),
+}
+
+/// Makes the error for a socket or file that failed.
+pub fn io_error(what: impl Into<String>, source: io::Error) -> Error {
+    Error::Io {
+        what: what.into(),
+        source,
+    }
+}
+
+/// Makes the error for metrics that could not be set up.
+pub fn metrics_error(error: &impl ToString) -> Error {
+    Error::Metrics(error.to_string())
+}
+
+/// Makes the error for a call that the platform refused or did not answer.
+pub fn platform_error(error: &impl ToString) -> Error {
+    Error::Platform(error.to_string())
+}
--- /dev/null
+++ b/crates/node/src/log/append.rs
@@ -0,0 +1,247 @@
+//! Appends of the process, one batch at a time.
+
+use actix::{ActorFutureExt, AsyncContext, Context, ContextFutureSpawner, Recipient, WrapFuture};
+use bytes::Bytes;
+use persimmongate_core::gate;
+use persimmongate_core::ids;
+use persimmongate_core::map::Map;
+use persimmongate_core::outcome::Refusal;
+use persimmongate_core::record::{self, Body, Record};
+use persimmongate_core::state::{Standing, Verdict};
+use persimmongate_wire::log::{Batch, encode_batch, encode_record};
+use slog::warn;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+use super::follower::Follower;
+use super::message::Settled;
+
+/// Time before an append that failed is repeated.
+const RETRY_WAIT: Duration = Duration::from_millis(200);
+/// Sequence of the first record of a run, its join.
+const FIRST: ids::Sequence = 1;
+/// Records in one append, at most.
+const BATCH_MAX: usize = 256;
+
+type Reply = Option<(u64, Recipient<Settled>)>;
+
+/// `Outbox` holds the records that wait to be appended and those that wait for their verdict.
+#[derive(Default)]
+pub(super) struct Outbox {
+    queue: Vec<(Body, Reply)>,
+    ends: Vec<(ids::Key, record::End)>,
+    renewal_due: bool,
+    /// Sequence of the latest record.
+    sequence: ids::Sequence,
+    /// Records appended whose verdict was not read yet.
+    unsettled: Map<ids::Sequence, Sent>,
+    /// Encoded batch under way; a repeated append carries the same bytes.
+    batch: Option<Bytes>,
+    sending: bool,
+    departure: Option<oneshot::Sender<()>>,
+}
+
+/// `Sent` is a record whose verdict was not read yet.
+struct Sent {
+    reply: Reply,
+    keys: Vec<ids::Key>,
+}
+
+impl Outbox {
+    /// Starts a new run: sequences begin anew and what was under way has no verdict.
+    pub(super) fn restart(&mut self) {
+        self.sequence = 0;
+        self.batch = None;
+        for sent in std::mem::take(&mut self.unsettled).into_values() {
+            settle(sent.reply, None);
+        }
+    }
+
+    pub(super) fn push(&mut self, body: Body, reply: Reply) {
+        // A join is the first record of its run.
+        if matches!(body, Body::Join(_)) {
+            self.queue.insert(0, (body, reply));
+        } else {
+            self.queue.push((body, reply));
+        }
+    }
+
+    pub(super) fn end(&mut self, key: ids::Key, end: record::End) {
+        self.ends.push((key, end));
+    }
+
+    pub(super) fn renew(&mut self) {
+        self.renewal_due = true;
+    }
+
+    /// Queues the departure and returns what resolves when it was appended.
+    pub(super) fn depart(&mut self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.push(Body::Leave, None);
+        self.departure = Some(sender);
+        receiver
+    }
+
+    /// Gets whether a join waits or has no verdict yet.
+    pub(super) fn is_joining(&self) -> bool {
+        let queued = self
+            .queue
+            .iter()
+            .any(|(body, _)| matches!(body, Body::Join(_)));
+        queued || self.unsettled.contains_key(&FIRST)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.queue.len() + self.unsettled.len()
+    }
+
+    /// Makes the next batch from what waits.
+    fn next_batch(
+        &mut self,
+        keys: Vec<ids::Key>,
+        author: &ids::Instance,
+        incarnation: ids::Incarnation,
+    ) -> Vec<Record> {
+        let mut bodies: Vec<(Body, Sent)> = Vec::new();
+        let count = self.queue.len().min(BATCH_MAX);
+        for (body, reply) in self.queue.drain(..count) {
+            bodies.push((
+                body,
+                Sent {
+                    reply,
+                    keys: Vec::new(),
+                },
+            ));
+        }
+        if !keys.is_empty() {
+            let body = Body::Keys { keys: keys.clone() };
+            bodies.push((body, Sent { reply: None, keys }));
+        }
+        if !self.ends.is_empty() {
+            let ends = std::mem::take(&mut self.ends);
+            bodies.push((
+                Body::Outcomes { ends },
+                Sent {
+                    reply: None,
+                    keys: Vec::new(),
+                },
+            ));
+        }
+        // Any record renews, but only a renewal is told to subscribers.
+        if std::mem::take(&mut self.renewal_due) {
+            bodies.push((
+                Body::Renew,
+                Sent {
+                    reply: None,
+                    keys: Vec::new(),
+                },
+            ));
+        }
+        let mut records = Vec::with_capacity(bodies.len());
+        for (body, sent) in bodies {
+            self.sequence += 1;
+            self.unsettled.insert(self.sequence, sent);
+            records.push(Record {
+                author: author.clone(),
+                incarnation,
+                sequence: self.sequence,
+                body,
+            });
+        }
+        records
+    }
+}
+
+fn settle(reply: Reply, verdict: Option<Verdict>) {
+    if let Some((token, reply)) = reply {
+        reply.do_send(Settled { token, verdict });
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Follower<C> {
+    /// Appends what waits unless an append is under way.
+    pub(super) fn flush(&mut self, ctx: &mut Context<Self>) {
+        if self.outbox.sending || !self.ready {
+            return;
+        }
+        if self.outbox.batch.is_none() {
+            self.make_batch();
+        }
+        let Some(batch) = self.outbox.batch.clone() else {
+            return;
+        };
+        self.outbox.sending = true;
+        let client = self.client.clone();
+        async move { client.append(batch).await }
+            .into_actor(self)
+            .map(|result, act, ctx| if let Ok(_) = result {
+                act.counters.appends.add(1, &[]);
+                act.outbox.sending = false;
+                act.outbox.batch = None;
+                if let Some(departure) = act.outbox.departure.take() {
+                    // Told when the append is done; nobody waits past the time limit.
+                    let _ = departure.send(());
+                }
+                act.flush(ctx);
+            } else {
+                act.counters.failures.add(1, &[]);
+                ctx.run_later(RETRY_WAIT, |act, ctx| {
+                    act.outbox.sending = false;
+                    act.flush(ctx);
+                });
+            })
+            .spawn(ctx);
+    }
+
+    fn make_batch(&mut self) {
+        let keys = self.waiting.take();
+        let records = self
+            .outbox
+            .next_batch(keys, &self.options.instance, self.incarnation);
+        if records.is_empty() {
+            return;
+        }
+        self.counters.records.add(records.len() as u64, &[]);
+        let mut batch = Batch::default();
+        for record in &records {
+            match encode_record(record) {
+                Ok(bytes) => batch.records.push(bytes),
+                Err(problem) => warn!(self.logger, "record is refused"; "error" => %problem),
+            }
+        }
+        match encode_batch(&batch) {
+            Ok(bytes) => self.outbox.batch = Some(bytes),
+            Err(problem) => warn!(self.logger, "batch is refused"; "error" => %problem),
+        }
+    }
+
+    /// Tells the author the verdict on an own record; returns won keys that nobody waits for.
+    pub(super) fn settle(
+        &mut self,
+        sequence: ids::Sequence,
+        verdict: &Verdict,
+        won: &[ids::Key],
+    ) -> Vec<ids::Key> {
+        // A repeated append was settled at its first appearance.
+        if *verdict == Verdict::Duplicate {
+            return Vec::new();
+        }
+        let Some(sent) = self.outbox.unsettled.remove(&sequence) else {
+            return Vec::new();
+        };
+        settle(sent.reply, Some(verdict.clone()));
+        let state = &self.state;
+        let claim = |key| {
+            if won.contains(&key) {
+                return gate::Claim::Won;
+            }
+            match state.keys.standing(key, state.at) {
+                Standing::Claimed => gate::Claim::Lost,
+                Standing::Expired => gate::Claim::Expired,
+                // The whole record was rejected, so nobody owns the key.
+                Standing::Free => gate::Claim::Failed(Refusal::Stale),
+            }
+        };
+        self.waiting.settle(&sent.keys, claim)
+    }
+}
--- /dev/null
+++ b/crates/node/src/log/client.rs
@@ -0,0 +1,80 @@
+//! HTTP calls to the platform's log.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use persimmongate_core::ids;
+use persimmongate_wire::log::{PAGE_MAX, Page, decode_page};
+use persimmongate_wire::platform::Appended;
+
+use crate::errors::{Result, platform_error};
+
+/// Time after which an append counts as lost and is repeated.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that a read waits at the platform for a new record.
+const READ_WAIT: Duration = Duration::from_secs(1);
+/// Time after which a read counts as failed.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// `Client` calls the platform's log.
+#[derive(Clone)]
+pub struct Client {
+    http: awc::Client,
+    platform: SocketAddr,
+}
+
+impl Client {
+    /// Makes a client for the platform at an address.
+    #[must_use]
+    pub fn new(platform: SocketAddr) -> Self {
+        let http = awc::Client::builder().timeout(READ_TIMEOUT).finish();
+        Self { http, platform }
+    }
+
+    /// Appends an encoded batch.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no answer came; the append may have taken effect all the same.
+    pub async fn append(&self, batch: Bytes) -> Result<Appended> {
+        let url = format!("http://{}/log/append", self.platform);
+        let request = self.http.post(url).timeout(APPEND_TIMEOUT);
+        let mut response = request
+            .send_body(batch)
+            .await
+            .map_err(|e| platform_error(&e))?;
+        if !response.status().is_success() {
+            return Err(platform_error(&response.status()));
+        }
+        response.json().await.map_err(|e| platform_error(&e))
+    }
+
+    /// Reads records from an offset; waits for a while when there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the log can't be read.
+    pub async fn read(&self, from: ids::Offset) -> Result<Page> {
+        let wait = READ_WAIT.as_millis();
+        let url = format!(
+            "http://{}/log/read?from={from}&wait_ms={wait}",
+            self.platform
+        );
+        let mut response = self
+            .http
+            .get(url)
+            .send()
+            .await
+            .map_err(|e| platform_error(&e))?;
+        if !response.status().is_success() {
+            return Err(platform_error(&response.status()));
+        }
+        let body = response
+            .body()
+            .limit(PAGE_MAX)
+            .await
+            .map_err(|e| platform_error(&e))?;
+        Ok(decode_page(&body)?)
+    }
+}
--- /dev/null
+++ b/crates/node/src/log/follower.rs
@@ -0,0 +1,278 @@
+//! The log's actor.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use actix::{
+    Actor, ActorContext, AsyncContext, Context, Handler, MessageResult, Recipient,
+    ResponseActFuture, WrapFuture,
+};
+use bytes::Bytes;
+use opentelemetry::metrics::{Counter, Meter};
+use persimmongate_core::ids;
+use persimmongate_core::record::{Body, Member};
+use persimmongate_core::state::State;
+use persimmongate_wire::log::{decode_state, encode_state};
+use rand::RngExt;
+use serde_json::json;
+use slog::{Logger, info, warn};
+
+use super::append::Outbox;
+use super::client::Client;
+use super::keys::Waiting;
+use super::message::{Append, Changed, Claim, Depart, End, Fetch, Restore, Subscribe};
+use crate::admin::Dump;
+use crate::clock;
+use crate::supervisor::Guard;
+
+/// Time between two looks at what waits.
+const TICK: Duration = Duration::from_millis(100);
+/// Time after which a claim that was not settled is given up.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time that a departure waits for the log.
+const DEPART_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// `Options` sets up the log's actor.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Name of the process.
+    pub instance: ids::Instance,
+    /// What the process announces of itself.
+    pub about: Member,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Time between two renewals.
+    pub renew: Duration,
+}
+
+/// `Follower` owns the fold of the log and the appends of the process.
+pub struct Follower<C: Copy + Send + 'static> {
+    pub(super) options: Options,
+    pub(super) client: Client,
+    pub(super) state: State,
+    pub(super) incarnation: ids::Incarnation,
+    pub(super) outbox: Outbox,
+    pub(super) waiting: Waiting,
+    pub(super) subscribers: Vec<Recipient<Changed>>,
+    /// Whether the fold reached the end of the log, or a peer's fold, once.
+    pub(super) ready: bool,
+    /// Whether the latest read failed.
+    pub(super) down: bool,
+    /// Time of the latest read that reached the end of the log.
+    pub(super) heard: Option<Instant>,
+    departed: bool,
+    pub(super) counters: Counters,
+    pub(super) logger: Logger,
+    _guard: Guard<C>,
+}
+
+/// `Counters` counts what the actor did.
+pub(super) struct Counters {
+    pub(super) appends: Counter<u64>,
+    pub(super) records: Counter<u64>,
+    pub(super) failures: Counter<u64>,
+    pub(super) rejected: Counter<u64>,
+}
+
+impl<C: Copy + Send + Unpin + 'static> Follower<C> {
+    /// Makes a follower that has read nothing yet.
+    #[must_use]
+    pub fn new(options: Options, meter: &Meter, logger: Logger, guard: Guard<C>) -> Self {
+        let counters = Counters {
+            appends: meter.u64_counter("log_appends").build(),
+            records: meter.u64_counter("log_records").build(),
+            failures: meter.u64_counter("log_failures").build(),
+            rejected: meter.u64_counter("log_rejected").build(),
+        };
+        Self {
+            client: Client::new(options.platform),
+            options,
+            state: State::default(),
+            incarnation: rand::rng().random(),
+            outbox: Outbox::default(),
+            waiting: Waiting::default(),
+            subscribers: Vec::new(),
+            ready: false,
+            down: false,
+            heard: None,
+            departed: false,
+            counters,
+            logger,
+            _guard: guard,
+        }
+    }
+
+    /// Joins under a new run; called at the start and after others removed the process.
+    pub(super) fn join(&mut self) {
+        if self.departed {
+            return;
+        }
+        self.incarnation = rand::rng().random();
+        self.outbox.restart();
+        self.outbox
+            .push(Body::Join(self.options.about.clone()), None);
+        info!(self.logger, "joins"; "incarnation" => self.incarnation);
+    }
+
+    pub(super) fn publish(
+        &mut self,
+        changes: Vec<persimmongate_core::state::Change>,
+        caught: bool,
+    ) {
+        let message = Changed {
+            next: self.state.next,
+            changes,
+            caught,
+        };
+        self.subscribers.retain(Recipient::connected);
+        for subscriber in &self.subscribers {
+            subscriber.do_send(message.clone());
+        }
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        self.waiting.expire(clock::now(), CLAIM_TIMEOUT);
+        self.flush(ctx);
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Actor for Follower<C> {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        self.join();
+        self.read(ctx);
+        ctx.run_interval(TICK, Self::tick);
+        ctx.run_interval(self.options.renew, |act, ctx| {
+            act.outbox.renew();
+            act.flush(ctx);
+        });
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Append> for Follower<C> {
+    type Result = ();
+
+    fn handle(&mut self, append: Append, ctx: &mut Self::Context) {
+        self.outbox
+            .push(append.body, Some((append.token, append.reply)));
+        self.flush(ctx);
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Claim> for Follower<C> {
+    type Result = ();
+
+    fn handle(&mut self, claim: Claim, ctx: &mut Self::Context) {
+        self.waiting.add(clock::now(), claim);
+        self.flush(ctx);
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<End> for Follower<C> {
+    type Result = ();
+
+    fn handle(&mut self, end: End, _: &mut Self::Context) {
+        // Ends are not urgent; they go out with the next append or tick.
+        self.outbox.end(end.key, end.end);
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Subscribe> for Follower<C> {
+    type Result = ();
+
+    fn handle(&mut self, Subscribe(subscriber): Subscribe, _: &mut Self::Context) {
+        if self.ready {
+            let changes = self.state.changes();
+            subscriber.do_send(Changed {
+                next: self.state.next,
+                changes,
+                caught: true,
+            });
+        }
+        self.subscribers.push(subscriber);
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Depart> for Follower<C> {
+    type Result = ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, _: Depart, ctx: &mut Self::Context) -> Self::Result {
+        self.departed = true;
+        let done = self.outbox.depart();
+        self.flush(ctx);
+        let wait = async move {
+            // Past the time limit the others expire the membership.
+            let _ = actix_rt::time::timeout(DEPART_TIMEOUT, done).await;
+        };
+        Box::pin(wait.into_actor(self))
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Fetch> for Follower<C> {
+    type Result = MessageResult<Fetch>;
+
+    fn handle(&mut self, Fetch(next): Fetch, _: &mut Self::Context) -> Self::Result {
+        if !self.ready || self.state.next < next {
+            return MessageResult(None);
+        }
+        let encoded: Option<Bytes> = encode_state(&self.state).ok();
+        MessageResult(encoded.map(|state| (self.state.next, state)))
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Restore> for Follower<C> {
+    type Result = ();
+
+    fn handle(&mut self, restore: Restore, _: &mut Self::Context) {
+        // A fold that is not ahead never replaces the own one.
+        if restore.next <= self.state.next {
+            return;
+        }
+        match decode_state(&restore.state) {
+            Ok(state) if state.next == restore.next => {
+                info!(self.logger, "takes over a peer's fold"; "next" => state.next);
+                self.state = state;
+                self.ready = true;
+                let changes = self.state.changes();
+                self.publish(changes, false);
+            }
+            Ok(state) => {
+                warn!(self.logger, "peer's fold has another offset"; "next" => state.next);
+            }
+            Err(problem) => warn!(self.logger, "peer's fold is refused"; "error" => %problem),
+        }
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Dump> for Follower<C> {
+    type Result = MessageResult<Dump>;
+
+    fn handle(&mut self, _: Dump, _: &mut Self::Context) -> Self::Result {
+        let age = self
+            .heard
+            .map(|at| clock::now().saturating_duration_since(at).as_secs_f64());
+        MessageResult(json!({
+            "incarnation": self.incarnation,
+            "ready": self.ready,
+            "down": self.down,
+            "heard_seconds_ago": age,
+            "claims_waiting": self.waiting.len(),
+            "records_queued": self.outbox.len(),
+            "state": self.state,
+        }))
+    }
+}
+
+/// `Fail` makes the actor end in a stated way, for tests of the supervisor.
+#[derive(Clone, Copy, Debug, actix::Message)]
+#[rtype(result = "()")]
+pub struct Fail;
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Fail> for Follower<C> {
+    type Result = ();
+
+    fn handle(&mut self, _: Fail, ctx: &mut Self::Context) {
+        ctx.stop();
+    }
+}
--- /dev/null
+++ b/crates/node/src/log/message.rs
@@ -0,0 +1,99 @@
+//! Messages of the log's actor.
+
+use actix::{Message, Recipient};
+use bytes::Bytes;
+use persimmongate_core::gate;
+use persimmongate_core::ids;
+use persimmongate_core::record::{self, Body};
+use persimmongate_core::state::{Change, Verdict};
+
+/// `Append` asks for a record to be appended.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Append {
+    /// Token of the author's choice.
+    pub token: u64,
+    /// What the record says.
+    pub body: Body,
+    /// Where the verdict goes.
+    pub reply: Recipient<Settled>,
+}
+
+/// `Settled` tells the verdict on a record.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Settled {
+    /// Token of the append.
+    pub token: u64,
+    /// Verdict of the fold, or nothing when it was not read in time.
+    pub verdict: Option<Verdict>,
+}
+
+/// `Changed` tells a subscriber what changed, in the order of the log.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Changed {
+    /// Offset after the last record folded; a subscriber drops what is older than it knows.
+    pub next: ids::Offset,
+    /// What changed.
+    pub changes: Vec<Change>,
+    /// Whether the log was read up to its end after it could not be read.
+    pub caught: bool,
+}
+
+/// `Subscribe` adds a subscriber, which is first told the whole state.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Subscribe(pub Recipient<Changed>);
+
+/// `Claim` asks for a key to be claimed.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Claim {
+    /// Request that needs the key.
+    pub request: ids::Request,
+    /// Key to claim.
+    pub key: ids::Key,
+    /// Where the verdict goes.
+    pub reply: Recipient<Claimed>,
+}
+
+/// `Claimed` tells the end of a claim.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Claimed {
+    /// Request that needed the key.
+    pub request: ids::Request,
+    /// How the claim ended.
+    pub claim: gate::Claim,
+}
+
+/// `End` reports how the holder of a key ended.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct End {
+    /// Key claimed before.
+    pub key: ids::Key,
+    /// How it ended.
+    pub end: record::End,
+}
+
+/// `Depart` ends the membership; the answer comes when the log shows it or time is up.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Depart;
+
+/// `Fetch` asks for the encoded fold, if it has at least this next offset.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Option<(ids::Offset, Bytes)>")]
+pub struct Fetch(pub ids::Offset);
+
+/// `Restore` hands over an encoded fold of a peer.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Restore {
+    /// Offset after the last record folded.
+    pub next: ids::Offset,
+    /// Encoded state.
+    pub state: Bytes,
+}
--- /dev/null
+++ b/crates/node/src/log/mod.rs
@@ -0,0 +1,17 @@
+//! Follower of the platform's log, and appends to it.
+//!
+//! One actor owns the connections to the log and the fold. It tells subscribers what changed and
+//! tells authors the verdict on their records, in that order.
+
+mod append;
+mod client;
+mod follower;
+mod keys;
+mod message;
+mod read;
+
+pub use client::Client;
+pub use follower::{Follower, Options};
+pub use message::{
+    Append, Changed, Claim, Claimed, Depart, End, Fetch, Restore, Settled, Subscribe,
+};
--- /dev/null
+++ b/crates/node/src/metrics/mod.rs
@@ -0,0 +1,53 @@
+//! Counters and histograms, served for scraping.
+
+use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::errors::{Result, metrics_error};
+
+/// Name under which the instruments are registered.
+const SCOPE: &str = "persimmongate";
+
+/// `Metrics` holds the instruments of one process.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Makes an empty set of instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the exporter can't be registered.
+    pub fn start() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| metrics_error(&error))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    /// Gets the source of instruments.
+    #[must_use]
+    pub fn meter(&self) -> Meter {
+        self.provider.meter(SCOPE)
+    }
+
+    /// Renders all instruments in the text format that scrapers read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an instrument can't be rendered.
+    pub fn render(&self) -> Result<Vec<u8>> {
+        let mut buffer = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buffer)
+            .map_err(|error| metrics_error(&error))?;
+        Ok(buffer)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,11 @@
+//! Messages between processes and their encoding.
+//!
+//! - [`errors`]: the error type, its alias and its constructors
+//! - [`frame`]: frames on peer links
+//! - [`log`]: records and pages of the platform's log
+//! - [`platform`]: the platform's interface for hosts
+
+pub mod errors;
+pub mod frame;
+pub mod log;
+pub mod platform;
--- /dev/null
+++ b/crates/wire/src/log/mod.rs
@@ -0,0 +1,148 @@
+//! Records and pages of the platform's log.
+
+use std::time::{Duration, SystemTime};
+
+use bytes::Bytes;
+use persimmongate_core::ids;
+use persimmongate_core::record::Record;
+use persimmongate_core::state::State;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::errors::{Result, malformed_error, oversized_error};
+
+/// Longest record accepted, in bytes.
+pub const RECORD_MAX: usize = 16 * 1024 * 1024;
+/// Longest page accepted, in bytes.
+pub const PAGE_MAX: usize = 64 * 1024 * 1024;
+/// Longest state accepted, in bytes.
+pub const STATE_MAX: usize = 48 * 1024 * 1024;
+
+/// `Page` is the platform's answer to a read.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Page {
+    /// Oldest offset that the log still keeps.
+    pub earliest: ids::Offset,
+    /// Offset that the next append gets.
+    pub end: ids::Offset,
+    /// Records from the offset asked for.
+    pub items: Vec<Item>,
+}
+
+/// `Item` is one record of a page.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Item {
+    /// Offset of the record.
+    pub offset: ids::Offset,
+    /// Milliseconds since the epoch at which the log took it.
+    pub at: u64,
+    /// Encoded record.
+    pub record: Bytes,
+}
+
+impl Item {
+    /// Gets the time at which the log took the record.
+    #[must_use]
+    pub fn time(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + Duration::from_millis(self.at)
+    }
+}
+
+/// `Batch` is an append of several records; the platform gives them consecutive offsets.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Batch {
+    /// Encoded records.
+    pub records: Vec<Bytes>,
+}
+
+pub(crate) fn encode<T: Serialize>(what: &'static str, value: &T, max: usize) -> Result<Bytes> {
+    let mut buffer = Vec::new();
+    ciborium::into_writer(value, &mut buffer).map_err(|error| malformed_error(what, &error))?;
+    if buffer.len() > max {
+        return Err(oversized_error(what, buffer.len(), max));
+    }
+    Ok(buffer.into())
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(
+    what: &'static str,
+    bytes: &[u8],
+    max: usize,
+) -> Result<T> {
+    if bytes.len() > max {
+        return Err(oversized_error(what, bytes.len(), max));
+    }
+    ciborium::from_reader(bytes).map_err(|error| malformed_error(what, &error))
+}
+
+/// Encodes a record.
+///
+/// # Errors
+///
+/// Returns an error when the record is too long.
+pub fn encode_record(record: &Record) -> Result<Bytes> {
+    encode("record", record, RECORD_MAX)
+}
+
+/// Decodes a record.
+///
+/// # Errors
+///
+/// Returns an error for bytes that are too long or no record.
+pub fn decode_record(bytes: &[u8]) -> Result<Record> {
+    decode("record", bytes, RECORD_MAX)
+}
+
+/// Encodes a batch.
+///
+/// # Errors
+///
+/// Returns an error when the batch is too long.
+pub fn encode_batch(batch: &Batch) -> Result<Bytes> {
+    encode("batch", batch, PAGE_MAX)
+}
+
+/// Decodes a batch.
+///
+/// # Errors
+///
+/// Returns an error for bytes that are too long or no batch.
+pub fn decode_batch(bytes: &[u8]) -> Result<Batch> {
+    decode("batch", bytes, PAGE_MAX)
+}
+
+/// Encodes a page.
+///
+/// # Errors
+///
+/// Returns an error when the page is too long.
+pub fn encode_page(page: &Page) -> Result<Bytes> {
+    encode("page", page, PAGE_MAX)
+}
+
+/// Decodes a page.
+///
+/// # Errors
+///
+/// Returns an error for bytes that are too long or no page.
+pub fn decode_page(bytes: &[u8]) -> Result<Page> {
+    decode("page", bytes, PAGE_MAX)
+}
+
+/// Encodes a state.
+///
+/// # Errors
+///
+/// Returns an error when the state is too long.
+pub fn encode_state(state: &State) -> Result<Bytes> {
+    encode("state", state, STATE_MAX)
+}
+
+/// Decodes a state.
+///
+/// # Errors
+///
+/// Returns an error for bytes that are too long or no state.
+pub fn decode_state(bytes: &[u8]) -> Result<State> {
+    decode("state", bytes, STATE_MAX)
+}
