--- a/crates/core/src/fleet/manager.rs
+++ b/crates/core/src/fleet/manager.rs
@@ -142,7 +142,8 @@
     }
 
     /// Gets the pools that this instance decides for, with its terms.
-    pub(crate) fn held(&self) -> Vec<(ids::Pool, ids::Term)> {
+    #[must_use]
+    pub fn held(&self) -> Vec<(ids::Pool, ids::Term)> {
         let own = self
             .view
             .pools
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`map`]: hash maps with a fast hasher
 //! - [`outcome`]: what a caller is told of a request
 //! - [`record`]: records of the log
+//! - [`report`]: what operators are shown
 //! - [`request`]: requests of callers
 //! - [`settings`]: settings of the daemons
 //! - [`sheet`]: the planners' sheet
@@ -24,6 +25,7 @@
 pub mod map;
 pub mod outcome;
 pub mod record;
+pub mod report;
 pub mod request;
 pub mod settings;
 pub mod sheet;
--- /dev/null
+++ b/crates/core/src/report/status.rs
@@ -0,0 +1,133 @@
+//! The status of the fleet at a glance.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids;
+use crate::record::Phase;
+use crate::state::{Stage, State};
+
+/// `Status` is the state of the fleet at an offset.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Status {
+    /// Offset after the last record folded.
+    pub next: ids::Offset,
+    /// Offset of the sheet in force.
+    pub revision: ids::Revision,
+    /// Moves accepted so far.
+    pub moves: u64,
+    /// Pools by name.
+    pub pools: Vec<Pool>,
+    /// Services by name.
+    pub services: Vec<Service>,
+    /// Waves by name.
+    pub waves: Vec<Wave>,
+}
+
+/// `Pool` is one pool of the status.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Pool {
+    /// Name of the pool.
+    pub name: ids::Pool,
+    /// Service that its hosts run.
+    pub service: Option<ids::Service>,
+    /// Process that decides for it.
+    pub holder: Option<ids::Instance>,
+    /// Hosts that the sheet asks for.
+    pub target: u32,
+    /// Hosts in the pool.
+    pub hosts: usize,
+    /// Hosts of it that get work.
+    pub serving: usize,
+}
+
+/// `Service` is one service of the status.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Service {
+    /// Name of the service.
+    pub name: ids::Service,
+    /// Hosts that it promises.
+    pub promised: u32,
+    /// Hosts that serve it.
+    pub serving: u32,
+}
+
+/// `Wave` is one wave of the status.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Wave {
+    /// Name of the wave.
+    pub name: ids::Wave,
+    /// Pool that it maintains.
+    pub pool: ids::Pool,
+    /// Where it stands.
+    pub phase: Phase,
+    /// Why it stands there.
+    pub reason: String,
+    /// Hosts maintained.
+    pub done: usize,
+    /// Hosts being drained or stopped.
+    pub out: usize,
+    /// Hosts of the pool.
+    pub hosts: usize,
+}
+
+/// Gets the status of a state.
+#[must_use]
+pub fn status(state: &State) -> Status {
+    let mut pools: Vec<Pool> = state.pools.keys().map(|name| pool(state, name)).collect();
+    pools.sort_by(|a, b| a.name.cmp(&b.name));
+    let mut services: Vec<Service> = state
+        .budgets
+        .iter()
+        .map(|(name, promised)| Service {
+            name: name.clone(),
+            promised: *promised,
+            serving: state.serving(name),
+        })
+        .collect();
+    services.sort_by(|a, b| a.name.cmp(&b.name));
+    let mut waves: Vec<Wave> = state
+        .waves
+        .keys()
+        .filter_map(|name| wave(state, name))
+        .collect();
+    waves.sort_by(|a, b| a.name.cmp(&b.name));
+    let (next, revision, moves) = (state.next, state.revision, state.moves);
+    Status {
+        next,
+        revision,
+        moves,
+        pools,
+        services,
+        waves,
+    }
+}
+
+fn pool(state: &State, name: &ids::Pool) -> Pool {
+    let entry = state.pools.get(name).cloned().unwrap_or_default();
+    let hosts = || state.hosts.values().filter(|host| host.pool == *name);
+    Pool {
+        name: name.clone(),
+        service: entry.service,
+        holder: entry.holder,
+        target: entry.target,
+        hosts: hosts().count(),
+        serving: hosts().filter(|host| host.is_serving()).count(),
+    }
+}
+
+fn wave(state: &State, name: &ids::Wave) -> Option<Wave> {
+    let entry = state.waves.get(name)?;
+    let hosts = || state.hosts.values().filter(|host| host.pool == entry.pool);
+    let out = |host: &&crate::state::Host| matches!(host.stage, Stage::Draining { .. });
+    Some(Wave {
+        name: name.clone(),
+        pool: entry.pool.clone(),
+        phase: entry.phase,
+        reason: entry.reason.clone(),
+        done: hosts()
+            .filter(|host| host.maintained >= entry.since)
+            .count(),
+        out: hosts().filter(out).count(),
+        hosts: hosts().count(),
+    })
+}
--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -1,5 +1,6 @@
 //! Settings of the entry daemon.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Node;
@@ -16,6 +17,8 @@
 pub struct Entry {
     /// Settings that every daemon has.
     pub node: Node,
+    /// Address at which callers are served.
+    pub listen: SocketAddr,
     /// Largest body of a request or an answer, in bytes.
     pub body_max: usize,
     /// Time for a request without a deadline of its own.
@@ -30,12 +33,16 @@
     fn try_from(text: &str) -> Result<Self> {
         super::parse(text, |reader| {
             let node = Node::read(reader);
+            let listen = reader.address("listen");
             let body_max = reader.size("body_max", BODY_MAX);
             let deadline = reader.duration("deadline", DEADLINE);
             let defaults = Options::default();
             let probe_after = reader.duration("probe_after", defaults.probe_after);
             let slow_start = reader.duration("slow_start", defaults.slow_start);
             let node = node?;
+            let listen = listen?;
+            let others = [("http", node.http), ("peer", node.peer), ("listen", listen)];
+            reader.check_distinct(&others);
             let gate = Options {
                 probe_after: probe_after?,
                 slow_start: slow_start?,
@@ -44,6 +51,7 @@
             };
             Some(Self {
                 node,
+                listen,
                 body_max: body_max?,
                 deadline: deadline?,
                 gate,
--- a/crates/core/src/state/apply.rs
+++ b/crates/core/src/state/apply.rs
@@ -402,6 +402,7 @@
         if entry.is_serving() && self.service_of(from) != self.service_of(to) {
             self.check_budget(from)?;
         }
+        self.moves += 1;
         let entry = self.host_mut(host)?;
         entry.pool = to.clone();
         entry.revision = offset;
--- a/crates/core/src/state/entry.rs
+++ b/crates/core/src/state/entry.rs
@@ -33,6 +33,8 @@
     pub pins: Map<ids::Host, ids::Pool>,
     /// Waves by name.
     pub waves: Map<ids::Wave, Wave>,
+    /// Moves accepted so far.
+    pub moves: u64,
     /// Idempotency keys that were claimed.
     pub keys: Keys,
 }
@@ -134,6 +136,7 @@
             quotas: Map::default(),
             pins: Map::default(),
             waves: Map::default(),
+            moves: 0,
             keys: Keys::default(),
         }
     }
--- /dev/null
+++ b/crates/core/tests/state/main.rs
@@ -0,0 +1,161 @@
+//! Tests of the fold.
+
+mod fixture;
+
+use std::time::{Duration, SystemTime};
+
+use fixture::{Log, member};
+use persimmongate_core::record::{Body, End, Record};
+use persimmongate_core::request::make_key;
+use persimmongate_core::state::{Change, Reason, Stage, Standing, Verdict};
+
+fn drain(host: &str) -> Body {
+    Body::Drain {
+        host: host.to_owned().into(),
+        generation: 1,
+        wave: "w".into(),
+        term: 1,
+    }
+}
+
+#[test]
+fn verify_second_of_two_racing_moves_is_rejected() {
+    let mut log = Log::new(4, 0);
+    let revision = log.state.hosts["h0"].revision;
+    let (from, to): (_, persimmongate_core::ids::Pool) = ("spare".into(), "finder".into());
+    let body = Body::Move {
+        host: "h0".into(),
+        from,
+        to: to.clone(),
+        revision,
+        term: 1,
+    };
+    assert_eq!(log.append("a", body.clone()), Verdict::Accepted);
+    let current = log.state.hosts["h0"].revision;
+    let conflict = Reason::Conflict {
+        current,
+        seen: revision,
+    };
+    assert_eq!(log.append("a", body), Verdict::Rejected(conflict));
+    assert_eq!(log.state.hosts["h0"].pool, to);
+}
+
+#[test]
+fn verify_repeated_append_counts_once() {
+    let mut log = Log::new(4, 0);
+    let body = Body::Claim {
+        pool: "finder".into(),
+        term: 2,
+    };
+    let record = Record {
+        author: "b".into(),
+        incarnation: 1,
+        sequence: 1000,
+        body,
+    };
+    assert_eq!(log.fold(&record), Verdict::Accepted);
+    assert_eq!(log.fold(&record), Verdict::Duplicate);
+    assert_eq!(log.state.pools["finder"].term, 2);
+}
+
+#[test]
+fn verify_records_of_an_older_term_are_rejected() {
+    let mut log = Log::new(4, 0);
+    log.fill(4);
+    assert_eq!(
+        log.append(
+            "b",
+            Body::Claim {
+                pool: "finder".into(),
+                term: 2
+            }
+        ),
+        Verdict::Accepted
+    );
+    let term = Reason::Term {
+        current: 2,
+        seen: 1,
+    };
+    assert_eq!(log.append("a", drain("h0")), Verdict::Rejected(term));
+    assert_eq!(log.state.hosts["h0"].stage, Stage::Serving);
+}
+
+#[test]
+fn verify_drain_below_the_budget_is_rejected() {
+    let mut log = Log::new(4, 3);
+    log.fill(4);
+    assert_eq!(log.append("a", drain("h0")), Verdict::Accepted);
+    let budget = Reason::Budget {
+        service: "finder".into(),
+        serving: 3,
+        promised: 3,
+    };
+    assert_eq!(log.append("a", drain("h1")), Verdict::Rejected(budget));
+}
+
+#[test]
+fn verify_second_sheet_against_the_same_base_conflicts() {
+    let mut log = Log::new(4, 0);
+    let base = log.state.revision;
+    let sheet = Body::Sheet {
+        base,
+        operator: "o".into(),
+        intents: Vec::new(),
+    };
+    assert_eq!(log.append("a", sheet.clone()), Verdict::Accepted);
+    let current = log.state.revision;
+    let conflict = Reason::Conflict {
+        current,
+        seen: base,
+    };
+    assert_eq!(log.append("b", sheet), Verdict::Rejected(conflict));
+}
+
+#[test]
+fn verify_only_the_first_claim_of_a_key_wins() {
+    let mut log = Log::new(1, 0);
+    let key = make_key(SystemTime::UNIX_EPOCH + Duration::from_secs(1000), 7);
+    log.append("a", Body::Keys { keys: vec![key] });
+    log.append("b", Body::Keys { keys: vec![key] });
+    let won: Vec<_> = log
+        .changes
+        .iter()
+        .filter_map(|change| match change {
+            Change::Keys(author, won) => Some((author.to_string(), won.len())),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(won, [("a".to_owned(), 1), ("b".to_owned(), 0)]);
+    log.append(
+        "b",
+        Body::Outcomes {
+            ends: vec![(key, End::NotRun)],
+        },
+    );
+    assert_eq!(
+        log.state.keys.standing(key, log.state.at),
+        Standing::Claimed
+    );
+    log.append(
+        "a",
+        Body::Outcomes {
+            ends: vec![(key, End::NotRun)],
+        },
+    );
+    assert_eq!(log.state.keys.standing(key, log.state.at), Standing::Free);
+}
+
+#[test]
+fn verify_author_of_an_older_run_is_rejected() {
+    let mut log = Log::new(1, 0);
+    let join = Record {
+        author: "a".into(),
+        incarnation: 2,
+        sequence: 1,
+        body: Body::Join(member()),
+    };
+    assert_eq!(log.fold(&join), Verdict::Accepted);
+    let late = log.append("a", Body::Renew);
+    assert_eq!(late, Verdict::Rejected(Reason::Stranger));
+    assert_eq!(log.state.pools["finder"].holder, None);
+}
--- /dev/null
+++ b/crates/entry/src/gate/mod.rs
@@ -0,0 +1,308 @@
+//! The actor around the gate's decisions: it carries out actions and feeds events.
+
+use std::time::Duration;
+
+use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+use persimmongate_core::gate::{Action, Event, Exchange, Gate as Decisions, Options};
+use persimmongate_core::ids;
+use persimmongate_core::map::Map;
+use persimmongate_core::outcome::{Outcome, Refusal};
+use persimmongate_core::request::Request;
+use persimmongate_node::admin::Dump;
+use persimmongate_node::clock;
+use persimmongate_node::log::{Changed, Claim, Claimed, End, Follower};
+use persimmongate_node::supervisor::Guard;
+use rand::RngExt;
+use serde_json::json;
+use std::time::Instant;
+use tokio::sync::oneshot;
+
+use crate::link::{self, Links};
+use crate::report::{self, Reporter};
+use crate::tree::Child;
+
+/// Time between two looks at deadlines and callers that went away.
+const TICK: Duration = Duration::from_millis(20);
+
+/// `Gate` owns the decisions and the callers that wait for an outcome.
+pub(crate) struct Gate<C: Copy + Send + 'static> {
+    decisions: Decisions,
+    waiting: Map<ids::Request, Caller>,
+    /// Identifier of the latest request.
+    latest: ids::Request,
+    /// Offset up to which the fold is known; older changes are dropped.
+    next: ids::Offset,
+    follower: Option<Addr<Follower<Child>>>,
+    links: Option<Addr<Links<Child>>>,
+    reporter: Option<Addr<Reporter<Child>>>,
+    /// Bodies and paths of requests that may still be sent.
+    requests: Map<ids::Request, Request>,
+    outcomes: Counter<u64>,
+    latencies: Histogram<f64>,
+    _guard: Guard<C>,
+}
+
+/// `Caller` waits for an outcome.
+struct Caller {
+    reply: oneshot::Sender<Outcome>,
+    service: ids::Service,
+    since: Instant,
+}
+
+impl<C: Copy + Send + Unpin + 'static> Gate<C> {
+    pub(crate) fn new(options: Options, meter: &Meter, guard: Guard<C>) -> Self {
+        Self {
+            decisions: Decisions::new(options, rand::rng().random()),
+            waiting: Map::default(),
+            latest: 0,
+            next: 0,
+            follower: None,
+            links: None,
+            reporter: None,
+            requests: Map::default(),
+            outcomes: meter.u64_counter("requests").build(),
+            latencies: meter.f64_histogram("request_seconds").build(),
+            _guard: guard,
+        }
+    }
+
+    fn step(&mut self, event: Event, ctx: &mut Context<Self>) {
+        let mut actions = Vec::new();
+        self.decisions.step(clock::now(), event, &mut actions);
+        for action in actions {
+            self.carry_out(action, ctx);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action, ctx: &mut Context<Self>) {
+        match action {
+            Action::Claim { request, key } => {
+                if let Some(follower) = &self.follower {
+                    let reply = ctx.address().recipient();
+                    follower.do_send(Claim {
+                        request,
+                        key,
+                        reply,
+                    });
+                }
+            }
+            Action::End { key, end } => {
+                if let Some(follower) = &self.follower {
+                    follower.do_send(End { key, end });
+                }
+            }
+            Action::Finish { request, outcome } => self.finish(request, outcome),
+            Action::Report {
+                host,
+                since,
+                in_flight,
+            } => {
+                if let Some(reporter) = &self.reporter {
+                    reporter.do_send(report::Drain {
+                        host,
+                        since,
+                        in_flight,
+                    });
+                }
+            }
+            Action::Send {
+                request,
+                host,
+                address,
+            } => {
+                let content = self.requests.get(&request).cloned();
+                if let (Some(links), Some(content)) = (&self.links, content) {
+                    let reply = ctx.address().recipient();
+                    links.do_send(link::Send {
+                        request: content,
+                        host,
+                        address,
+                        reply,
+                    });
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, request: ids::Request, outcome: Outcome) {
+        self.requests.remove(&request);
+        let Some(caller) = self.waiting.remove(&request) else {
+            return;
+        };
+        let labels = [
+            KeyValue::new("service", caller.service.to_string()),
+            KeyValue::new("outcome", outcome.word()),
+        ];
+        self.outcomes.add(1, &labels);
+        let elapsed = clock::now().saturating_duration_since(caller.since);
+        self.latencies.record(elapsed.as_secs_f64(), &labels);
+        // A caller that went away has nobody to tell.
+        let _ = caller.reply.send(outcome);
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        let gone = self
+            .waiting
+            .iter()
+            .filter(|(_, caller)| caller.reply.is_closed());
+        let gone: Vec<ids::Request> = gone.map(|(id, _)| *id).collect();
+        for id in gone {
+            self.step(Event::Cancel(id), ctx);
+        }
+        self.step(Event::Tick, ctx);
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Actor for Gate<C> {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.run_interval(TICK, Self::tick);
+    }
+}
+
+/// `Wire` tells the gate where a sibling is.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) enum Wire {
+    Follower(Addr<Follower<Child>>),
+    Links(Addr<Links<Child>>),
+    Reporter(Addr<Reporter<Child>>),
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Wire> for Gate<C> {
+    type Result = ();
+
+    fn handle(&mut self, wire: Wire, _: &mut Self::Context) {
+        match wire {
+            Wire::Follower(follower) => self.follower = Some(follower),
+            Wire::Links(links) => self.links = Some(links),
+            Wire::Reporter(reporter) => self.reporter = Some(reporter),
+        }
+    }
+}
+
+/// `Submit` hands over a request; the outcome comes over the channel.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Submit {
+    /// Request whose identifier is set here.
+    pub(crate) request: Request,
+    /// Where the outcome goes.
+    pub(crate) reply: oneshot::Sender<Outcome>,
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Submit> for Gate<C> {
+    type Result = ();
+
+    fn handle(&mut self, submit: Submit, ctx: &mut Self::Context) {
+        let Submit { mut request, reply } = submit;
+        self.latest += 1;
+        request.id = self.latest;
+        let caller = Caller {
+            reply,
+            service: request.service.clone(),
+            since: clock::now(),
+        };
+        self.waiting.insert(request.id, caller);
+        self.requests.insert(request.id, request.clone());
+        self.step(Event::Arrive(request), ctx);
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Changed> for Gate<C> {
+    type Result = ();
+
+    fn handle(&mut self, changed: Changed, ctx: &mut Self::Context) {
+        if changed.next < self.next {
+            return;
+        }
+        self.next = changed.next;
+        for change in changed.changes {
+            self.step(Event::Change(change), ctx);
+        }
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Claimed> for Gate<C> {
+    type Result = ();
+
+    fn handle(&mut self, claimed: Claimed, ctx: &mut Self::Context) {
+        self.step(Event::Claimed(claimed.request, claimed.claim), ctx);
+    }
+}
+
+/// `Done` tells the end of an exchange.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Done {
+    pub(crate) request: ids::Request,
+    pub(crate) host: ids::Host,
+    pub(crate) exchange: Exchange,
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Done> for Gate<C> {
+    type Result = ();
+
+    fn handle(&mut self, done: Done, ctx: &mut Self::Context) {
+        let Done {
+            request,
+            host,
+            exchange,
+        } = done;
+        self.step(
+            Event::Done {
+                request,
+                host,
+                exchange,
+            },
+            ctx,
+        );
+    }
+}
+
+/// `Leave` refuses new requests from now on.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Leave;
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Leave> for Gate<C> {
+    type Result = ();
+
+    fn handle(&mut self, _: Leave, ctx: &mut Self::Context) {
+        self.step(Event::Leave, ctx);
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Dump> for Gate<C> {
+    type Result = MessageResult<Dump>;
+
+    fn handle(&mut self, _: Dump, _: &mut Self::Context) -> Self::Result {
+        let services = self.decisions.services();
+        let queued: std::collections::BTreeMap<&str, usize> = services
+            .map(|name| (&**name, self.decisions.queued(name)))
+            .collect();
+        MessageResult(json!({
+            "next": self.next,
+            "open": self.decisions.open(),
+            "queued": queued,
+            "latest_request": self.latest,
+        }))
+    }
+}
+
+/// Sends a request to the gate and waits for its outcome.
+pub(crate) fn submit(gate: &Addr<Gate<Child>>, request: Request) -> ResponseFuture<Outcome> {
+    let (reply, outcome) = oneshot::channel();
+    let sent = gate.try_send(Submit { request, reply });
+    Box::pin(async move {
+        if sent.is_err() {
+            return Outcome::NotRun(Refusal::Leaving);
+        }
+        // A gate that failed may have sent the request before.
+        let lost = Outcome::Unknown(persimmongate_core::outcome::Doubt::Broken);
+        outcome.await.unwrap_or(lost)
+    })
+}
--- /dev/null
+++ b/crates/entry/src/link/exchange.rs
@@ -0,0 +1,107 @@
+//! One exchange with a backend server.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::error::{ConnectError, SendRequestError};
+use persimmongate_core::gate::Exchange;
+use persimmongate_core::outcome::Answer;
+use persimmongate_core::request::Request;
+use persimmongate_wire::platform::{CALLER_HEADER, KEY_HEADER, OUTCOME_HEADER, REQUEST_HEADER};
+
+/// Time in which a connection must open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Connections of one link, at most; the gate keeps fewer requests in flight.
+const CONNECTIONS_MAX: usize = 64;
+
+/// Makes a client with connections of its own.
+pub(super) fn client() -> awc::Client {
+    let connector = awc::Connector::new()
+        .limit(CONNECTIONS_MAX)
+        .timeout(CONNECT_TIMEOUT);
+    awc::Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .disable_timeout()
+        .no_default_headers()
+        .finish()
+}
+
+/// Sends a request and waits for its whole answer until the request's deadline.
+///
+/// Past the deadline the exchange is dropped, which closes its connection: a late answer can never
+/// meet another request.
+pub(super) async fn run(
+    http: awc::Client,
+    id: String,
+    request: Request,
+    address: SocketAddr,
+    body_max: usize,
+) -> Exchange {
+    let deadline = actix_rt::time::Instant::from_std(request.deadline);
+    let exchange = send(http, &id, request, address, body_max);
+    tokio::time::timeout_at(deadline, exchange)
+        .await
+        .unwrap_or(Exchange::Timeout)
+}
+
+async fn send(
+    http: awc::Client,
+    id: &str,
+    request: Request,
+    address: SocketAddr,
+    body_max: usize,
+) -> Exchange {
+    let path = String::from_utf8_lossy(&request.path);
+    let url = format!("http://{address}/{}/{path}", request.service);
+    let mut post = http
+        .post(url)
+        .insert_header((REQUEST_HEADER, id))
+        .insert_header((CALLER_HEADER, request.caller.to_string()));
+    if let persimmongate_core::request::Kind::Once(key) = request.kind {
+        post = post.insert_header((KEY_HEADER, persimmongate_core::request::format_key(key)));
+    }
+    let mut response = match post.send_body(request.body).await {
+        Ok(response) => response,
+        Err(error) => return failure(&error),
+    };
+    let echoed = response
+        .headers()
+        .get(REQUEST_HEADER)
+        .is_some_and(|echo| echo == id);
+    if !echoed {
+        return Exchange::Mismatch;
+    }
+    if response
+        .headers()
+        .get(OUTCOME_HEADER)
+        .is_some_and(|outcome| outcome == "not-run")
+    {
+        return Exchange::Refused;
+    }
+    let status = response.status().as_u16();
+    match response.body().limit(body_max).await {
+        Ok(body) => Exchange::Answered(Answer { status, body }),
+        Err(_) => Exchange::Broken,
+    }
+}
+
+/// Tells whether an error came before any byte was sent.
+///
+/// The library also reports a connection that broke off after the request as a connect error, so
+/// only errors that can't come later count as unsent.
+fn failure(error: &SendRequestError) -> Exchange {
+    match error {
+        SendRequestError::Url(_)
+        | SendRequestError::Connect(
+            ConnectError::Timeout | ConnectError::Unresolved | ConnectError::NoRecords,
+        ) => Exchange::Unsent,
+        SendRequestError::Connect(ConnectError::Io(error))
+            if error.kind() == ErrorKind::ConnectionRefused =>
+        {
+            Exchange::Unsent
+        }
+        _ => Exchange::Broken,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/link/mod.rs
@@ -0,0 +1,149 @@
+//! Connections to backend servers: one actor for each server.
+
+mod exchange;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix::{
+    Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message,
+    MessageResult, Recipient, WrapFuture,
+};
+use persimmongate_core::ids;
+use persimmongate_core::map::Map;
+use persimmongate_core::request::Request;
+use persimmongate_node::admin::Dump;
+use persimmongate_node::supervisor::Guard;
+use rand::RngExt;
+use serde_json::json;
+
+use crate::gate::Done;
+
+/// Time after which a link without requests ends and closes its connections.
+const IDLE: Duration = Duration::from_mins(1);
+
+/// `Links` starts a link for each backend server that is used.
+pub(crate) struct Links<C: Copy + std::marker::Send + 'static> {
+    by_host: Map<ids::Host, Addr<Link>>,
+    /// Start of the identifiers that this run puts on requests.
+    prefix: String,
+    body_max: usize,
+    _guard: Guard<C>,
+}
+
+impl<C: Copy + std::marker::Send + Unpin + 'static> Links<C> {
+    pub(crate) fn new(instance: &ids::Instance, body_max: usize, guard: Guard<C>) -> Self {
+        let run: u64 = rand::rng().random();
+        let prefix = format!("{instance}-{run:016x}");
+        Self {
+            by_host: Map::default(),
+            prefix,
+            body_max,
+            _guard: guard,
+        }
+    }
+}
+
+impl<C: Copy + std::marker::Send + Unpin + 'static> Actor for Links<C> {
+    type Context = Context<Self>;
+}
+
+/// `Send` asks for a request to be sent to a backend server.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Send {
+    pub(crate) request: Request,
+    pub(crate) host: ids::Host,
+    pub(crate) address: SocketAddr,
+    pub(crate) reply: Recipient<Done>,
+}
+
+impl<C: Copy + std::marker::Send + Unpin + 'static> Handler<Send> for Links<C> {
+    type Result = ();
+
+    fn handle(&mut self, send: Send, _: &mut Self::Context) {
+        let link = self.by_host.get(&send.host).filter(|link| link.connected());
+        let link = link.cloned().unwrap_or_else(|| {
+            let link = Link::new(self.prefix.clone(), self.body_max).start();
+            self.by_host.insert(send.host.clone(), link.clone());
+            link
+        });
+        link.do_send(send);
+    }
+}
+
+impl<C: Copy + std::marker::Send + Unpin + 'static> Handler<Dump> for Links<C> {
+    type Result = MessageResult<Dump>;
+
+    fn handle(&mut self, _: Dump, _: &mut Self::Context) -> Self::Result {
+        let open = self.by_host.iter().filter(|(_, link)| link.connected());
+        let mut open: Vec<&str> = open.map(|(host, _)| &**host).collect();
+        open.sort_unstable();
+        MessageResult(json!({ "prefix": self.prefix, "links": open }))
+    }
+}
+
+/// `Link` owns the connections to one backend server.
+struct Link {
+    http: awc::Client,
+    prefix: String,
+    body_max: usize,
+    /// Exchanges under way.
+    open: usize,
+    /// Exchanges so far, to see whether the link is used.
+    used: u64,
+    used_before: u64,
+}
+
+impl Link {
+    fn new(prefix: String, body_max: usize) -> Self {
+        let http = exchange::client();
+        Self {
+            http,
+            prefix,
+            body_max,
+            open: 0,
+            used: 0,
+            used_before: 0,
+        }
+    }
+}
+
+impl Actor for Link {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.run_interval(IDLE, |act, ctx| {
+            if act.open == 0 && act.used == act.used_before {
+                ctx.stop();
+            }
+            act.used_before = act.used;
+        });
+    }
+}
+
+impl Handler<Send> for Link {
+    type Result = ();
+
+    fn handle(&mut self, send: Send, ctx: &mut Self::Context) {
+        self.open += 1;
+        self.used += 1;
+        let id = format!("{}-{}", self.prefix, send.request.id);
+        let Send {
+            request,
+            host,
+            address,
+            reply,
+        } = send;
+        let number = request.id;
+        let exchange = exchange::run(self.http.clone(), id, request, address, self.body_max);
+        ctx.spawn(exchange.into_actor(self).map(move |exchange, act, _| {
+            act.open -= 1;
+            reply.do_send(Done {
+                request: number,
+                host,
+                exchange,
+            });
+        }));
+    }
+}
--- /dev/null
+++ b/crates/entry/src/tree/mod.rs
@@ -0,0 +1,255 @@
+//! The supervisor tree of the entry daemon.
+
+use actix::{Actor, Addr, ResponseFuture};
+use actix_web::web::{Data, PayloadConfig};
+use actix_web::{App, HttpServer};
+use persimmongate_core::record::{Member, Role};
+use persimmongate_core::settings;
+use persimmongate_node::admin::{self, Directory, Register};
+use persimmongate_node::errors::{Result, io_error};
+use persimmongate_node::http::{Close, Listener};
+use persimmongate_node::log::{Depart, Follower, Options, Subscribe};
+use persimmongate_node::metrics::Metrics;
+use persimmongate_node::supervisor::{Guard, Limit, Supervisor, Tree, leave_on_signal};
+use persimmongate_node::{logger, peer};
+use persimmongate_wire::frame::{Hello, VERSION};
+use slog::Logger;
+
+use crate::api;
+use crate::gate::{self, Gate};
+use crate::link::Links;
+use crate::report::Reporter;
+
+/// Time for requests in flight when the process is told to end.
+const CLOSE_TIMEOUT_S: u64 = 30;
+
+/// `Child` names the children of the entry daemon in the order of their start.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Child {
+    Directory,
+    Follower,
+    Reporter,
+    Links,
+    Gate,
+    Peers,
+    Admin,
+    Api,
+}
+
+/// `Entry` makes the children and knows where they are.
+pub(crate) struct Entry {
+    settings: settings::Entry,
+    metrics: Metrics,
+    logger: Logger,
+    directory: Option<Addr<Directory<Child>>>,
+    follower: Option<Addr<Follower<Child>>>,
+    reporter: Option<Addr<Reporter<Child>>>,
+    links: Option<Addr<Links<Child>>>,
+    gate: Option<Addr<Gate<Child>>>,
+    api: Option<Addr<Listener<Child>>>,
+}
+
+/// Starts the tree and waits for the signal to end.
+pub(crate) fn start(settings: settings::Entry) -> Result<()> {
+    let logger = logger::start(&settings.node);
+    let metrics = Metrics::start()?;
+    let tree = Entry {
+        settings,
+        metrics,
+        logger: logger.clone(),
+        directory: None,
+        follower: None,
+        reporter: None,
+        links: None,
+        gate: None,
+        api: None,
+    };
+    leave_on_signal(Supervisor::new(tree, Limit::default(), logger).start());
+    Ok(())
+}
+
+impl Entry {
+    fn hello(&self) -> Hello {
+        Hello {
+            version: VERSION,
+            instance: self.settings.node.instance.clone(),
+            role: Role::Entry,
+        }
+    }
+
+    fn start_follower(&mut self, guard: Guard<Child>) {
+        let node = &self.settings.node;
+        let options = Options {
+            instance: node.instance.clone(),
+            about: Member {
+                role: Role::Entry,
+                peer: node.peer,
+                http: node.http,
+                zone: node.zone.clone(),
+            },
+            platform: node.platform,
+            renew: node.renew,
+        };
+        let meter = self.metrics.meter();
+        let follower = Follower::new(options, &meter, self.logger.clone(), guard).start();
+        self.follower = Some(follower);
+    }
+
+    /// Tells children where their siblings are; called after each start.
+    fn wire(&mut self, child: Child) {
+        if matches!(child, Child::Follower | Child::Reporter)
+            && let (Some(follower), Some(reporter)) = (&self.follower, &self.reporter)
+        {
+            follower.do_send(Subscribe(reporter.clone().recipient()));
+        }
+        if matches!(child, Child::Follower | Child::Gate)
+            && let (Some(follower), Some(gate)) = (&self.follower, &self.gate)
+        {
+            gate.do_send(gate::Wire::Follower(follower.clone()));
+            follower.do_send(Subscribe(gate.clone().recipient()));
+        }
+        if matches!(child, Child::Links | Child::Gate)
+            && let (Some(links), Some(gate)) = (&self.links, &self.gate)
+        {
+            gate.do_send(gate::Wire::Links(links.clone()));
+        }
+        if matches!(child, Child::Reporter | Child::Gate)
+            && let (Some(reporter), Some(gate)) = (&self.reporter, &self.gate)
+        {
+            gate.do_send(gate::Wire::Reporter(reporter.clone()));
+        }
+        self.register(child);
+    }
+
+    fn register(&self, child: Child) {
+        let Some(directory) = &self.directory else {
+            return;
+        };
+        let actors = [
+            (
+                Child::Follower,
+                "log",
+                self.follower.clone().map(Addr::recipient),
+            ),
+            (Child::Gate, "gate", self.gate.clone().map(Addr::recipient)),
+            (
+                Child::Links,
+                "links",
+                self.links.clone().map(Addr::recipient),
+            ),
+            (
+                Child::Reporter,
+                "reporter",
+                self.reporter.clone().map(Addr::recipient),
+            ),
+        ];
+        for (of, name, actor) in actors {
+            if let (true, Some(actor)) = (child == of || child == Child::Directory, actor) {
+                directory.do_send(Register { name, actor });
+            }
+        }
+    }
+
+    fn start_peers(&self, guard: Guard<Child>) {
+        let Some(follower) = &self.follower else {
+            return;
+        };
+        let fold = follower.clone().recipient();
+        let address = self.settings.node.peer;
+        let meter = self.metrics.meter();
+        peer::Listener::new(address, None, fold, &meter, self.logger.clone(), guard).start();
+    }
+
+    fn start_admin(&self, guard: Guard<Child>) -> Result<()> {
+        let Some(directory) = self.directory.clone() else {
+            return Ok(());
+        };
+        let (address, metrics) = (self.settings.node.http, self.metrics.clone());
+        let server = admin::serve(address, directory.recipient(), metrics, |_| {})?;
+        Listener::new(server, self.logger.clone(), guard).start();
+        Ok(())
+    }
+
+    fn start_api(&self, guard: Guard<Child>) -> Result<Option<Addr<Listener<Child>>>> {
+        let Some(gate) = self.gate.clone() else {
+            return Ok(None);
+        };
+        let address = self.settings.listen;
+        let defaults = api::Defaults {
+            deadline: self.settings.deadline,
+        };
+        let body_max = self.settings.body_max;
+        let server = HttpServer::new(move || {
+            App::new()
+                .app_data(Data::new(gate.clone()))
+                .app_data(Data::new(defaults))
+                .app_data(PayloadConfig::new(body_max))
+                .configure(api::configure)
+        })
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(CLOSE_TIMEOUT_S)
+        .bind(address)
+        .map_err(|error| io_error(format!("listen address {address}"), error))?
+        .run();
+        Ok(Some(
+            Listener::new(server, self.logger.clone(), guard).start(),
+        ))
+    }
+}
+
+impl Tree for Entry {
+    type Child = Child;
+
+    fn children(&self) -> Vec<Child> {
+        vec![
+            Child::Directory,
+            Child::Follower,
+            Child::Reporter,
+            Child::Links,
+            Child::Gate,
+            Child::Peers,
+            Child::Admin,
+            Child::Api,
+        ]
+    }
+
+    fn start(&mut self, child: Child, guard: Guard<Child>) -> Result<()> {
+        match child {
+            Child::Directory => self.directory = Some(Directory::new(guard).start()),
+            Child::Follower => self.start_follower(guard),
+            Child::Reporter => self.reporter = Some(Reporter::new(self.hello(), guard).start()),
+            Child::Links => {
+                let (instance, body_max) = (&self.settings.node.instance, self.settings.body_max);
+                self.links = Some(Links::new(instance, body_max, guard).start());
+            }
+            Child::Gate => {
+                let options = self.settings.gate.clone();
+                let meter = self.metrics.meter();
+                self.gate = Some(Gate::new(options, &meter, guard).start());
+            }
+            Child::Peers => self.start_peers(guard),
+            Child::Admin => self.start_admin(guard)?,
+            Child::Api => self.api = self.start_api(guard)?,
+        }
+        self.wire(child);
+        Ok(())
+    }
+
+    fn leave(&mut self) -> ResponseFuture<()> {
+        let (gate, api, follower) = (self.gate.clone(), self.api.clone(), self.follower.clone());
+        Box::pin(async move {
+            // A sibling that is gone has nothing to finish.
+            if let Some(gate) = gate {
+                let _ = gate.send(gate::Leave).await;
+            }
+            if let Some(api) = api {
+                let _ = api.send(Close).await;
+            }
+            // The membership ends last, as drains wait for the reports of members.
+            if let Some(follower) = follower {
+                let _ = follower.send(Depart).await;
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/manager/mod.rs
@@ -0,0 +1,199 @@
+//! The actor around the manager's decisions: it carries out actions and feeds events.
+
+use std::time::Duration;
+
+use actix::{
+    Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, MessageResult, WrapFuture,
+};
+use opentelemetry::metrics::{Counter, Meter};
+use persimmongate_core::fleet::{Action, Call, Event, Manager as Decisions, Options};
+use persimmongate_core::ids;
+use persimmongate_node::admin::Dump;
+use persimmongate_node::clock;
+use persimmongate_node::log::{Append, Changed, Follower, Settled};
+use persimmongate_node::peer::Received;
+use persimmongate_node::platform::Client;
+use persimmongate_node::supervisor::Guard;
+use serde_json::json;
+
+use crate::tree::Child;
+
+/// Time between two comparisons of the fold with what it should be.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between two reads of the platform's host list.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+
+/// `Manager` owns the decisions and the calls to the platform.
+pub(crate) struct Manager<C: Copy + Send + 'static> {
+    decisions: Decisions,
+    /// Offset up to which the fold is known; older changes are dropped.
+    next: ids::Offset,
+    platform: Client,
+    follower: Option<Addr<Follower<Child>>>,
+    calls: Counter<u64>,
+    refusals: Counter<u64>,
+    _guard: Guard<C>,
+}
+
+impl<C: Copy + Send + Unpin + 'static> Manager<C> {
+    pub(crate) fn new(
+        instance: ids::Instance,
+        options: Options,
+        platform: Client,
+        meter: &Meter,
+        guard: Guard<C>,
+    ) -> Self {
+        Self {
+            decisions: Decisions::new(instance, options),
+            next: 0,
+            platform,
+            follower: None,
+            calls: meter.u64_counter("platform_calls").build(),
+            refusals: meter.u64_counter("platform_refusals").build(),
+            _guard: guard,
+        }
+    }
+
+    fn step(&mut self, event: Event, ctx: &mut Context<Self>) {
+        let mut actions = Vec::new();
+        self.decisions.step(clock::now(), event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Append { token, body } => self.append(token, body, ctx),
+                Action::Call {
+                    host,
+                    generation,
+                    call,
+                } => {
+                    self.call(host, generation, call, ctx);
+                }
+            }
+        }
+    }
+
+    fn append(
+        &mut self,
+        token: u64,
+        body: persimmongate_core::record::Body,
+        ctx: &mut Context<Self>,
+    ) {
+        let reply = ctx.address().recipient();
+        match &self.follower {
+            Some(follower) => follower.do_send(Append { token, body, reply }),
+            None => ctx.notify(Settled {
+                token,
+                verdict: None,
+            }),
+        }
+    }
+
+    fn call(
+        &mut self,
+        host: ids::Host,
+        generation: ids::Generation,
+        call: Call,
+        ctx: &mut Context<Self>,
+    ) {
+        self.calls.add(1, &[]);
+        let client = self.platform.clone();
+        let called = host.clone();
+        let status = async move { client.call(&called, generation, call).await };
+        ctx.spawn(
+            status
+                .into_actor(self)
+                .map(move |status, act, ctx| match status {
+                    Ok(status) => act.step(Event::Status(host, status), ctx),
+                    // The next poll asks again.
+                    Err(_) => act.refusals.add(1, &[]),
+                }),
+        );
+    }
+
+    fn list(&mut self, ctx: &mut Context<Self>) {
+        let client = self.platform.clone();
+        let list = async move { client.hosts().await };
+        ctx.spawn(list.into_actor(self).map(|facts, act, ctx| match facts {
+            Ok(facts) => act.step(Event::Listed(facts), ctx),
+            Err(_) => act.refusals.add(1, &[]),
+        }));
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Actor for Manager<C> {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.run_interval(TICK, |act, ctx| act.step(Event::Tick, ctx));
+        ctx.run_interval(LIST_PERIOD, Self::list);
+    }
+}
+
+/// `Wire` tells the manager where the follower is.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Wire(pub(crate) Addr<Follower<Child>>);
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Wire> for Manager<C> {
+    type Result = ();
+
+    fn handle(&mut self, Wire(follower): Wire, _: &mut Self::Context) {
+        self.follower = Some(follower);
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Changed> for Manager<C> {
+    type Result = ();
+
+    fn handle(&mut self, changed: Changed, ctx: &mut Self::Context) {
+        if changed.next < self.next {
+            return;
+        }
+        self.next = changed.next;
+        for change in changed.changes {
+            self.step(Event::Change(change), ctx);
+        }
+        if changed.caught {
+            self.step(Event::Caught, ctx);
+        }
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Settled> for Manager<C> {
+    type Result = ();
+
+    fn handle(&mut self, settled: Settled, ctx: &mut Self::Context) {
+        let Settled { token, verdict } = settled;
+        self.step(Event::Settled { token, verdict }, ctx);
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Received> for Manager<C> {
+    type Result = ();
+
+    fn handle(&mut self, Received(report): Received, ctx: &mut Self::Context) {
+        for drain in report.drains {
+            let event = Event::Report {
+                instance: report.instance.clone(),
+                host: drain.host,
+                since: drain.since,
+                in_flight: drain.in_flight,
+            };
+            self.step(event, ctx);
+        }
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Handler<Dump> for Manager<C> {
+    type Result = MessageResult<Dump>;
+
+    fn handle(&mut self, _: Dump, _: &mut Self::Context) -> Self::Result {
+        let view = self.decisions.view();
+        MessageResult(json!({
+            "next": self.next,
+            "held": self.decisions.held(),
+            "hosts": view.hosts,
+            "pools": view.pools,
+            "waves": view.waves,
+        }))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/tree/mod.rs
@@ -0,0 +1,175 @@
+//! The supervisor tree of the fleet daemon.
+
+use actix::{Actor, Addr, ResponseFuture};
+use actix_web::web::{Data, ServiceConfig};
+use persimmongate_core::record::{Member, Role};
+use persimmongate_core::settings;
+use persimmongate_node::admin::{self, Directory, Register};
+use persimmongate_node::errors::Result;
+use persimmongate_node::http::Listener;
+use persimmongate_node::log::{Depart, Follower, Options, Subscribe};
+use persimmongate_node::metrics::Metrics;
+use persimmongate_node::platform::Client;
+use persimmongate_node::supervisor::{Guard, Limit, Supervisor, Tree, leave_on_signal};
+use persimmongate_node::{logger, peer};
+use slog::Logger;
+
+use crate::api;
+use crate::manager::{Manager, Wire};
+
+/// `Child` names the children of the fleet daemon in the order of their start.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Child {
+    Directory,
+    Follower,
+    Manager,
+    Peers,
+    Api,
+}
+
+/// `Fleet` makes the children and knows where they are.
+struct Fleet {
+    settings: settings::Fleet,
+    metrics: Metrics,
+    logger: Logger,
+    directory: Option<Addr<Directory<Child>>>,
+    follower: Option<Addr<Follower<Child>>>,
+    manager: Option<Addr<Manager<Child>>>,
+}
+
+/// Starts the tree and waits for the signal to end.
+pub(crate) fn start(settings: settings::Fleet) -> Result<()> {
+    let logger = logger::start(&settings.node);
+    let metrics = Metrics::start()?;
+    let tree = Fleet {
+        settings,
+        metrics,
+        logger: logger.clone(),
+        directory: None,
+        follower: None,
+        manager: None,
+    };
+    leave_on_signal(Supervisor::new(tree, Limit::default(), logger).start());
+    Ok(())
+}
+
+impl Fleet {
+    fn start_follower(&mut self, guard: Guard<Child>) {
+        let node = &self.settings.node;
+        let options = Options {
+            instance: node.instance.clone(),
+            about: Member {
+                role: Role::Fleet,
+                peer: node.peer,
+                http: node.http,
+                zone: node.zone.clone(),
+            },
+            platform: node.platform,
+            renew: node.renew,
+        };
+        let meter = self.metrics.meter();
+        let follower = Follower::new(options, &meter, self.logger.clone(), guard).start();
+        self.follower = Some(follower);
+    }
+
+    fn start_manager(&mut self, guard: Guard<Child>) {
+        let node = &self.settings.node;
+        let options = self.settings.manager.clone();
+        let platform = Client::new(node.platform);
+        let meter = self.metrics.meter();
+        let manager = Manager::new(node.instance.clone(), options, platform, &meter, guard);
+        self.manager = Some(manager.start());
+    }
+
+    fn start_peers(&self, guard: Guard<Child>) {
+        let (Some(follower), Some(manager)) = (&self.follower, &self.manager) else {
+            return;
+        };
+        let reports = Some(manager.clone().recipient());
+        let fold = follower.clone().recipient();
+        let address = self.settings.node.peer;
+        let meter = self.metrics.meter();
+        peer::Listener::new(address, reports, fold, &meter, self.logger.clone(), guard).start();
+    }
+
+    fn start_api(&self, guard: Guard<Child>) -> Result<()> {
+        let (Some(directory), Some(follower)) = (self.directory.clone(), self.follower.clone())
+        else {
+            return Ok(());
+        };
+        let (address, metrics) = (self.settings.node.http, self.metrics.clone());
+        let routes = move |config: &mut ServiceConfig| {
+            config.app_data(Data::new(follower.clone()));
+            api::configure(config);
+        };
+        let server = admin::serve(address, directory.recipient(), metrics, routes)?;
+        Listener::new(server, self.logger.clone(), guard).start();
+        Ok(())
+    }
+
+    /// Tells children where their siblings are; called after each start.
+    fn wire(&self, child: Child) {
+        if matches!(child, Child::Follower | Child::Manager)
+            && let (Some(follower), Some(manager)) = (&self.follower, &self.manager)
+        {
+            manager.do_send(Wire(follower.clone()));
+            follower.do_send(Subscribe(manager.clone().recipient()));
+        }
+        let Some(directory) = &self.directory else {
+            return;
+        };
+        let actors = [
+            (
+                Child::Follower,
+                "log",
+                self.follower.clone().map(Addr::recipient),
+            ),
+            (
+                Child::Manager,
+                "manager",
+                self.manager.clone().map(Addr::recipient),
+            ),
+        ];
+        for (of, name, actor) in actors {
+            if let (true, Some(actor)) = (child == of || child == Child::Directory, actor) {
+                directory.do_send(Register { name, actor });
+            }
+        }
+    }
+}
+
+impl Tree for Fleet {
+    type Child = Child;
+
+    fn children(&self) -> Vec<Child> {
+        vec![
+            Child::Directory,
+            Child::Follower,
+            Child::Manager,
+            Child::Peers,
+            Child::Api,
+        ]
+    }
+
+    fn start(&mut self, child: Child, guard: Guard<Child>) -> Result<()> {
+        match child {
+            Child::Directory => self.directory = Some(Directory::new(guard).start()),
+            Child::Follower => self.start_follower(guard),
+            Child::Manager => self.start_manager(guard),
+            Child::Peers => self.start_peers(guard),
+            Child::Api => self.start_api(guard)?,
+        }
+        self.wire(child);
+        Ok(())
+    }
+
+    fn leave(&mut self) -> ResponseFuture<()> {
+        let follower = self.follower.clone();
+        Box::pin(async move {
+            if let Some(follower) = follower {
+                // A follower that is gone has no membership to end.
+                let _ = follower.send(Depart).await;
+            }
+        })
+    }
+}
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -1,13 +1,17 @@
 //! HTTP interface for metrics, health and dumps.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
-use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, Recipient, ResponseFuture};
+use actix::{Actor, Context, Handler, Message, Recipient, ResponseFuture};
+use actix_web::dev::Server;
 use actix_web::web::{Data, Json, ServiceConfig, get};
-use actix_web::{HttpResponse, Responder};
+use actix_web::{App, HttpResponse, HttpServer, Responder};
 use serde_json::Value;
 
+use crate::errors::{Result, io_error};
 use crate::metrics::Metrics;
+use crate::supervisor::Guard;
 
 /// `Dump` asks an actor for its whole state.
 #[derive(Clone, Copy, Debug, Message)]
@@ -30,16 +34,27 @@
 pub struct DumpAll;
 
 /// `Directory` knows the actors of a process.
-#[derive(Debug, Default)]
-pub struct Directory {
+pub struct Directory<C: Copy + Send + 'static> {
     actors: BTreeMap<&'static str, Recipient<Dump>>,
+    _guard: Guard<C>,
 }
 
-impl Actor for Directory {
+impl<C: Copy + Send + Unpin + 'static> Directory<C> {
+    /// Makes a directory that knows no actor.
+    #[must_use]
+    pub fn new(guard: Guard<C>) -> Self {
+        Self {
+            actors: BTreeMap::new(),
+            _guard: guard,
+        }
+    }
+}
+
+impl<C: Copy + Send + Unpin + 'static> Actor for Directory<C> {
     type Context = Context<Self>;
 }
 
-impl Handler<Register> for Directory {
+impl<C: Copy + Send + Unpin + 'static> Handler<Register> for Directory<C> {
     type Result = ();
 
     fn handle(&mut self, register: Register, _: &mut Self::Context) {
@@ -47,7 +62,7 @@
     }
 }
 
-impl Handler<DumpAll> for Directory {
+impl<C: Copy + Send + Unpin + 'static> Handler<DumpAll> for Directory<C> {
     type Result = ResponseFuture<Value>;
 
     fn handle(&mut self, _: DumpAll, _: &mut Self::Context) -> Self::Result {
@@ -63,27 +78,43 @@
     }
 }
 
-/// Registers an actor with the directory.
-pub fn register<A>(directory: &Addr<Directory>, name: &'static str, actor: &Addr<A>)
-where
-    A: Actor<Context = Context<A>> + Handler<Dump>,
-    A::Context: AsyncContext<A>,
-{
-    directory.do_send(Register {
-        name,
-        actor: actor.clone().recipient(),
-    });
+/// Makes the server of the interface.
+///
+/// The function `more` adds the routes of the daemon itself.
+///
+/// # Errors
+///
+/// Returns an error when the address can't be bound.
+pub fn serve(
+    address: SocketAddr,
+    directory: Recipient<DumpAll>,
+    metrics: Metrics,
+    more: impl Fn(&mut ServiceConfig) + Clone + Send + 'static,
+) -> Result<Server> {
+    let app = move || {
+        App::new()
+            .app_data(Data::new(directory.clone()))
+            .app_data(Data::new(metrics.clone()))
+            .configure(configure)
+            .configure(more.clone())
+    };
+    let server = HttpServer::new(app)
+        .workers(1)
+        .disable_signals()
+        .bind(address)
+        .map_err(|error| io_error(format!("http address {address}"), error))?;
+    Ok(server.run())
 }
 
 /// Adds the routes for metrics, health and dumps.
-pub fn configure(config: &mut ServiceConfig) {
+fn configure(config: &mut ServiceConfig) {
     config
         .route("/dump", get().to(dump))
         .route("/health", get().to(health))
         .route("/metrics", get().to(metrics));
 }
 
-async fn dump(directory: Data<Addr<Directory>>) -> impl Responder {
+async fn dump(directory: Data<Recipient<DumpAll>>) -> impl Responder {
     match directory.send(DumpAll).await {
         Ok(state) => Ok(Json(state)),
         Err(error) => Err(actix_web::error::ErrorServiceUnavailable(error)),
--- a/crates/node/src/log/append.rs
+++ b/crates/node/src/log/append.rs
@@ -174,21 +174,23 @@
         let client = self.client.clone();
         async move { client.append(batch).await }
             .into_actor(self)
-            .map(|result, act, ctx| if let Ok(_) = result {
-                act.counters.appends.add(1, &[]);
-                act.outbox.sending = false;
-                act.outbox.batch = None;
-                if let Some(departure) = act.outbox.departure.take() {
-                    // Told when the append is done; nobody waits past the time limit.
-                    let _ = departure.send(());
-                }
-                act.flush(ctx);
-            } else {
-                act.counters.failures.add(1, &[]);
-                ctx.run_later(RETRY_WAIT, |act, ctx| {
+            .map(|result, act, ctx| {
+                if result.is_ok() {
+                    act.counters.appends.add(1, &[]);
                     act.outbox.sending = false;
+                    act.outbox.batch = None;
+                    if let Some(departure) = act.outbox.departure.take() {
+                        // Told when the append is done; nobody waits past the time limit.
+                        let _ = departure.send(());
+                    }
                     act.flush(ctx);
-                });
+                } else {
+                    act.counters.failures.add(1, &[]);
+                    ctx.run_later(RETRY_WAIT, |act, ctx| {
+                        act.outbox.sending = false;
+                        act.flush(ctx);
+                    });
+                }
             })
             .spawn(ctx);
     }
--- a/crates/node/src/log/follower.rs
+++ b/crates/node/src/log/follower.rs
@@ -4,8 +4,7 @@
 use std::time::{Duration, Instant};
 
 use actix::{
-    Actor, ActorContext, AsyncContext, Context, Handler, MessageResult, Recipient,
-    ResponseActFuture, WrapFuture,
+    Actor, AsyncContext, Context, Handler, MessageResult, Recipient, ResponseActFuture, WrapFuture,
 };
 use bytes::Bytes;
 use opentelemetry::metrics::{Counter, Meter};
@@ -20,7 +19,7 @@
 use super::append::Outbox;
 use super::client::Client;
 use super::keys::Waiting;
-use super::message::{Append, Changed, Claim, Depart, End, Fetch, Restore, Subscribe};
+use super::message::{Append, Changed, Claim, Depart, End, Fetch, Fold, Restore, Subscribe};
 use crate::admin::Dump;
 use crate::clock;
 use crate::supervisor::Guard;
@@ -221,6 +220,14 @@
     }
 }
 
+impl<C: Copy + Send + Unpin + 'static> Handler<Fold> for Follower<C> {
+    type Result = MessageResult<Fold>;
+
+    fn handle(&mut self, _: Fold, _: &mut Self::Context) -> Self::Result {
+        MessageResult(self.ready.then(|| self.state.clone()))
+    }
+}
+
 impl<C: Copy + Send + Unpin + 'static> Handler<Restore> for Follower<C> {
     type Result = ();
 
@@ -263,16 +270,3 @@
         }))
     }
 }
-
-/// `Fail` makes the actor end in a stated way, for tests of the supervisor.
-#[derive(Clone, Copy, Debug, actix::Message)]
-#[rtype(result = "()")]
-pub struct Fail;
-
-impl<C: Copy + Send + Unpin + 'static> Handler<Fail> for Follower<C> {
-    type Result = ();
-
-    fn handle(&mut self, _: Fail, ctx: &mut Self::Context) {
-        ctx.stop();
-    }
-}
--- a/crates/node/src/log/message.rs
+++ b/crates/node/src/log/message.rs
@@ -5,7 +5,7 @@
 use persimmongate_core::gate;
 use persimmongate_core::ids;
 use persimmongate_core::record::{self, Body};
-use persimmongate_core::state::{Change, Verdict};
+use persimmongate_core::state::{Change, State, Verdict};
 
 /// `Append` asks for a record to be appended.
 #[derive(Debug, Message)]
@@ -97,3 +97,8 @@
     /// Encoded state.
     pub state: Bytes,
 }
+
+/// `Fold` asks for the fold, nothing before it was read once.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Option<State>")]
+pub struct Fold;
--- a/crates/node/src/supervisor/mod.rs
+++ b/crates/node/src/supervisor/mod.rs
@@ -9,10 +9,14 @@
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
-use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient};
+use actix::{
+    Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, Recipient, ResponseActFuture,
+    ResponseFuture, WrapFuture,
+};
 use persimmongate_core::map::Map;
-use slog::{Logger, error, warn};
+use slog::{Logger, error, info, warn};
 
+use crate::boot;
 use crate::clock;
 use crate::errors::Result;
 
@@ -51,8 +55,16 @@
     ///
     /// Returns an error when the child can't be started; it counts as a failure of the child.
     fn start(&mut self, child: Self::Child, guard: Guard<Self::Child>) -> Result<()>;
+
+    /// Finishes what is under way before the process ends.
+    fn leave(&mut self) -> ResponseFuture<()>;
 }
 
+/// `Leave` ends the process after what is under way.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Leave;
+
 /// `Ended` tells the parent that a child is gone.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "()")]
@@ -87,6 +99,7 @@
     starts: Map<T::Child, u64>,
     /// Times of the latest failures of each child.
     failures: Map<T::Child, VecDeque<Instant>>,
+    leaving: bool,
 }
 
 impl<T: Tree> Supervisor<T> {
@@ -98,6 +111,7 @@
             logger,
             starts: Map::default(),
             failures: Map::default(),
+            leaving: false,
         }
     }
 
@@ -144,7 +158,7 @@
     type Result = ();
 
     fn handle(&mut self, ended: Ended<T::Child>, ctx: &mut Self::Context) {
-        if self.starts.get(&ended.child) != Some(&ended.start) {
+        if self.leaving || self.starts.get(&ended.child) != Some(&ended.start) {
             return;
         }
         if !self.may_restart(ended.child) {
@@ -156,3 +170,27 @@
         self.start_child(ended.child, ctx);
     }
 }
+
+impl<T: Tree> Handler<Leave> for Supervisor<T> {
+    type Result = ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, _: Leave, _: &mut Self::Context) -> Self::Result {
+        info!(self.logger, "leaves");
+        self.leaving = true;
+        let left = self.tree.leave().into_actor(self);
+        Box::pin(left.map(|(), act, _| {
+            info!(act.logger, "ends");
+            actix_rt::System::current().stop();
+        }))
+    }
+}
+
+/// Tells a supervisor to leave when the process is told to end.
+pub fn leave_on_signal<T: Tree>(supervisor: actix::Addr<Supervisor<T>>) {
+    actix_rt::spawn(async move {
+        if boot::stopped().await.is_ok() {
+            // A supervisor that is gone has ended the process already.
+            let _ = supervisor.send(Leave).await;
+        }
+    });
+}
--- /dev/null
+++ b/crates/standin/src/log/mod.rs
@@ -0,0 +1,212 @@
+//! The platform's log: an append-only list with offsets, limited retention and faults.
+
+use std::collections::VecDeque;
+use std::time::{Duration, SystemTime};
+
+use actix::{Actor, Addr, Context, Handler, Message, MessageResult};
+use actix_web::web::{self, Bytes, Data, Json, PayloadConfig, Query, ServiceConfig};
+use actix_web::{HttpResponse, Responder};
+use persimmongate_core::ids;
+use persimmongate_wire::log::{Batch, Item, PAGE_MAX, Page, decode_batch, encode_page};
+use persimmongate_wire::platform::Appended;
+use serde::Deserialize;
+use tokio::sync::oneshot;
+
+use crate::faults;
+
+/// Records in one page, at most.
+const PAGE_ITEMS: usize = 1024;
+
+/// `Store` holds the records.
+#[derive(Debug)]
+pub struct Store {
+    earliest: ids::Offset,
+    items: VecDeque<Item>,
+    /// Records kept, at most.
+    retention: usize,
+    faults: faults::Log,
+    waiters: Vec<oneshot::Sender<()>>,
+}
+
+impl Store {
+    /// Makes an empty log that keeps a number of records.
+    #[must_use]
+    pub fn new(retention: usize) -> Self {
+        Self {
+            earliest: 0,
+            items: VecDeque::new(),
+            retention,
+            faults: faults::Log::Up,
+            waiters: Vec::new(),
+        }
+    }
+
+    fn end(&self) -> ids::Offset {
+        self.earliest + self.items.len() as u64
+    }
+}
+
+impl Actor for Store {
+    type Context = Context<Self>;
+}
+
+/// `Append` adds a batch and gets the offset of its first record.
+#[derive(Debug, Message)]
+#[rtype(result = "ids::Offset")]
+pub struct Append(pub Batch);
+
+impl Handler<Append> for Store {
+    type Result = MessageResult<Append>;
+
+    fn handle(&mut self, Append(batch): Append, _: &mut Self::Context) -> Self::Result {
+        let first = self.end();
+        // The platform stamps records with its wall clock; no decision of the system reads one.
+        let since = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        let at = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+        for (offset, record) in (first..).zip(batch.records) {
+            self.items.push_back(Item { offset, at, record });
+        }
+        while self.items.len() > self.retention {
+            self.items.pop_front();
+            self.earliest += 1;
+        }
+        self.waiters.clear();
+        MessageResult(first)
+    }
+}
+
+/// `Read` gets a page, or a receiver that ends when there is something to read.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<Page, oneshot::Receiver<()>>")]
+pub struct Read {
+    /// Offset of the first record wanted.
+    pub from: ids::Offset,
+    /// Whether an empty page is wanted rather than a wait.
+    pub now: bool,
+}
+
+impl Handler<Read> for Store {
+    type Result = MessageResult<Read>;
+
+    fn handle(&mut self, read: Read, _: &mut Self::Context) -> Self::Result {
+        if read.from >= self.end() && !read.now {
+            let (sender, receiver) = oneshot::channel();
+            self.waiters.push(sender);
+            return MessageResult(Err(receiver));
+        }
+        let skip = read.from.saturating_sub(self.earliest);
+        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let items = self
+            .items
+            .iter()
+            .skip(skip)
+            .take(PAGE_ITEMS)
+            .cloned()
+            .collect();
+        MessageResult(Ok(Page {
+            earliest: self.earliest,
+            end: self.end(),
+            items,
+        }))
+    }
+}
+
+/// `Break` sets the faults of the log.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Break(pub faults::Log);
+
+impl Handler<Break> for Store {
+    type Result = ();
+
+    fn handle(&mut self, Break(faults): Break, _: &mut Self::Context) {
+        self.faults = faults;
+        self.waiters.clear();
+    }
+}
+
+/// `Ask` gets the faults of the log.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "faults::Log")]
+pub struct Ask;
+
+impl Handler<Ask> for Store {
+    type Result = MessageResult<Ask>;
+
+    fn handle(&mut self, _: Ask, _: &mut Self::Context) -> Self::Result {
+        MessageResult(self.faults)
+    }
+}
+
+/// Adds the routes of the log.
+pub fn configure(config: &mut ServiceConfig) {
+    config
+        .app_data(PayloadConfig::new(PAGE_MAX))
+        .route("/log/append", web::post().to(append))
+        .route("/log/read", web::get().to(read))
+        .route("/log/faults", web::post().to(set_faults));
+}
+
+async fn append(store: Data<Addr<Store>>, body: Bytes) -> impl Responder {
+    let Ok(batch) = decode_batch(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let faults = store.send(Ask).await.unwrap_or_default();
+    if faults == faults::Log::Down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    actix_rt::time::sleep(faults.delay()).await;
+    match store.send(Append(batch)).await {
+        Ok(_) if faults == faults::Log::Mute => HttpResponse::GatewayTimeout().finish(),
+        Ok(first) => HttpResponse::Ok().json(Appended { first }),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+/// `Range` is the query of a read.
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct Range {
+    from: ids::Offset,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+async fn read(store: Data<Addr<Store>>, range: Query<Range>) -> impl Responder {
+    let faults = store.send(Ask).await.unwrap_or_default();
+    actix_rt::time::sleep(faults.delay()).await;
+    let mut now = false;
+    loop {
+        let result = store
+            .send(Read {
+                from: range.from,
+                now,
+            })
+            .await;
+        // An outage also ends the reads that wait.
+        if store.send(Ask).await.unwrap_or_default() == faults::Log::Down {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
+        match result {
+            Ok(Ok(page)) => {
+                return match encode_page(&page) {
+                    Ok(bytes) => HttpResponse::Ok().body(bytes),
+                    Err(_) => HttpResponse::InternalServerError().finish(),
+                };
+            }
+            Ok(Err(wait)) => {
+                let wait = actix_rt::time::timeout(Duration::from_millis(range.wait_ms), wait);
+                // Both an end of the wait and a new record lead to another look.
+                let _ = wait.await;
+                now = true;
+            }
+            Err(_) => return HttpResponse::ServiceUnavailable().finish(),
+        }
+    }
+}
+
+async fn set_faults(store: Data<Addr<Store>>, faults: Json<faults::Log>) -> impl Responder {
+    match store.send(Break(*faults)).await {
+        Ok(()) => HttpResponse::NoContent().finish(),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,2 +1,112 @@
-//! x
-fn main() {}
+//! Stand-ins for the platform, the workers and the callers.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use actix::Actor;
+use actix_web::web::Data;
+use actix_web::{App, HttpServer};
+use argh::FromArgs;
+use persimmongate_standin::callers;
+use persimmongate_standin::deployment::Deployment;
+use persimmongate_standin::hosts::{self, Hosts};
+use persimmongate_standin::ledger::Ledger;
+use persimmongate_standin::log::{self, Store};
+use persimmongate_standin::ports;
+
+/// Stand-ins for tests and the demo.
+#[derive(Debug, FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Callers(callers::Args),
+    Platform(Platform),
+    Ports(Ports),
+}
+
+/// Runs the platform and its workers.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct Platform {
+    /// address to serve at
+    #[argh(option)]
+    address: SocketAddr,
+    /// deployment: andaman or kuiseb
+    #[argh(option)]
+    deployment: Deployment,
+    /// hosts beyond those of the services' pools
+    #[argh(option, default = "6")]
+    spare: usize,
+    /// records that the log keeps
+    #[argh(option, default = "1000000")]
+    retention: usize,
+    /// milliseconds by which the host list lags
+    #[argh(option, default = "1000")]
+    lag_ms: u64,
+    /// milliseconds that a reboot takes
+    #[argh(option, default = "800")]
+    reboot_ms: u64,
+}
+
+/// Prints free addresses, a line each.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "ports")]
+struct Ports {
+    /// number of addresses
+    #[argh(positional)]
+    count: usize,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let system = actix_rt::System::new();
+    let result = system.block_on(async {
+        match args.command {
+            Command::Callers(args) => callers::run(args).await,
+            Command::Platform(platform) => serve(platform).await.map_err(|e| e.to_string()),
+            Command::Ports(Ports { count }) => print_ports(count).map_err(|e| e.to_string()),
+        }
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn print_ports(count: usize) -> std::io::Result<()> {
+    for address in ports::free(count)? {
+        println!("{address}");
+    }
+    Ok(())
+}
+
+async fn serve(platform: Platform) -> std::io::Result<()> {
+    let ledger = Ledger::default().start();
+    let store = Store::new(platform.retention).start();
+    let facts = platform.deployment.facts(platform.spare)?;
+    let lag = Duration::from_millis(platform.lag_ms);
+    let reboot = Duration::from_millis(platform.reboot_ms);
+    let hosts = Hosts::new(facts, lag, reboot, &ledger).start();
+    HttpServer::new(move || {
+        App::new()
+            .app_data(Data::new(ledger.clone()))
+            .app_data(Data::new(store.clone()))
+            .app_data(Data::new(hosts.clone()))
+            .configure(log::configure)
+            .configure(hosts::configure)
+    })
+    .workers(1)
+    .shutdown_timeout(0)
+    .bind(platform.address)?
+    .run()
+    .await
+}
