--- /dev/null
+++ b/crates/core/examples/measure/log.rs
@@ -0,0 +1,155 @@
+//! Bytes of each kind of record.
+
+use std::net::SocketAddr;
+
+use persimmongate_core::record::{Body, Command, End, Fact, Member, Phase, Record, Role};
+use persimmongate_core::sheet::Intent;
+
+use crate::table::Table;
+
+/// Longest record that a decision of the system may take, in bytes; those of operators and of the
+/// host list grow with what they say.
+const DECISION_MAX: usize = 512;
+
+/// Prints the bytes of each kind of record.
+pub(crate) fn run() -> bool {
+    let mut table = Table::new(&["record", "bytes"]);
+    let mut met = true;
+    for (name, body) in bodies() {
+        let record = Record {
+            author: "fleet-khomas-a-1".into(),
+            incarnation: u64::MAX,
+            sequence: 1 << 32,
+            body,
+        };
+        let mut buffer = Vec::new();
+        if ciborium::into_writer(&record, &mut buffer).is_err() {
+            return false;
+        }
+        met &= buffer.len() <= DECISION_MAX;
+        table.add(vec![name.to_owned(), buffer.len().to_string()]);
+    }
+    table.print();
+    met
+}
+
+fn bodies() -> Vec<(&'static str, Body)> {
+    let address: SocketAddr = ([127, 0, 0, 1], 65000).into();
+    let host = || "host-000123".into();
+    let fact = Fact {
+        host: host(),
+        address,
+        zone: "khomas-a".into(),
+        rack: "rack-0031".into(),
+        generation: 100,
+        slots: 8,
+        connections: 64,
+    };
+    let about = Member {
+        role: Role::Entry,
+        peer: address,
+        http: address,
+        zone: "khomas-a".into(),
+    };
+    let intent = Intent::Pool {
+        name: "finder".into(),
+        service: Some("finder".into()),
+        hosts: 8,
+    };
+    let (wave, pool, term) = (|| "finder-december".into(), || "finder".into(), 1000);
+    let reason = "asked for by the sheet".to_owned();
+    let mut bodies = key_bodies();
+    bodies.extend([
+        ("claim", Body::Claim { pool: pool(), term }),
+        (
+            "command",
+            Body::Command {
+                wave: wave(),
+                command: Command::Pause,
+                operator: "operator".into(),
+            },
+        ),
+        (
+            "drain",
+            Body::Drain {
+                host: host(),
+                generation: 100,
+                wave: wave(),
+                term,
+            },
+        ),
+        ("enroll, one host", Body::Enroll { hosts: vec![fact] }),
+        (
+            "expire",
+            Body::Expire {
+                instance: "entry-khomas-a-1".into(),
+                incarnation: u64::MAX,
+            },
+        ),
+        ("join", Body::Join(about)),
+        ("leave", Body::Leave),
+        (
+            "lost",
+            Body::Lost {
+                host: host(),
+                generation: 100,
+            },
+        ),
+        (
+            "move",
+            Body::Move {
+                host: host(),
+                from: "spare".into(),
+                to: pool(),
+                revision: 1 << 32,
+                term,
+            },
+        ),
+        (
+            "progress",
+            Body::Progress {
+                wave: wave(),
+                phase: Phase::Done,
+                reason,
+                term,
+            },
+        ),
+        ("renew", Body::Renew),
+        (
+            "return",
+            Body::Return {
+                host: host(),
+                generation: 101,
+                term,
+            },
+        ),
+        (
+            "sheet, one row",
+            Body::Sheet {
+                base: 1 << 32,
+                operator: "operator".into(),
+                intents: vec![intent],
+            },
+        ),
+    ]);
+    bodies
+}
+
+fn key_bodies() -> Vec<(&'static str, Body)> {
+    let key = u128::MAX;
+    vec![
+        ("keys, one", Body::Keys { keys: vec![key] }),
+        (
+            "keys, eleven",
+            Body::Keys {
+                keys: vec![key; 11],
+            },
+        ),
+        (
+            "outcomes, one",
+            Body::Outcomes {
+                ends: vec![(key, End::Answered)],
+            },
+        ),
+    ]
+}
--- /dev/null
+++ b/crates/core/examples/measure/main.rs
@@ -0,0 +1,90 @@
+//! Measurements of the decision code, each printed as a table with its baselines.
+
+mod log;
+mod table;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Measures the decision code.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// steps of a long run
+    #[argh(option, default = "100000")]
+    steps: u64,
+    /// measurement to run: a name, list or all
+    #[argh(positional)]
+    name: String,
+}
+
+/// `Measure` names the measurements.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Measure {
+    Log,
+}
+
+/// `Options` is what every measurement gets.
+#[derive(Clone, Copy, Debug)]
+struct Options {
+    /// Seed of the random numbers.
+    seed: u64,
+    /// Steps of a long run.
+    steps: u64,
+}
+
+impl Measure {
+    const ALL: [Self; 1] = [Self::Log];
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Log => "log",
+        }
+    }
+
+    /// Runs the measurement; returns whether its targets were met.
+    fn run(self, options: Options) -> bool {
+        println!(
+            "{} (seed {}, steps {})",
+            self.name(),
+            options.seed,
+            options.steps
+        );
+        match self {
+            Self::Log => log::run(),
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let options = Options {
+        seed: args.seed,
+        steps: args.steps,
+    };
+    if args.name == "list" {
+        for measure in Measure::ALL {
+            println!("{}", measure.name());
+        }
+        return ExitCode::SUCCESS;
+    }
+    let wanted = |measure: &&Measure| args.name == "all" || measure.name() == args.name;
+    let chosen: Vec<&Measure> = Measure::ALL.iter().filter(wanted).collect();
+    if chosen.is_empty() {
+        eprintln!("no such measurement: {}; try list", args.name);
+        return ExitCode::from(2);
+    }
+    let met = chosen
+        .into_iter()
+        .filter(|measure| !measure.run(options))
+        .count()
+        == 0;
+    if met {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/crates/core/src/errors/mod.rs
+++ b/crates/core/src/errors/mod.rs
@@ -1,12 +1,14 @@
 //! The error type of the core, its alias and its constructors.
 
+use thiserror::Error as ThisError;
+
 use crate::finding::Findings;
 
 /// `Result` is a result with the core's [`Error`].
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// `Error` lists what the core refuses.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, PartialEq, ThisError)]
 pub enum Error {
     /// Operator input has findings.
     #[error("{0}")]
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -6,8 +6,12 @@
 mod apply;
 mod change;
 mod entry;
+mod hosts;
 mod keys;
+mod pools;
+mod sheet;
 mod verdict;
+mod waves;
 
 pub use change::Change;
 pub use entry::{Host, Member, Pool, Stage, State, Wave};
--- /dev/null
+++ b/crates/core/src/state/pools.rs
@@ -0,0 +1,74 @@
+//! Records about pools.
+
+use super::apply::Check;
+use super::{Change, Pool, Reason, State};
+use crate::ids;
+use crate::map::Set;
+
+impl State {
+    pub(super) fn check_holder(
+        &self,
+        author: &ids::Instance,
+        pool: &ids::Pool,
+        term: ids::Term,
+    ) -> Check {
+        let Some(entry) = self.pools.get(pool) else {
+            return Err(Reason::Absent(format!("pool {pool}")));
+        };
+        if entry.term != term || entry.holder.as_ref() != Some(author) {
+            return Err(Reason::Term {
+                current: entry.term,
+                seen: term,
+            });
+        }
+        Ok(())
+    }
+
+    pub(super) fn apply_claim(
+        &mut self,
+        author: &ids::Instance,
+        pool: &ids::Pool,
+        term: ids::Term,
+        changes: &mut Vec<Change>,
+    ) -> Check {
+        let Some(entry) = self.pools.get_mut(pool) else {
+            return Err(Reason::Absent(format!("pool {pool}")));
+        };
+        if term != entry.term + 1 {
+            return Err(Reason::Term {
+                current: entry.term,
+                seen: term,
+            });
+        }
+        entry.term = term;
+        entry.holder = Some(author.clone());
+        changes.push(Change::Pool(pool.clone(), entry.clone()));
+        Ok(())
+    }
+
+    pub(super) fn set_pool(
+        &mut self,
+        name: &ids::Pool,
+        service: Option<&ids::Service>,
+        hosts: u32,
+        changes: &mut Vec<Change>,
+    ) {
+        let entry: &mut Pool = self.pools.entry(name.clone()).or_default();
+        if entry.service.as_ref() == service && entry.target == hosts && hosts > 0 {
+            return;
+        }
+        entry.service = service.cloned();
+        entry.target = hosts;
+        changes.push(Change::Pool(name.clone(), entry.clone()));
+    }
+
+    /// Sets the target of pools that the sheet no longer names to zero; their hosts move away.
+    pub(super) fn retire_pools(&mut self, named: &Set<ids::Pool>, changes: &mut Vec<Change>) {
+        for (id, pool) in &mut self.pools {
+            if !named.contains(id) && pool.target > 0 {
+                pool.target = 0;
+                changes.push(Change::Pool(id.clone(), pool.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/sheet.rs
@@ -0,0 +1,104 @@
+//! The day's intent.
+
+use super::apply::Check;
+use super::{Change, Reason, State};
+use crate::ids;
+use crate::map::{Map, Set};
+use crate::sheet::Intent;
+
+impl State {
+    pub(super) fn apply_sheet(
+        &mut self,
+        offset: ids::Offset,
+        base: ids::Revision,
+        intents: &[Intent],
+        changes: &mut Vec<Change>,
+    ) -> Check {
+        if base != self.revision {
+            return Err(Reason::Conflict {
+                current: self.revision,
+                seen: base,
+            });
+        }
+        self.revision = offset;
+        self.pins.clear();
+        let mut quotas: Map<ids::Service, Map<ids::Caller, u32>> = Map::default();
+        let mut budgets: Map<ids::Service, u32> = Map::default();
+        let mut named: Set<ids::Pool> = Set::default();
+        for intent in intents {
+            match intent {
+                Intent::Budget { service, hosts } => {
+                    budgets.insert(service.clone(), *hosts);
+                }
+                Intent::Move { host, pool } => {
+                    self.pins.insert(host.clone(), pool.clone());
+                }
+                Intent::Pool {
+                    name,
+                    service,
+                    hosts,
+                } => {
+                    named.insert(name.clone());
+                    self.set_pool(name, service.as_ref(), *hosts, changes);
+                }
+                Intent::Quota {
+                    caller,
+                    service,
+                    slots,
+                } => {
+                    quotas
+                        .entry(service.clone())
+                        .or_default()
+                        .insert(caller.clone(), *slots);
+                }
+                Intent::Wave { name, pool, batch } => {
+                    self.set_wave(offset, name, pool, *batch, changes);
+                }
+            }
+        }
+        self.retire_pools(&named, changes);
+        self.replace_budgets(budgets, changes);
+        self.replace_quotas(quotas, changes);
+        Ok(())
+    }
+
+    pub(super) fn replace_budgets(
+        &mut self,
+        budgets: Map<ids::Service, u32>,
+        changes: &mut Vec<Change>,
+    ) {
+        let gone = self
+            .budgets
+            .keys()
+            .filter(|service| !budgets.contains_key(*service));
+        changes.extend(gone.map(|service| Change::Budget(service.clone(), 0)));
+        let set = budgets
+            .iter()
+            .map(|(service, hosts)| Change::Budget(service.clone(), *hosts));
+        changes.extend(set);
+        self.budgets = budgets;
+    }
+
+    pub(super) fn replace_quotas(
+        &mut self,
+        quotas: Map<ids::Service, Map<ids::Caller, u32>>,
+        changes: &mut Vec<Change>,
+    ) {
+        for (service, callers) in &self.quotas {
+            for caller in callers.keys() {
+                if quotas
+                    .get(service)
+                    .is_none_or(|callers| !callers.contains_key(caller))
+                {
+                    changes.push(Change::Quota(service.clone(), caller.clone(), 0));
+                }
+            }
+        }
+        for (service, callers) in &quotas {
+            for (caller, slots) in callers {
+                changes.push(Change::Quota(service.clone(), caller.clone(), *slots));
+            }
+        }
+        self.quotas = quotas;
+    }
+}
--- a/crates/core/src/state/verdict.rs
+++ b/crates/core/src/state/verdict.rs
@@ -1,6 +1,7 @@
 //! What the fold says of a record.
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use crate::ids;
 
@@ -16,7 +17,7 @@
 }
 
 /// `Reason` tells why a record was rejected.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize, thiserror::Error)]
+#[derive(Clone, Debug, Deserialize, Eq, Error, PartialEq, Serialize)]
 pub enum Reason {
     /// The service would fall below its availability budget.
     #[error("service {service} keeps {serving} serving hosts and promises {promised}")]
--- /dev/null
+++ b/crates/core/src/state/waves.rs
@@ -0,0 +1,70 @@
+//! Records about waves.
+
+use super::apply::Check;
+use super::{Change, Reason, State, Wave};
+use crate::ids;
+use crate::record::{Command, Phase};
+
+impl State {
+    pub(super) fn wave(&self, wave: &ids::Wave) -> Result<&Wave, Reason> {
+        self.waves
+            .get(wave)
+            .ok_or_else(|| Reason::Absent(format!("wave {wave}")))
+    }
+
+    pub(super) fn apply_command(
+        &mut self,
+        wave: &ids::Wave,
+        command: Command,
+        operator: &ids::Operator,
+        changes: &mut Vec<Change>,
+    ) -> Check {
+        let phase = self.wave(wave)?.phase;
+        let next = match (command, phase) {
+            (Command::Abort, Phase::Running | Phase::Paused) => Phase::Aborted,
+            (Command::Pause, Phase::Running) => Phase::Paused,
+            (Command::Resume, Phase::Paused) => Phase::Running,
+            (_, phase) => return Err(Reason::Stage(format!("the wave is {phase:?}"))),
+        };
+        self.change_wave(wave, next, format!("asked for by {operator}"), changes)
+    }
+
+    pub(super) fn change_wave(
+        &mut self,
+        wave: &ids::Wave,
+        phase: Phase,
+        reason: String,
+        changes: &mut Vec<Change>,
+    ) -> Check {
+        let Some(entry) = self.waves.get_mut(wave) else {
+            return Err(Reason::Absent(format!("wave {wave}")));
+        };
+        if matches!(entry.phase, Phase::Done | Phase::Aborted) {
+            return Err(Reason::Stage(format!("the wave is {:?}", entry.phase)));
+        }
+        entry.phase = phase;
+        entry.reason = reason;
+        changes.push(Change::Wave(wave.clone(), entry.clone()));
+        Ok(())
+    }
+
+    pub(super) fn set_wave(
+        &mut self,
+        offset: ids::Offset,
+        name: &ids::Wave,
+        pool: &ids::Pool,
+        batch: u32,
+        changes: &mut Vec<Change>,
+    ) {
+        let wave = self.waves.entry(name.clone()).or_insert_with(|| Wave {
+            pool: pool.clone(),
+            batch,
+            since: offset,
+            phase: Phase::Running,
+            reason: "asked for by the sheet".to_owned(),
+        });
+        // A wave keeps its progress when a later sheet names it again; only its size may change.
+        wave.batch = batch;
+        changes.push(Change::Wave(name.clone(), wave.clone()));
+    }
+}
--- a/crates/wire/src/errors/mod.rs
+++ b/crates/wire/src/errors/mod.rs
@@ -1,10 +1,12 @@
 //! The error type of the codec, its alias and its constructors.
 
+use thiserror::Error as ThisError;
+
 /// `Result` is a result with the codec's [`Error`].
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// `Error` lists what the codec refuses.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, PartialEq, ThisError)]
 pub enum Error {
     /// Bytes are not the encoding of the type.
     #[error("malformed {what}: {problem}")]
