--- a/crates/core/src/state/entry.rs
+++ b/crates/core/src/state/entry.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Change, Keys};
+use super::Keys;
 use crate::ids;
 use crate::map::Map;
 use crate::record::{self, Phase};
@@ -17,6 +17,8 @@
     pub next: ids::Offset,
     /// Latest time that the log gave a record.
     pub at: SystemTime,
+    /// Offset that the latest complete snapshot in the log covers.
+    pub snapshot: ids::Offset,
     /// Offset of the sheet in force.
     pub revision: ids::Revision,
     /// Members by name.
@@ -126,6 +128,7 @@
         Self {
             next: 0,
             at: SystemTime::UNIX_EPOCH,
+            snapshot: 0,
             revision: 0,
             members: Map::default(),
             hosts: Map::default(),
@@ -167,41 +170,4 @@
             .count();
         u32::try_from(count).unwrap_or(u32::MAX)
     }
-
-    /// Gets the whole state as changes, for a view that starts from nothing.
-    #[must_use]
-    pub fn changes(&self) -> Vec<Change> {
-        let mut changes = Vec::new();
-        changes.extend(
-            self.pools
-                .iter()
-                .map(|(id, pool)| Change::Pool(id.clone(), pool.clone())),
-        );
-        changes.extend(
-            self.budgets
-                .iter()
-                .map(|(id, hosts)| Change::Budget(id.clone(), *hosts)),
-        );
-        for (service, callers) in &self.quotas {
-            let quota = |(caller, slots): (&ids::Caller, &u32)| {
-                Change::Quota(service.clone(), caller.clone(), *slots)
-            };
-            changes.extend(callers.iter().map(quota));
-        }
-        changes.extend(
-            self.hosts
-                .iter()
-                .map(|(id, host)| Change::Host(id.clone(), host.clone())),
-        );
-        changes.extend(
-            self.waves
-                .iter()
-                .map(|(id, wave)| Change::Wave(id.clone(), wave.clone())),
-        );
-        let member = |(id, member): (&ids::Instance, &Member)| {
-            Change::Member(id.clone(), Some(member.clone()))
-        };
-        changes.extend(self.members.iter().map(member));
-        changes
-    }
 }
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -5,6 +5,7 @@
 
 mod apply;
 mod change;
+mod changes;
 mod entry;
 mod hosts;
 mod keys;
--- a/crates/entry/src/tree/mod.rs
+++ b/crates/entry/src/tree/mod.rs
@@ -89,6 +89,8 @@
             },
             platform: node.platform,
             renew: node.renew,
+            seeds: node.seeds.clone(),
+            snapshot_records: None,
         };
         let meter = self.metrics.meter();
         let follower = Follower::new(options, &meter, self.logger.clone(), guard).start();
--- a/crates/node/src/log/append.rs
+++ b/crates/node/src/log/append.rs
@@ -15,6 +15,7 @@
 
 use super::follower::Follower;
 use super::message::Settled;
+use crate::clock;
 
 /// Time before an append that failed is repeated.
 const RETRY_WAIT: Duration = Duration::from_millis(200);
@@ -39,6 +40,8 @@
     batch: Option<Bytes>,
     sending: bool,
     departure: Option<oneshot::Sender<()>>,
+    /// Whether the batch under way ends the membership.
+    departing: bool,
 }
 
 /// `Sent` is a record whose verdict was not read yet.
@@ -82,6 +85,23 @@
         receiver
     }
 
+    /// Tells that the departure was appended, if the latest batch held it.
+    fn tell_departure(&mut self) {
+        if self.departing
+            && let Some(departure) = self.departure.take()
+        {
+            // Nobody waits past the time limit.
+            let _ = departure.send(());
+        }
+    }
+
+    /// Gets whether parts of a snapshot wait.
+    pub(super) fn is_snapshotting(&self) -> bool {
+        self.queue
+            .iter()
+            .any(|(body, _)| matches!(body, Body::Snapshot(_)))
+    }
+
     /// Gets whether a join waits or has no verdict yet.
     pub(super) fn is_joining(&self) -> bool {
         let queued = self
@@ -105,6 +125,7 @@
         let mut bodies: Vec<(Body, Sent)> = Vec::new();
         let count = self.queue.len().min(BATCH_MAX);
         for (body, reply) in self.queue.drain(..count) {
+            self.departing |= body == Body::Leave;
             bodies.push((
                 body,
                 Sent {
@@ -165,11 +186,15 @@
             return;
         }
         if self.outbox.batch.is_none() {
+            if self.wait_for_pace(ctx) {
+                return;
+            }
             self.make_batch();
         }
         let Some(batch) = self.outbox.batch.clone() else {
             return;
         };
+        self.pace.note(clock::now());
         self.outbox.sending = true;
         let client = self.client.clone();
         async move { client.append(batch).await }
@@ -179,10 +204,7 @@
                     act.counters.appends.add(1, &[]);
                     act.outbox.sending = false;
                     act.outbox.batch = None;
-                    if let Some(departure) = act.outbox.departure.take() {
-                        // Told when the append is done; nobody waits past the time limit.
-                        let _ = departure.send(());
-                    }
+                    act.outbox.tell_departure();
                     act.flush(ctx);
                 } else {
                     act.counters.failures.add(1, &[]);
--- a/crates/node/src/log/follower.rs
+++ b/crates/node/src/log/follower.rs
@@ -1,14 +1,17 @@
 //! The log's actor.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use actix::{
-    Actor, AsyncContext, Context, Handler, MessageResult, Recipient, ResponseActFuture, WrapFuture,
+    Actor, Addr, AsyncContext, Context, Handler, MessageResult, Recipient, ResponseActFuture,
+    WrapFuture,
 };
 use bytes::Bytes;
 use opentelemetry::metrics::{Counter, Meter};
+use persimmongate_core::gate;
 use persimmongate_core::ids;
+use persimmongate_core::outcome::Refusal;
 use persimmongate_core::record::{Body, Member};
 use persimmongate_core::state::State;
 use persimmongate_wire::log::{decode_state, encode_state};
@@ -19,9 +22,15 @@
 use super::append::Outbox;
 use super::client::Client;
 use super::keys::Waiting;
-use super::message::{Append, Changed, Claim, Depart, End, Fetch, Fold, Restore, Subscribe};
+use super::message::{
+    Append, Changed, Claim, Claimed, Depart, End, Fetch, Fold, Restore, Subscribe,
+};
+use super::pace::Pace;
+use super::seeds;
+use super::snapshot::Search;
 use crate::admin::Dump;
 use crate::clock;
+use crate::peer::Dialer;
 use crate::supervisor::Guard;
 
 /// Time between two looks at what waits.
@@ -42,6 +51,10 @@
     pub platform: SocketAddr,
     /// Time between two renewals.
     pub renew: Duration,
+    /// Peer links of other processes, asked for their fold while the log is down.
+    pub seeds: Vec<SocketAddr>,
+    /// Records after which the fold is written to the log again, if not the usual number.
+    pub snapshot_records: Option<u64>,
 }
 
 /// `Follower` owns the fold of the log and the appends of the process.
@@ -60,6 +73,13 @@
     /// Time of the latest read that reached the end of the log.
     pub(super) heard: Option<Instant>,
     departed: bool,
+    /// Search for a snapshot, while the log does not keep the next record to fold.
+    pub(super) search: Option<Search>,
+    /// Time by the log of the latest snapshot that this process appended.
+    pub(super) snapshot_at: SystemTime,
+    /// Links to peers, open while the log can't be read.
+    pub(super) dialers: Vec<Addr<Dialer>>,
+    pub(super) pace: Pace,
     pub(super) counters: Counters,
     pub(super) logger: Logger,
     _guard: Guard<C>,
@@ -95,6 +115,10 @@
             down: false,
             heard: None,
             departed: false,
+            search: None,
+            snapshot_at: SystemTime::UNIX_EPOCH,
+            dialers: Vec::new(),
+            pace: Pace::default(),
             counters,
             logger,
             _guard: guard,
@@ -142,6 +166,7 @@
         self.join();
         self.read(ctx);
         ctx.run_interval(TICK, Self::tick);
+        ctx.run_interval(seeds::PERIOD, Self::ask_peers);
         ctx.run_interval(self.options.renew, |act, ctx| {
             act.outbox.renew();
             act.flush(ctx);
@@ -163,6 +188,12 @@
     type Result = ();
 
     fn handle(&mut self, claim: Claim, ctx: &mut Self::Context) {
+        if self.down || !self.ready {
+            let Claim { request, reply, .. } = claim;
+            let claim = gate::Claim::Failed(Refusal::LogDown);
+            reply.do_send(Claimed { request, claim });
+            return;
+        }
         self.waiting.add(clock::now(), claim);
         self.flush(ctx);
     }
@@ -239,10 +270,8 @@
         match decode_state(&restore.state) {
             Ok(state) if state.next == restore.next => {
                 info!(self.logger, "takes over a peer's fold"; "next" => state.next);
-                self.state = state;
                 self.ready = true;
-                let changes = self.state.changes();
-                self.publish(changes, false);
+                self.replace(state);
             }
             Ok(state) => {
                 warn!(self.logger, "peer's fold has another offset"; "next" => state.next);
--- a/crates/node/src/log/mod.rs
+++ b/crates/node/src/log/mod.rs
@@ -8,7 +8,10 @@
 mod follower;
 mod keys;
 mod message;
+mod pace;
 mod read;
+mod seeds;
+mod snapshot;
 
 pub use client::Client;
 pub use follower::{Follower, Options};
--- a/crates/node/src/log/read.rs
+++ b/crates/node/src/log/read.rs
@@ -19,7 +19,7 @@
     /// Reads the next page, and the one after it, for as long as the actor runs.
     pub(super) fn read(&mut self, ctx: &mut Context<Self>) {
         let client = self.client.clone();
-        let next = self.state.next;
+        let next = self.wanted();
         async move { client.read(next).await }
             .into_actor(self)
             .map(|result: Result<Page>, act, ctx| match result {
@@ -43,6 +43,11 @@
         let mut changes = Vec::new();
         let mut unused = Vec::new();
         let mut settled = Vec::new();
+        self.check_gap(page);
+        if self.search.is_some() {
+            self.search_page(page);
+            return;
+        }
         for item in &page.items {
             // A page read before a peer's fold was taken over may be older than the fold.
             if item.offset < self.state.next {
@@ -74,6 +79,7 @@
         }
         if caught_up {
             self.rejoin_if_removed();
+            self.snapshot_if_due();
         }
         self.flush(ctx);
     }
