--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -1,5 +1,6 @@
 //! Measurements of the decision code, each printed as a table with its baselines.
 
+mod capacity;
 mod log;
 mod table;
 
@@ -24,6 +25,7 @@
 /// `Measure` names the measurements.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Measure {
+    Capacity,
     Log,
 }
 
@@ -37,10 +39,11 @@
 }
 
 impl Measure {
-    const ALL: [Self; 1] = [Self::Log];
+    const ALL: &[Self] = &[Self::Capacity, Self::Log];
 
     fn name(self) -> &'static str {
         match self {
+            Self::Capacity => "capacity",
             Self::Log => "log",
         }
     }
@@ -54,6 +57,7 @@
             options.steps
         );
         match self {
+            Self::Capacity => capacity::run(),
             Self::Log => log::run(),
         }
     }
