--- a/crates/core/src/report/status.rs
+++ b/crates/core/src/report/status.rs
@@ -81,7 +81,7 @@
         .map(|(name, promised)| Service {
             name: name.clone(),
             promised: *promised,
-            serving: state.serving(name),
+            serving: state.serving_hosts(name),
         })
         .collect();
     services.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/core/src/state/entry.rs
+++ b/crates/core/src/state/entry.rs
@@ -25,6 +25,8 @@
     pub members: Map<ids::Instance, Member>,
     /// Hosts by name; a host is in exactly one pool because this map gives it one.
     pub hosts: Map<ids::Host, Host>,
+    /// Serving hosts of each pool.
+    pub serving: Map<ids::Pool, u32>,
     /// Pools by name.
     pub pools: Map<ids::Pool, Pool>,
     /// Serving hosts that each service promises.
@@ -132,6 +134,7 @@
             revision: 0,
             members: Map::default(),
             hosts: Map::default(),
+            serving: Map::default(),
             pools: [(super::SPARE.into(), Pool::default())]
                 .into_iter()
                 .collect(),
@@ -162,12 +165,11 @@
 
     /// Gets the number of hosts that serve a service.
     #[must_use]
-    pub fn serving(&self, service: &ids::Service) -> u32 {
-        let count = self
-            .hosts
-            .values()
-            .filter(|host| host.is_serving() && self.service_of(&host.pool) == Some(service))
-            .count();
-        u32::try_from(count).unwrap_or(u32::MAX)
+    pub fn serving_hosts(&self, service: &ids::Service) -> u32 {
+        let pools = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| pool.service.as_ref() == Some(service));
+        pools.filter_map(|(name, _)| self.serving.get(name)).sum()
     }
 }
--- a/crates/core/src/state/hosts.rs
+++ b/crates/core/src/state/hosts.rs
@@ -7,25 +7,62 @@
 
 impl State {
     pub(super) fn pool_of(&self, host: &ids::Host) -> Result<ids::Pool, Reason> {
-        match self.hosts.get(host) {
-            Some(entry) => Ok(entry.pool.clone()),
-            None => Err(Reason::Absent(format!("host {host}"))),
-        }
+        Ok(self.host(host)?.pool.clone())
     }
 
-    pub(super) fn host_mut(&mut self, host: &ids::Host) -> Result<&mut Host, Reason> {
+    fn host(&self, host: &ids::Host) -> Result<&Host, Reason> {
         self.hosts
-            .get_mut(host)
+            .get(host)
             .ok_or_else(|| Reason::Absent(format!("host {host}")))
     }
 
+    /// Changes a host; the number of serving hosts of its pool follows.
+    fn change_host(
+        &mut self,
+        offset: ids::Offset,
+        name: &ids::Host,
+        edit: impl FnOnce(&mut Host),
+        changes: &mut Vec<Change>,
+    ) -> Check {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return Err(Reason::Absent(format!("host {name}")));
+        };
+        if host.is_serving()
+            && let Some(count) = self.serving.get_mut(&host.pool)
+        {
+            *count -= 1;
+        }
+        edit(host);
+        host.revision = offset;
+        if host.is_serving() {
+            *self.serving.entry(host.pool.clone()).or_default() += 1;
+        }
+        changes.push(Change::Host(name.clone(), host.clone()));
+        Ok(())
+    }
+
+    /// Checks that a host serves in a generation.
+    fn check_serving(&self, host: &ids::Host, generation: ids::Generation) -> Check {
+        let entry = self.host(host)?;
+        if entry.generation != generation {
+            return Err(Reason::Conflict {
+                current: entry.generation,
+                seen: generation,
+            });
+        }
+        if !entry.is_serving() {
+            return Err(Reason::Stage(format!("the host is {:?}", entry.stage)));
+        }
+        Ok(())
+    }
+
     /// Checks that a service keeps its promise with one serving host less.
     pub(super) fn check_budget(&self, pool: &ids::Pool) -> Check {
         let Some(service) = self.service_of(pool) else {
             return Ok(());
         };
         let promised = self.budgets.get(service).copied().unwrap_or(0);
-        let serving = self.serving(service);
+        let serving = self.serving_hosts(service);
         if serving <= promised {
             return Err(Reason::Budget {
                 service: service.clone(),
@@ -49,23 +86,12 @@
             return Err(Reason::Stage(format!("the wave is {phase:?}")));
         }
         self.check_budget(&self.pool_of(host)?)?;
-        let entry = self.host_mut(host)?;
-        if entry.generation != generation {
-            return Err(Reason::Conflict {
-                current: entry.generation,
-                seen: generation,
-            });
-        }
-        if !entry.is_serving() {
-            return Err(Reason::Stage(format!("the host is {:?}", entry.stage)));
-        }
-        entry.stage = Stage::Draining {
+        self.check_serving(host, generation)?;
+        let stage = Stage::Draining {
             wave: wave.clone(),
             since: offset,
         };
-        entry.revision = offset;
-        changes.push(Change::Host(host.clone(), entry.clone()));
-        Ok(())
+        self.change_host(offset, host, |entry| entry.stage = stage, changes)
     }
 
     pub(super) fn apply_fact(
@@ -91,6 +117,7 @@
             connections: fact.connections,
         };
         self.hosts.insert(fact.host.clone(), host.clone());
+        *self.serving.entry(SPARE.into()).or_default() += 1;
         changes.push(Change::Host(fact.host.clone(), host));
     }
 
@@ -101,20 +128,8 @@
         generation: ids::Generation,
         changes: &mut Vec<Change>,
     ) -> Check {
-        let entry = self.host_mut(host)?;
-        if entry.generation != generation {
-            return Err(Reason::Conflict {
-                current: entry.generation,
-                seen: generation,
-            });
-        }
-        if !entry.is_serving() {
-            return Err(Reason::Stage(format!("the host is {:?}", entry.stage)));
-        }
-        entry.stage = Stage::Lost;
-        entry.revision = offset;
-        changes.push(Change::Host(host.clone(), entry.clone()));
-        Ok(())
+        self.check_serving(host, generation)?;
+        self.change_host(offset, host, |entry| entry.stage = Stage::Lost, changes)
     }
 
     pub(super) fn apply_move(
@@ -129,10 +144,7 @@
         if !self.pools.contains_key(to) {
             return Err(Reason::Absent(format!("pool {to}")));
         }
-        let entry = self
-            .hosts
-            .get(host)
-            .ok_or_else(|| Reason::Absent(format!("host {host}")))?;
+        let entry = self.host(host)?;
         if entry.revision != revision || entry.pool != *from {
             return Err(Reason::Conflict {
                 current: entry.revision,
@@ -146,11 +158,8 @@
             self.check_budget(from)?;
         }
         self.moves += 1;
-        let entry = self.host_mut(host)?;
-        entry.pool = to.clone();
-        entry.revision = offset;
-        changes.push(Change::Host(host.clone(), entry.clone()));
-        Ok(())
+        let to = to.clone();
+        self.change_host(offset, host, |entry| entry.pool = to, changes)
     }
 
     pub(super) fn apply_return(
@@ -160,7 +169,7 @@
         generation: ids::Generation,
         changes: &mut Vec<Change>,
     ) -> Check {
-        let entry = self.host_mut(host)?;
+        let entry = self.host(host)?;
         if entry.is_serving() {
             return Err(Reason::Stage("the host is serving".to_owned()));
         }
@@ -170,14 +179,14 @@
                 seen: generation,
             });
         }
-        // Only a new start counts as maintained; the same generation is a cancelled drain.
-        if generation > entry.generation {
-            entry.maintained = offset;
-        }
-        entry.generation = generation;
-        entry.stage = Stage::Serving;
-        entry.revision = offset;
-        changes.push(Change::Host(host.clone(), entry.clone()));
-        Ok(())
+        let edit = |entry: &mut Host| {
+            // Only a new start counts as maintained; the same generation is a cancelled drain.
+            if generation > entry.generation {
+                entry.maintained = offset;
+            }
+            entry.generation = generation;
+            entry.stage = Stage::Serving;
+        };
+        self.change_host(offset, host, edit, changes)
     }
 }
--- a/crates/core/tests/state/main.rs
+++ b/crates/core/tests/state/main.rs
@@ -159,3 +159,33 @@
     assert_eq!(late, Verdict::Rejected(Reason::Stranger));
     assert_eq!(log.state.pools["finder"].holder, None);
 }
+
+#[test]
+fn verify_counts_of_serving_hosts_follow_every_record() {
+    let mut log = Log::new(6, 1);
+    log.fill(4);
+    log.append("a", drain("h0"));
+    log.append(
+        "a",
+        Body::Lost {
+            host: "h1".into(),
+            generation: 1,
+        },
+    );
+    log.append(
+        "a",
+        Body::Return {
+            host: "h0".into(),
+            generation: 2,
+            term: 1,
+        },
+    );
+    for pool in ["spare", "finder"] {
+        let hosts = log.state.hosts.values();
+        let serving = hosts
+            .filter(|host| *host.pool == *pool && host.is_serving())
+            .count();
+        assert_eq!(log.state.serving[pool] as usize, serving, "{pool}");
+    }
+    assert_eq!(log.state.serving_hosts(&"finder".into()), 3);
+}
