--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`gate`]: admission, routing and retries of one entry host
 //! - [`ids`]: aliases for identifiers
 //! - [`map`]: hash maps with a fast hasher
+//! - [`name`]: the form of names
 //! - [`outcome`]: what a caller is told of a request
 //! - [`record`]: records of the log
 //! - [`report`]: what operators are shown
@@ -23,6 +24,7 @@
 pub mod gate;
 pub mod ids;
 pub mod map;
+pub mod name;
 pub mod outcome;
 pub mod record;
 pub mod report;
--- /dev/null
+++ b/crates/core/src/name/mod.rs
@@ -0,0 +1,24 @@
+//! The form of names.
+
+/// Longest name accepted, in bytes.
+const MAX: usize = 64;
+/// What a name may look like, as findings describe it.
+pub const FORM: &str = "a name of letters, digits, '-', '_' and '.', at most 64 characters";
+
+/// Checks the form of a name.
+///
+/// # Errors
+///
+/// Returns what is wrong with a text that is no name.
+pub fn check(text: &str) -> Result<(), &'static str> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if text.is_empty() {
+        Err("name is empty")
+    } else if text.len() > MAX {
+        Err("name is too long")
+    } else if !text.chars().all(allowed) {
+        Err("not a name")
+    } else {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/sheet/difference.rs
@@ -0,0 +1,52 @@
+//! Differences between two sheets.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::Intent;
+
+/// `Difference` is one thing about which two sheets do not say the same.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Difference {
+    /// What the rows are about.
+    pub subject: String,
+    /// Row of the first sheet.
+    pub before: Option<Intent>,
+    /// Row of the second sheet.
+    pub after: Option<Intent>,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => write!(f, "{}: {before} -> {after}", self.subject),
+            (None, Some(after)) => write!(f, "{}: new, {after}", self.subject),
+            (Some(before), None) => write!(f, "{}: removed, was {before}", self.subject),
+            (None, None) => write!(f, "{}: no change", self.subject),
+        }
+    }
+}
+
+/// Gets the differences between two sheets, sorted by subject; the order of rows is none.
+#[must_use]
+pub fn differences(before: &[Intent], after: &[Intent]) -> Vec<Difference> {
+    let mut pairs: BTreeMap<String, (Option<&Intent>, Option<&Intent>)> = BTreeMap::new();
+    for intent in before {
+        pairs.entry(intent.subject()).or_default().0 = Some(intent);
+    }
+    for intent in after {
+        pairs.entry(intent.subject()).or_default().1 = Some(intent);
+    }
+    let different = pairs
+        .into_iter()
+        .filter(|(_, (before, after))| before != after);
+    different
+        .map(|(subject, (before, after))| Difference {
+            subject,
+            before: before.cloned(),
+            after: after.cloned(),
+        })
+        .collect()
+}
--- a/crates/core/src/sheet/mod.rs
+++ b/crates/core/src/sheet/mod.rs
@@ -1,15 +1,22 @@
 //! The planners' sheet: one row is one intent.
 
+mod check;
+mod difference;
 mod parse;
+mod row;
+mod text;
 
-pub use parse::parse;
+pub use difference::{Difference, differences};
+pub use parse::{Row, parse, read};
+
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
 use crate::ids;
 
 /// `Intent` is one checked row of the sheet.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Intent {
     /// Promises serving hosts for a service.
     Budget {
@@ -53,3 +60,34 @@
         batch: u32,
     },
 }
+
+impl Intent {
+    /// Gets what the row is about; a sheet has one row for each.
+    #[must_use]
+    pub fn subject(&self) -> String {
+        match self {
+            Self::Budget { service, .. } => format!("budget of {service}"),
+            Self::Move { host, .. } => format!("move of {host}"),
+            Self::Pool { name, .. } => format!("pool {name}"),
+            Self::Quota {
+                caller, service, ..
+            } => format!("quota of {caller} in {service}"),
+            Self::Wave { name, .. } => format!("wave {name}"),
+        }
+    }
+}
+
+impl fmt::Display for Intent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Budget { hosts, .. } => write!(f, "{hosts} hosts"),
+            Self::Move { pool, .. } => write!(f, "to {pool}"),
+            Self::Pool { service, hosts, .. } => match service {
+                Some(service) => write!(f, "{hosts} hosts for {service}"),
+                None => write!(f, "{hosts} hosts without a service"),
+            },
+            Self::Quota { slots, .. } => write!(f, "{slots} slots"),
+            Self::Wave { pool, batch, .. } => write!(f, "over {pool}, {batch} at once"),
+        }
+    }
+}
