Report all findings of the settings, with examples per program

Addresses were compared only within one group of keys and not with seeds, durations had no range, and unknown keys named nothing that is accepted. The reader now remembers keys and addresses with their lines and compares them over the whole file. Adds the settings of persimmonctl and a file per program, kept true by a test that compares each with its defaults made explicit.

--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -1,6 +1,7 @@
 //! Settings of the entry daemon.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use super::Node;
@@ -9,8 +10,13 @@
 
 /// Default of the largest body of a request, in bytes.
 const BODY_MAX: usize = 1024 * 1024;
+/// Sizes accepted as the largest body, in bytes.
+const BODY_RANGE: RangeInclusive<usize> = 1024..=64 * 1024 * 1024;
 /// Default time for a request without a deadline of its own.
 const DEADLINE: Duration = Duration::from_secs(10);
+/// Times accepted for a request without a deadline of its own.
+const DEADLINE_RANGE: RangeInclusive<Duration> =
+    Duration::from_millis(10)..=Duration::from_mins(10);
 
 /// `Entry` holds the settings of the entry daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,16 +39,13 @@
     fn try_from(text: &str) -> Result<Self> {
         super::parse(text, |reader| {
             let node = Node::read(reader);
-            let listen = reader.address("listen");
-            let body_max = reader.size("body_max", BODY_MAX);
-            let deadline = reader.duration("deadline", DEADLINE);
+            let listen = reader.listen("listen");
+            let body_max = reader.size("body_max", BODY_MAX, BODY_RANGE);
+            let deadline = reader.duration_within("deadline", DEADLINE, DEADLINE_RANGE);
             let defaults = Options::default();
             let probe_after = reader.duration("probe_after", defaults.probe_after);
             let slow_start = reader.duration("slow_start", defaults.slow_start);
             let node = node?;
-            let listen = listen?;
-            let others = [("http", node.http), ("peer", node.peer), ("listen", listen)];
-            reader.check_distinct(&others);
             let gate = Options {
                 probe_after: probe_after?,
                 slow_start: slow_start?,
@@ -51,7 +54,7 @@
             };
             Some(Self {
                 node,
-                listen,
+                listen: listen?,
                 body_max: body_max?,
                 deadline: deadline?,
                 gate,
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -1,10 +1,13 @@
 //! Settings of the daemons, checked as a whole.
 
+mod control;
 mod entry;
 mod fleet;
 mod node;
 mod reader;
+mod unit;
 
+pub use control::Control;
 pub use entry::Entry;
 pub use fleet::Fleet;
 pub use node::{Format, Node};
--- a/crates/core/src/settings/node.rs
+++ b/crates/core/src/settings/node.rs
@@ -1,6 +1,7 @@
 //! Settings that every daemon has.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use super::reader::Reader;
@@ -8,6 +9,8 @@
 
 /// Default time between two renewals.
 const RENEW: Duration = Duration::from_secs(2);
+/// Times accepted between two renewals.
+const RENEW_RANGE: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_secs(30);
 
 /// `Format` is the form of log lines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,17 +50,11 @@
         let peer = reader.address("peer");
         let platform = reader.address("platform");
         let seeds = reader.addresses("seeds");
-        let renew = reader.duration("renew", RENEW);
+        let renew = reader.duration_within("renew", RENEW, RENEW_RANGE);
         let log = reader.choice(
             "log",
             &[("json", Format::Json), ("terminal", Format::Terminal)],
         );
-        let named = [("http", http), ("peer", peer), ("platform", platform)];
-        let named: Vec<_> = named
-            .iter()
-            .filter_map(|(key, a)| Some((*key, (*a)?)))
-            .collect();
-        reader.check_distinct(&named);
         Some(Self {
             instance: instance?,
             zone: zone?,
--- a/crates/core/src/settings/reader.rs
+++ b/crates/core/src/settings/reader.rs
@@ -1,39 +1,46 @@
 //! Reading of TOML tables, key by key, with the line of each finding.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytestring::ByteString;
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
+use super::unit::{self, DURATION_MAX, DURATION_MIN};
 use crate::finding::Findings;
+use crate::name;
 
-/// Units that a duration may have, with their length.
-const DURATION_UNITS: [(&str, Duration); 4] = [
-    ("ms", Duration::from_millis(1)),
-    ("s", Duration::from_secs(1)),
-    ("m", Duration::from_mins(1)),
-    ("h", Duration::from_hours(1)),
-];
-/// Units that a size may have, with their bytes.
-const SIZE_UNITS: [(&str, usize); 3] = [("KiB", 1024), ("MiB", 1024 * 1024), ("B", 1)];
-/// Longest name accepted, in bytes.
-const NAME_MAX: usize = 64;
+/// What an address may look like, as findings describe it.
+const ADDRESS_FORM: &str = "an IP number with a port above 0, such as \"127.0.0.1:8080\"";
+/// What is wrong with a value of another TOML type.
+const WRONG_TYPE: &str = "value has another type";
 
 /// `Reader` takes the keys of a settings file one by one.
 pub(crate) struct Reader<'a> {
     text: &'a str,
     table: DeTable<'a>,
+    known: Vec<String>,
+    addresses: Vec<Address>,
     findings: Findings,
 }
 
+/// `Address` is an address with its place in the file.
+struct Address {
+    key: String,
+    line: usize,
+    socket: SocketAddr,
+}
+
 impl<'a> Reader<'a> {
     pub(crate) fn new(text: &'a str) -> Result<Self, Findings> {
         match DeTable::parse(text) {
             Ok(table) => Ok(Self {
                 text,
                 table: table.into_inner(),
+                known: Vec::new(),
+                addresses: Vec::new(),
                 findings: Findings::default(),
             }),
             Err(error) => {
@@ -45,86 +52,167 @@
         }
     }
 
-    /// Adds a finding for each key that nothing took, and returns all findings.
+    /// Adds findings for keys that nothing took and for equal addresses, and returns all findings.
     pub(crate) fn finish(mut self) -> Findings {
-        for (key, _) in &self.table {
+        self.known.sort();
+        for (key, value) in &self.table {
             let line = line_of(self.text, key.span().start);
-            self.findings
-                .add(line, key.get_ref(), "", "unknown key", "");
+            let seen = self.text.get(value.span()).unwrap_or_default();
+            let accepted = self.known.join(", ");
+            let name = key.get_ref();
+            self.findings.add(line, name, seen, "unknown key", accepted);
         }
+        self.check_addresses();
         self.findings
     }
 
+    /// Adds a finding for a relation between keys that does not hold.
+    pub(crate) fn add(&mut self, key: &str, problem: &str, accepted: &str) {
+        let line = self.text.lines().position(|line| {
+            let name = line.split('=').next().unwrap_or_default();
+            name.trim() == key
+        });
+        let line = line.map_or(1, |line| line + 1);
+        self.findings.add(line, key, "", problem, accepted);
+    }
+
     /// Takes a key whose value a function turns into its checked type.
     fn take<T>(
         &mut self,
         key: &str,
         default: Option<T>,
         accepted: &str,
-        check: impl Fn(&DeValue) -> Option<T>,
+        check: impl Fn(&DeValue) -> Result<T, &'static str>,
     ) -> Option<T> {
-        let Some((name, value)) = self.table.remove_entry(key) else {
+        self.known.push(key.to_owned());
+        let Some((_, value)) = self.table.remove_entry(key) else {
             if default.is_none() {
                 self.findings.add(1, key, "", "key is missing", accepted);
             }
             return default;
         };
-        let checked = check(value.get_ref());
-        if checked.is_none() {
-            let line = line_of(self.text, name.span().start);
-            let seen = self.text.get(value.span()).unwrap_or_default();
-            self.findings
-                .add(line, key, seen, "value is not accepted", accepted);
-        }
-        checked
+        self.check(key, &value, accepted, check)
+    }
+
+    /// Checks one value of a key.
+    fn check<T>(
+        &mut self,
+        key: &str,
+        value: &Spanned<DeValue>,
+        accepted: &str,
+        check: impl Fn(&DeValue) -> Result<T, &'static str>,
+    ) -> Option<T> {
+        let problem = match check(value.get_ref()) {
+            Ok(checked) => return Some(checked),
+            Err(problem) => problem,
+        };
+        let line = line_of(self.text, value.span().start);
+        let seen = self.text.get(value.span()).unwrap_or_default();
+        self.findings.add(line, key, seen, problem, accepted);
+        None
     }
 
     pub(crate) fn name(&mut self, key: &str) -> Option<ByteString> {
-        let accepted = "a name of letters, digits, '-', '_' and '.', at most 64 characters";
-        self.take(key, None, accepted, |value| {
-            let text = value.as_str()?;
-            let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-            let good = !text.is_empty() && text.len() <= NAME_MAX && text.chars().all(allowed);
-            good.then(|| ByteString::from(text))
-        })
+        self.take(key, None, name::FORM, name_of)
     }
 
+    /// Takes a name that may be missing.
+    pub(crate) fn optional_name(&mut self, key: &str) -> Option<ByteString> {
+        let check = |value: &DeValue| name_of(value).map(Some);
+        self.take(key, Some(None), name::FORM, check).flatten()
+    }
+
+    /// Takes an address that other processes are told, so that it must name a host.
     pub(crate) fn address(&mut self, key: &str) -> Option<SocketAddr> {
-        let accepted = "an IP number with a port, such as \"127.0.0.1:8080\"";
-        self.take(key, None, accepted, |value| value.as_str()?.parse().ok())
+        self.take_address(key, |value| {
+            let address = address(value)?;
+            if address.ip().is_unspecified() {
+                return Err("address names no host");
+            }
+            Ok(address)
+        })
+    }
+
+    /// Takes an address to listen at, which may stand for all addresses of the host.
+    pub(crate) fn listen(&mut self, key: &str) -> Option<SocketAddr> {
+        self.take_address(key, address)
     }
 
+    fn take_address(
+        &mut self,
+        key: &str,
+        check: impl Fn(&DeValue) -> Result<SocketAddr, &'static str>,
+    ) -> Option<SocketAddr> {
+        let span = self.table.get(key).map(Spanned::span);
+        let line = span.map_or(1, |span| line_of(self.text, span.start));
+        let address = self.take(key, None, ADDRESS_FORM, check)?;
+        self.record(key, line, address);
+        Some(address)
+    }
+
+    /// Takes a list of addresses of other processes.
     pub(crate) fn addresses(&mut self, key: &str) -> Option<Vec<SocketAddr>> {
-        let accepted = "a list of IP numbers with ports";
-        self.take(key, Some(Vec::new()), accepted, |value| {
-            let items = value.as_array()?.iter();
-            items
-                .map(|item: &Spanned<DeValue>| item.get_ref().as_str()?.parse().ok())
-                .collect()
-        })
+        self.known.push(key.to_owned());
+        let Some((_, value)) = self.table.remove_entry(key) else {
+            return Some(Vec::new());
+        };
+        let accepted = format!("a list, each {ADDRESS_FORM}");
+        let Some(items) = value.get_ref().as_array() else {
+            return self.check(key, &value, &accepted, |_| Err(WRONG_TYPE));
+        };
+        let mut addresses = Vec::new();
+        let mut complete = true;
+        for item in items {
+            let line = line_of(self.text, item.span().start);
+            if let Some(address) = self.check(key, item, ADDRESS_FORM, address) {
+                self.record(key, line, address);
+                addresses.push(address);
+            } else {
+                complete = false;
+            }
+        }
+        complete.then_some(addresses)
+    }
+
+    fn record(&mut self, key: &str, line: usize, socket: SocketAddr) {
+        let key = key.to_owned();
+        self.addresses.push(Address { key, line, socket });
     }
 
+    /// Takes a duration within the widest range.
     pub(crate) fn duration(&mut self, key: &str, default: Duration) -> Option<Duration> {
-        let accepted = "a length of time above zero with its unit: ms, s, m or h";
-        self.take(key, Some(default), accepted, |value| {
-            let text = value.as_str()?;
-            let (unit, length) = DURATION_UNITS
-                .iter()
-                .find(|(unit, _)| number_before(text, unit).is_some())?;
-            let count = u32::try_from(number_before(text, unit)?).ok()?;
-            length.checked_mul(count).filter(|length| !length.is_zero())
+        self.duration_within(key, default, DURATION_MIN..=DURATION_MAX)
+    }
+
+    pub(crate) fn duration_within(
+        &mut self,
+        key: &str,
+        default: Duration,
+        range: RangeInclusive<Duration>,
+    ) -> Option<Duration> {
+        let accepted = unit::duration_form(&range);
+        self.take(key, Some(default), &accepted, |value| {
+            let length = unit::duration(value.as_str().ok_or(WRONG_TYPE)?)?;
+            if !range.contains(&length) {
+                return Err("length of time is out of range");
+            }
+            Ok(length)
         })
     }
 
-    pub(crate) fn size(&mut self, key: &str, default: usize) -> Option<usize> {
-        let accepted = "a size above zero with its unit: B, KiB or MiB";
-        self.take(key, Some(default), accepted, |value| {
-            let text = value.as_str()?;
-            let (unit, bytes) = SIZE_UNITS
-                .iter()
-                .find(|(unit, _)| number_before(text, unit).is_some())?;
-            let count = usize::try_from(number_before(text, unit)?).ok()?;
-            bytes.checked_mul(count).filter(|bytes| *bytes > 0)
+    pub(crate) fn size(
+        &mut self,
+        key: &str,
+        default: usize,
+        range: RangeInclusive<usize>,
+    ) -> Option<usize> {
+        let accepted = unit::size_form(&range);
+        self.take(key, Some(default), &accepted, |value| {
+            let size = unit::size(value.as_str().ok_or(WRONG_TYPE)?)?;
+            if !range.contains(&size) {
+                return Err("size is out of range");
+            }
+            Ok(size)
         })
     }
 
@@ -132,35 +220,46 @@
         let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
         let default = choices.first().map(|(_, value)| *value);
         self.take(key, default, &names.join(" or "), |value| {
-            let text = value.as_str()?;
-            choices
-                .iter()
-                .find(|(name, _)| *name == text)
-                .map(|(_, value)| *value)
+            let text = value.as_str().ok_or(WRONG_TYPE)?;
+            let chosen = choices.iter().find(|(name, _)| *name == text);
+            chosen.map(|(_, value)| *value).ok_or("unknown choice")
         })
     }
 
-    /// Adds a finding for addresses that stand under more than one key.
-    pub(crate) fn check_distinct(&mut self, addresses: &[(&str, SocketAddr)]) {
-        for (index, (key, address)) in addresses.iter().enumerate() {
-            if let Some((other, _)) = addresses[..index].iter().find(|(_, seen)| seen == address) {
-                let problem = format!("same address as {other}");
-                let seen = address.to_string();
-                let line = self.text.lines().position(|line| {
-                    line.split('=')
-                        .next()
-                        .is_some_and(|name| name.trim() == *key)
-                });
-                let line = line.map_or(1, |line| line + 1);
+    /// Adds a finding for each address that stands in the file before.
+    fn check_addresses(&mut self) {
+        for (index, later) in self.addresses.iter().enumerate() {
+            let mut before = self.addresses[..index].iter();
+            if let Some(earlier) = before.find(|earlier| overlap(earlier.socket, later.socket)) {
+                let problem = format!("same address as {} on line {}", earlier.key, earlier.line);
+                let seen = later.socket.to_string();
+                let accepted = "an address of its own";
                 self.findings
-                    .add(line, key, &seen, problem, "an address of its own");
+                    .add(later.line, &later.key, &seen, problem, accepted);
             }
         }
     }
 }
 
-fn number_before(text: &str, unit: &str) -> Option<u64> {
-    text.strip_suffix(unit)?.trim_end().parse().ok()
+/// Gets whether two addresses can't both be used.
+fn overlap(one: SocketAddr, other: SocketAddr) -> bool {
+    let any = one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() == other.port() && (any || one.ip() == other.ip())
+}
+
+fn name_of(value: &DeValue) -> Result<ByteString, &'static str> {
+    let text = value.as_str().ok_or(WRONG_TYPE)?;
+    name::check(text)?;
+    Ok(ByteString::from(text))
+}
+
+fn address(value: &DeValue) -> Result<SocketAddr, &'static str> {
+    let text = value.as_str().ok_or(WRONG_TYPE)?;
+    let address: SocketAddr = text.parse().map_err(|_| "not an address")?;
+    if address.port() == 0 {
+        return Err("port is 0");
+    }
+    Ok(address)
 }
 
 fn line_of(text: &str, offset: usize) -> usize {
--- /dev/null
+++ b/crates/core/tests/settings/main.rs
@@ -0,0 +1,122 @@
+//! Tests of the settings.
+
+use std::time::Duration;
+
+use persimmongate_core::errors::{Error, Result};
+use persimmongate_core::settings::{Control, Entry, Fleet};
+use test_case::test_case;
+
+const ENTRY: &str = include_str!("../../../../examples/settings/entry.toml");
+const FLEET: &str = include_str!("../../../../examples/settings/fleet.toml");
+const CONTROL: &str = include_str!("../../../../examples/settings/persimmonctl.toml");
+
+/// Gets line and key of each finding.
+fn places<T: std::fmt::Debug>(result: Result<T>) -> Vec<(usize, String)> {
+    let Err(Error::Findings(findings)) = result else {
+        panic!("no findings: {result:?}")
+    };
+    assert!(findings.items.iter().all(|item| !item.accepted.is_empty()));
+    let items = findings.items.into_iter();
+    items
+        .map(|item| (item.place.line, item.place.column))
+        .collect()
+}
+
+/// Makes the values of an example explicit that it shows as comments.
+fn explicit(text: &str) -> String {
+    let lines = text.lines();
+    let lines = lines.map(|line| match line.strip_prefix("# ") {
+        Some(rest)
+            if rest
+                .split_once(" = ")
+                .is_some_and(|(key, _)| !key.contains(' ')) =>
+        {
+            rest
+        }
+        _ => line,
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn verify_examples_show_each_key_with_its_default() {
+    let entry = Entry::try_from(ENTRY).expect("entry");
+    assert_eq!(Entry::try_from(&*explicit(ENTRY)), Ok(entry));
+    let fleet = Fleet::try_from(FLEET).expect("fleet");
+    assert_eq!(Fleet::try_from(&*explicit(FLEET)), Ok(fleet));
+    assert_eq!(Control::try_from(CONTROL).expect("control").fleet.len(), 3);
+    // An unknown key is answered with all keys that there are.
+    for (text, error) in [
+        (ENTRY, Entry::try_from("x = 1").expect_err("refused")),
+        (FLEET, Fleet::try_from("x = 1").expect_err("refused")),
+        (CONTROL, Control::try_from("x = 1").expect_err("refused")),
+    ] {
+        let Error::Findings(findings) = error else {
+            panic!("{error}")
+        };
+        let unknown = findings.items.iter().find(|item| item.place.column == "x");
+        let known = &unknown.expect("unknown key").accepted;
+        for key in known.split(", ") {
+            assert!(explicit(text).contains(&format!("{key} = ")), "{key}");
+        }
+    }
+}
+
+#[test_case("instance = \"entry-0\"", "", 1, "instance"; "missing name")]
+#[test_case("zone = \"khomas-a\"", "", 1, "zone"; "absent zone")]
+#[test_case("zone = \"khomas-a\"", "zone = \"\"", 7, "zone"; "empty zone")]
+#[test_case("zone = \"khomas-a\"", "zone = 4", 7, "zone"; "number as zone")]
+#[test_case("zone = \"khomas-a\"", "zone = \"a/b\"", 7, "zone"; "slash in a name")]
+#[test_case("127.0.0.1:7100", "localhost:7100", 9, "http"; "name as address")]
+#[test_case("127.0.0.1:7100", "0.0.0.0:7100", 9, "http"; "address of no host")]
+#[test_case("127.0.0.1:7100", "127.0.0.1:0", 9, "http"; "port zero")]
+#[test_case("127.0.0.1:7101", "127.0.0.1:7100", 11, "peer"; "same address")]
+#[test_case("127.0.0.1:7102", "0.0.0.0:7100", 13, "listen"; "overlap with all addresses")]
+#[test_case("127.0.0.1:7121", "127.0.0.1:7101", 17, "seeds"; "own address as a seed")]
+#[test_case("127.0.0.1:7121", "127.0.0.1:7111", 17, "seeds"; "seed twice")]
+#[test_case("# renew = \"2s\"", "renew = 2", 20, "renew"; "duration without unit")]
+#[test_case("# renew = \"2s\"", "renew = \"2 days\"", 20, "renew"; "unknown unit")]
+#[test_case("# renew = \"2s\"", "renew = \"-2s\"", 20, "renew"; "negative duration")]
+#[test_case("# renew = \"2s\"", "renew = \"0s\"", 20, "renew"; "zero duration")]
+#[test_case("# renew = \"2s\"", "renew = \"2h\"", 20, "renew"; "duration out of range")]
+#[test_case("# renew = \"2s\"", "renew = \"99999999999h\"", 20, "renew"; "duration too long")]
+#[test_case("# log = \"json\"", "log = \"xml\"", 22, "log"; "unknown choice")]
+#[test_case("# body_max = \"1MiB\"", "body_max = \"1GB\"", 24, "body_max"; "unknown unit of size")]
+#[test_case("# body_max = \"1MiB\"", "body_max = \"1B\"", 24, "body_max"; "size out of range")]
+#[test_case("# deadline = \"10s\"", "dead_line = \"10s\"", 26, "dead_line"; "unknown key")]
+#[test_case("# deadline = \"10s\"", "deadline = ", 26, ""; "no TOML")]
+fn verify_findings_carry_line_and_key(from: &str, to: &str, line: usize, key: &str) {
+    assert!(ENTRY.contains(from));
+    let text = ENTRY.replacen(from, to, 1);
+    assert_eq!(places(Entry::try_from(&*text)), [(line, key.to_owned())]);
+}
+
+#[test]
+fn verify_all_findings_are_reported_together() {
+    let text = "instance = \"\"\nhttp = \"here\"\npeer = \"127.0.0.1:1\"\nplatform = \"127.0.0.1:1\"\n\
+        renew = \"9\"\nseeds = [\n  \"127.0.0.1:2\",\n  \"there\",\n]\nextra = 1\n";
+    let seen = places(Fleet::try_from(text));
+    let expected = [
+        (1, "instance"),
+        (1, "zone"),
+        (2, "http"),
+        (4, "platform"),
+        (5, "renew"),
+        (8, "seeds"),
+        (10, "extra"),
+    ];
+    let expected = expected.map(|(line, key)| (line, key.to_owned()));
+    assert_eq!(seen, expected);
+}
+
+#[test]
+fn verify_a_timeout_spans_three_renewals() {
+    let text = format!("renew = \"4s\"\n{FLEET}");
+    assert_eq!(
+        places(Fleet::try_from(&*text)),
+        [(1, "member_timeout".to_owned())]
+    );
+    let text = format!("member_timeout = \"12s\"\n{text}");
+    let fleet = Fleet::try_from(&*text).expect("settings");
+    assert_eq!(fleet.manager.member_timeout, Duration::from_secs(12));
+}
