Restart linked children together and later each time

A gate that failed was replaced by one that counts no request, while the links went on with the exchanges of the old one: drain reports said zero too early. The links are now a linked child: they are stopped, their exchanges dropped and their connections closed, before the new gate starts. An edge that was started with an address of a sibling kept the dead one; peers and HTTP interfaces are linked to what they call, and the interface for callers learns the gate over a watch channel, so that its connections stay open.

Also mended, each seen while reading the restarts: - a dialer never ended: a future of the actor's own context keeps it alive - a link that panicked never told the gate the end of its exchanges - a reporter that restarted was not told the drains under way - peer links outlived their listener; they are now tasks that it owns - a supervisor that panicked left a process without a parent

A child that fails again and again waits 100 ms, doubled each time, before its restart, so it can't use a core; the first restart is immediate. Restarting the interface for callers with the gate was ruled out, as it would refuse callers until the port is bound again.

--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -7,15 +7,13 @@
 
 use std::time::Duration;
 
-use actix::Addr;
 use actix_web::http::StatusCode;
 use actix_web::web::{self, Bytes, Data, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
 use persimmongate_core::outcome::{Doubt, Outcome, Refusal};
 use persimmongate_wire::platform::{OUTCOME_HEADER, REASON_HEADER};
 
-use crate::gate::{Gate, submit};
-use crate::tree::Child;
+use crate::gate::{Seen, submit};
 
 /// `Defaults` holds what a request gets that does not say.
 #[derive(Clone, Copy, Debug)]
@@ -30,7 +28,7 @@
 }
 
 async fn handle(
-    gate: Data<Addr<Gate<Child>>>,
+    gate: Data<Seen>,
     defaults: Data<Defaults>,
     http: HttpRequest,
     body: Bytes,
--- a/crates/entry/src/gate/mod.rs
+++ b/crates/entry/src/gate/mod.rs
@@ -10,6 +10,7 @@
 use persimmongate_core::map::Map;
 use persimmongate_core::outcome::{Outcome, Refusal};
 use persimmongate_core::request::Request;
+use persimmongate_core::state::{Change, Stage};
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
 use persimmongate_node::log::{Changed, Claim, Claimed, End, Follower};
@@ -17,7 +18,7 @@
 use rand::RngExt;
 use serde_json::json;
 use std::time::Instant;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::link::{self, Links};
 use crate::report::{self, Reporter};
@@ -37,6 +38,10 @@
     follower: Option<Addr<Follower<Child>>>,
     links: Option<Addr<Links<Child>>>,
     reporter: Option<Addr<Reporter<Child>>>,
+    /// Latest reports of draining hosts, told again to a reporter that restarted.
+    drains: Map<ids::Host, report::Drain>,
+    /// Waits until no request is without an outcome.
+    departure: Option<oneshot::Sender<()>>,
     /// Bodies and paths of requests that may still be sent.
     requests: Map<ids::Request, Request>,
     outcomes: Counter<u64>,
@@ -61,6 +66,8 @@
             follower: None,
             links: None,
             reporter: None,
+            drains: Map::default(),
+            departure: None,
             requests: Map::default(),
             outcomes: meter.u64_counter("requests").build(),
             latencies: meter.f64_histogram("request_seconds").build(),
@@ -99,13 +106,15 @@
                 since,
                 in_flight,
             } => {
+                let drain = report::Drain {
+                    host: host.clone(),
+                    since,
+                    in_flight,
+                };
                 if let Some(reporter) = &self.reporter {
-                    reporter.do_send(report::Drain {
-                        host,
-                        since,
-                        in_flight,
-                    });
+                    reporter.do_send(drain.clone());
                 }
+                self.drains.insert(host, drain);
             }
             Action::Send {
                 request,
@@ -152,6 +161,18 @@
             self.step(Event::Cancel(id), ctx);
         }
         self.step(Event::Tick, ctx);
+        self.tell_departure();
+    }
+
+    /// Tells that no request is without an outcome any more.
+    fn tell_departure(&mut self) {
+        if self.waiting.is_empty()
+            && self.decisions.open() == 0
+            && let Some(departure) = self.departure.take()
+        {
+            // A process whose time limit passed has nobody to tell.
+            let _ = departure.send(());
+        }
     }
 }
 
@@ -179,7 +200,12 @@
         match wire {
             Wire::Follower(follower) => self.follower = Some(follower),
             Wire::Links(links) => self.links = Some(links),
-            Wire::Reporter(reporter) => self.reporter = Some(reporter),
+            Wire::Reporter(reporter) => {
+                for drain in self.drains.values() {
+                    reporter.do_send(drain.clone());
+                }
+                self.reporter = Some(reporter);
+            }
         }
     }
 }
@@ -221,6 +247,11 @@
         }
         self.next = changed.next;
         for change in changed.changes {
+            if let Change::Host(name, host) = &change
+                && !matches!(host.stage, Stage::Draining { .. })
+            {
+                self.drains.remove(name);
+            }
             self.step(Event::Change(change), ctx);
         }
     }
@@ -263,16 +294,22 @@
     }
 }
 
-/// `Leave` refuses new requests from now on.
+/// `Leave` refuses new requests from now on and is answered when the others have their outcome.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "()")]
 pub(crate) struct Leave;
 
 impl<C: Copy + Send + Unpin + 'static> Handler<Leave> for Gate<C> {
-    type Result = ();
+    type Result = ResponseFuture<()>;
 
-    fn handle(&mut self, _: Leave, ctx: &mut Self::Context) {
+    fn handle(&mut self, _: Leave, ctx: &mut Self::Context) -> Self::Result {
         self.step(Event::Leave, ctx);
+        let (sender, done) = oneshot::channel();
+        self.departure = Some(sender);
+        Box::pin(async move {
+            // A gate that failed has no request left.
+            let _ = done.await;
+        })
     }
 }
 
@@ -293,12 +330,16 @@
     }
 }
 
+/// `Seen` is the current gate as the interface for callers knows it.
+pub(crate) type Seen = watch::Receiver<Option<Addr<Gate<Child>>>>;
+
 /// Sends a request to the gate and waits for its outcome.
-pub(crate) fn submit(gate: &Addr<Gate<Child>>, request: Request) -> ResponseFuture<Outcome> {
+pub(crate) fn submit(gate: &Seen, request: Request) -> ResponseFuture<Outcome> {
     let (reply, outcome) = oneshot::channel();
-    let sent = gate.try_send(Submit { request, reply });
+    let gate = gate.borrow().clone();
+    let sent = gate.is_some_and(|gate| gate.try_send(Submit { request, reply }).is_ok());
     Box::pin(async move {
-        if sent.is_err() {
+        if !sent {
             return Outcome::NotRun(Refusal::Leaving);
         }
         // A gate that failed may have sent the request before.
--- a/crates/entry/src/link/mod.rs
+++ b/crates/entry/src/link/mod.rs
@@ -7,8 +7,9 @@
 
 use actix::{
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message,
-    MessageResult, Recipient, WrapFuture,
+    MessageResult, Recipient, ResponseActFuture, WrapFuture,
 };
+use persimmongate_core::gate::Exchange;
 use persimmongate_core::ids;
 use persimmongate_core::map::Map;
 use persimmongate_core::request::Request;
@@ -72,6 +73,26 @@
     }
 }
 
+/// `Close` drops every exchange under way and closes its connection.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Close;
+
+impl<C: Copy + std::marker::Send + Unpin + 'static> Handler<Close> for Links<C> {
+    type Result = ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, _: Close, _: &mut Self::Context) -> Self::Result {
+        let links: Vec<Addr<Link>> = self.by_host.drain().map(|(_, link)| link).collect();
+        let close = async move {
+            for link in links {
+                // A link that is gone has no exchange.
+                let _ = link.send(Close).await;
+            }
+        };
+        Box::pin(close.into_actor(self).map(|(), _, ctx| ctx.stop()))
+    }
+}
+
 impl<C: Copy + std::marker::Send + Unpin + 'static> Handler<Dump> for Links<C> {
     type Result = MessageResult<Dump>;
 
@@ -122,6 +143,36 @@
     }
 }
 
+impl Handler<Close> for Link {
+    type Result = ();
+
+    fn handle(&mut self, _: Close, ctx: &mut Self::Context) {
+        ctx.stop();
+    }
+}
+
+/// `Reply` tells the gate the end of an exchange, also of one that was dropped.
+struct Reply {
+    gate: Recipient<Done>,
+    done: Option<Done>,
+}
+
+impl Reply {
+    fn tell(mut self, exchange: Exchange) {
+        if let Some(done) = &mut self.done {
+            done.exchange = exchange;
+        }
+    }
+}
+
+impl Drop for Reply {
+    fn drop(&mut self) {
+        if let Some(done) = self.done.take() {
+            self.gate.do_send(done);
+        }
+    }
+}
+
 impl Handler<Send> for Link {
     type Result = ();
 
@@ -135,15 +186,19 @@
             address,
             reply,
         } = send;
-        let number = request.id;
+        let done = Done {
+            request: request.id,
+            host,
+            exchange: Exchange::Broken,
+        };
+        let reply = Reply {
+            gate: reply,
+            done: Some(done),
+        };
         let exchange = exchange::run(self.http.clone(), id, request, address, self.body_max);
         ctx.spawn(exchange.into_actor(self).map(move |exchange, act, _| {
             act.open -= 1;
-            reply.do_send(Done {
-                request: number,
-                host,
-                exchange,
-            });
+            reply.tell(exchange);
         }));
     }
 }
--- a/crates/entry/src/tree/mod.rs
+++ b/crates/entry/src/tree/mod.rs
@@ -1,5 +1,7 @@
 //! The supervisor tree of the entry daemon.
 
+use std::future::ready;
+
 use actix::{Actor, Addr, ResponseFuture};
 use actix_web::web::{Data, PayloadConfig};
 use actix_web::{App, HttpServer};
@@ -10,14 +12,15 @@
 use persimmongate_node::http::{Close, Listener};
 use persimmongate_node::log::{Depart, Follower, Options, Subscribe};
 use persimmongate_node::metrics::Metrics;
-use persimmongate_node::supervisor::{Guard, Limit, Supervisor, Tree, leave_on_signal};
-use persimmongate_node::{logger, peer};
+use persimmongate_node::supervisor::{self, Guard, Limit, Supervisor, Tree};
+use persimmongate_node::{boot, logger, peer};
 use persimmongate_wire::frame::{Hello, VERSION};
 use slog::Logger;
+use tokio::sync::watch;
 
 use crate::api;
 use crate::gate::{self, Gate};
-use crate::link::Links;
+use crate::link::{self, Links};
 use crate::report::Reporter;
 
 /// Time for requests in flight when the process is told to end.
@@ -46,6 +49,10 @@
     reporter: Option<Addr<Reporter<Child>>>,
     links: Option<Addr<Links<Child>>>,
     gate: Option<Addr<Gate<Child>>>,
+    /// Tells the interface for callers where the gate is.
+    gate_seen: watch::Sender<Option<Addr<Gate<Child>>>>,
+    peers: Option<Addr<peer::Listener<Child>>>,
+    admin: Option<Addr<Listener<Child>>>,
     api: Option<Addr<Listener<Child>>>,
 }
 
@@ -62,9 +69,12 @@
         reporter: None,
         links: None,
         gate: None,
+        gate_seen: watch::Sender::new(None),
+        peers: None,
+        admin: None,
         api: None,
     };
-    leave_on_signal(Supervisor::new(tree, Limit::default(), logger).start());
+    boot::leave_on_signal(Supervisor::new(tree, Limit::default(), logger).start());
     Ok(())
 }
 
@@ -150,30 +160,37 @@
         }
     }
 
-    fn start_peers(&self, guard: Guard<Child>) {
+    fn start_gate(&mut self, guard: Guard<Child>) {
+        let options = self.settings.gate.clone();
+        let gate = Gate::new(options, &self.metrics.meter(), guard).start();
+        self.gate_seen.send_replace(Some(gate.clone()));
+        self.gate = Some(gate);
+    }
+
+    fn start_peers(&mut self, guard: Guard<Child>) {
         let Some(follower) = &self.follower else {
             return;
         };
         let fold = follower.clone().recipient();
         let address = self.settings.node.peer;
         let meter = self.metrics.meter();
-        peer::Listener::new(address, None, fold, &meter, self.logger.clone(), guard).start();
+        let logger = self.logger.clone();
+        let peers = peer::Listener::new(address, None, fold, &meter, logger, guard).start();
+        self.peers = Some(peers);
     }
 
-    fn start_admin(&self, guard: Guard<Child>) -> Result<()> {
+    fn start_admin(&mut self, guard: Guard<Child>) -> Result<()> {
         let Some(directory) = self.directory.clone() else {
             return Ok(());
         };
         let (address, metrics) = (self.settings.node.http, self.metrics.clone());
         let server = admin::serve(address, directory.recipient(), metrics, |_| {})?;
-        Listener::new(server, self.logger.clone(), guard).start();
+        self.admin = Some(Listener::new(server, self.logger.clone(), guard).start());
         Ok(())
     }
 
-    fn start_api(&self, guard: Guard<Child>) -> Result<Option<Addr<Listener<Child>>>> {
-        let Some(gate) = self.gate.clone() else {
-            return Ok(None);
-        };
+    fn start_api(&mut self, guard: Guard<Child>) -> Result<()> {
+        let gate = self.gate_seen.subscribe();
         let address = self.settings.listen;
         let defaults = api::Defaults {
             deadline: self.settings.deadline,
@@ -192,9 +209,8 @@
         .bind(address)
         .map_err(|error| io_error(format!("listen address {address}"), error))?
         .run();
-        Ok(Some(
-            Listener::new(server, self.logger.clone(), guard).start(),
-        ))
+        self.api = Some(Listener::new(server, self.logger.clone(), guard).start());
+        Ok(())
     }
 }
 
@@ -223,23 +239,41 @@
                 let (instance, body_max) = (&self.settings.node.instance, self.settings.body_max);
                 self.links = Some(Links::new(instance, body_max, guard).start());
             }
-            Child::Gate => {
-                let options = self.settings.gate.clone();
-                let meter = self.metrics.meter();
-                self.gate = Some(Gate::new(options, &meter, guard).start());
-            }
+            Child::Gate => self.start_gate(guard),
             Child::Peers => self.start_peers(guard),
             Child::Admin => self.start_admin(guard)?,
-            Child::Api => self.api = self.start_api(guard)?,
+            Child::Api => self.start_api(guard)?,
         }
         self.wire(child);
         Ok(())
     }
 
+    fn linked(&self, child: Child) -> Vec<Child> {
+        match child {
+            Child::Directory => vec![Child::Admin],
+            Child::Follower => vec![Child::Peers],
+            // A new gate counts no request, so none of the old one may still be in flight.
+            Child::Gate => vec![Child::Links],
+            Child::Admin | Child::Api | Child::Links | Child::Peers | Child::Reporter => Vec::new(),
+        }
+    }
+
+    fn stop(&mut self, child: Child) -> ResponseFuture<()> {
+        match child {
+            Child::Admin => supervisor::stop(self.admin.take(), Close),
+            Child::Links => supervisor::stop(self.links.take(), link::Close),
+            Child::Peers => supervisor::stop(self.peers.take(), peer::Close),
+            Child::Api | Child::Directory | Child::Follower | Child::Gate | Child::Reporter => {
+                Box::pin(ready(()))
+            }
+        }
+    }
+
     fn leave(&mut self) -> ResponseFuture<()> {
         let (gate, api, follower) = (self.gate.clone(), self.api.clone(), self.follower.clone());
         Box::pin(async move {
-            // A sibling that is gone has nothing to finish.
+            // A sibling that is gone has nothing to finish. The interface for callers stays open until
+            // the gate has no request, so that callers are told that nothing ran.
             if let Some(gate) = gate {
                 let _ = gate.send(gate::Leave).await;
             }
--- a/crates/fleet/src/tree/mod.rs
+++ b/crates/fleet/src/tree/mod.rs
@@ -1,17 +1,19 @@
 //! The supervisor tree of the fleet daemon.
 
+use std::future::ready;
+
 use actix::{Actor, Addr, ResponseFuture};
 use actix_web::web::{Data, ServiceConfig};
 use persimmongate_core::record::{Member, Role};
 use persimmongate_core::settings;
 use persimmongate_node::admin::{self, Directory, Register};
 use persimmongate_node::errors::Result;
-use persimmongate_node::http::Listener;
+use persimmongate_node::http::{Close, Listener};
 use persimmongate_node::log::{Depart, Follower, Options, Subscribe};
 use persimmongate_node::metrics::Metrics;
 use persimmongate_node::platform::Client;
-use persimmongate_node::supervisor::{Guard, Limit, Supervisor, Tree, leave_on_signal};
-use persimmongate_node::{logger, peer};
+use persimmongate_node::supervisor::{self, Guard, Limit, Supervisor, Tree};
+use persimmongate_node::{boot, logger, peer};
 use slog::Logger;
 
 use crate::api;
@@ -35,6 +37,8 @@
     directory: Option<Addr<Directory<Child>>>,
     follower: Option<Addr<Follower<Child>>>,
     manager: Option<Addr<Manager<Child>>>,
+    peers: Option<Addr<peer::Listener<Child>>>,
+    api: Option<Addr<Listener<Child>>>,
 }
 
 /// Starts the tree and waits for the signal to end.
@@ -48,8 +52,10 @@
         directory: None,
         follower: None,
         manager: None,
+        peers: None,
+        api: None,
     };
-    leave_on_signal(Supervisor::new(tree, Limit::default(), logger).start());
+    boot::leave_on_signal(Supervisor::new(tree, Limit::default(), logger).start());
     Ok(())
 }
 
@@ -81,7 +87,7 @@
         self.manager = Some(manager.start());
     }
 
-    fn start_peers(&self, guard: Guard<Child>) {
+    fn start_peers(&mut self, guard: Guard<Child>) {
         let (Some(follower), Some(manager)) = (&self.follower, &self.manager) else {
             return;
         };
@@ -89,10 +95,12 @@
         let fold = follower.clone().recipient();
         let address = self.settings.node.peer;
         let meter = self.metrics.meter();
-        peer::Listener::new(address, reports, fold, &meter, self.logger.clone(), guard).start();
+        let logger = self.logger.clone();
+        let peers = peer::Listener::new(address, reports, fold, &meter, logger, guard).start();
+        self.peers = Some(peers);
     }
 
-    fn start_api(&self, guard: Guard<Child>) -> Result<()> {
+    fn start_api(&mut self, guard: Guard<Child>) -> Result<()> {
         let (Some(directory), Some(follower)) = (self.directory.clone(), self.follower.clone())
         else {
             return Ok(());
@@ -103,7 +111,7 @@
             api::configure(config);
         };
         let server = admin::serve(address, directory.recipient(), metrics, routes)?;
-        Listener::new(server, self.logger.clone(), guard).start();
+        self.api = Some(Listener::new(server, self.logger.clone(), guard).start());
         Ok(())
     }
 
@@ -163,6 +171,23 @@
         Ok(())
     }
 
+    fn linked(&self, child: Child) -> Vec<Child> {
+        match child {
+            Child::Directory => vec![Child::Api],
+            Child::Follower => vec![Child::Peers, Child::Api],
+            Child::Manager => vec![Child::Peers],
+            Child::Api | Child::Peers => Vec::new(),
+        }
+    }
+
+    fn stop(&mut self, child: Child) -> ResponseFuture<()> {
+        match child {
+            Child::Api => supervisor::stop(self.api.take(), Close),
+            Child::Peers => supervisor::stop(self.peers.take(), peer::Close),
+            Child::Directory | Child::Follower | Child::Manager => Box::pin(ready(())),
+        }
+    }
+
     fn leave(&mut self) -> ResponseFuture<()> {
         let follower = self.follower.clone();
         Box::pin(async move {
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -13,6 +13,9 @@
 use crate::metrics::Metrics;
 use crate::supervisor::Guard;
 
+/// Time for calls under way when the interface closes.
+const CLOSE_TIMEOUT_S: u64 = 1;
+
 /// `Dump` asks an actor for its whole state.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "Value")]
@@ -101,6 +104,7 @@
     let server = HttpServer::new(app)
         .workers(1)
         .disable_signals()
+        .shutdown_timeout(CLOSE_TIMEOUT_S)
         .bind(address)
         .map_err(|error| io_error(format!("http address {address}"), error))?;
     Ok(server.run())
--- a/crates/node/src/boot/mod.rs
+++ b/crates/node/src/boot/mod.rs
@@ -2,16 +2,21 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
+use actix::Addr;
 use persimmongate_core::errors::Error as Refusal;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::errors::{Result, io_error};
+use crate::supervisor::{Leave, Supervisor, Tree};
 
 /// Exit code for settings or arguments that are refused.
 pub const EXIT_USAGE: u8 = 2;
 /// Exit code for a failure of the process.
 const EXIT_FAILURE: u8 = 1;
+/// Time that a process has to finish what is under way after it was told to end.
+const LEAVE_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Reads and checks a settings file.
 ///
@@ -59,20 +64,45 @@
     }
 }
 
-/// Waits for the signal to end, from the service manager or the terminal.
+/// Tells a supervisor to leave when the process is told to end.
 ///
-/// # Errors
-///
-/// Returns an error when the operating system refuses a handler.
-pub async fn stopped() -> Result<()> {
-    let listen = |kind| signal(kind).map_err(|error| io_error("signal handler", error));
-    let (mut term, mut int): (Signal, Signal) = (
-        listen(SignalKind::terminate())?,
-        listen(SignalKind::interrupt())?,
-    );
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+/// A second signal, or a time limit, ends the process with requests still in flight.
+pub fn leave_on_signal<T: Tree>(supervisor: Addr<Supervisor<T>>) {
+    actix_rt::spawn(async move {
+        let Ok(mut signals) = Signals::listen() else {
+            actix_rt::System::current().stop_with_code(i32::from(EXIT_FAILURE));
+            return;
+        };
+        signals.next().await;
+        tokio::select! {
+            // The supervisor ends the process itself.
+            _ = supervisor.send(Leave) => return,
+            () = signals.next() => {}
+            () = actix_rt::time::sleep(LEAVE_TIMEOUT) => {}
+        }
+        actix_rt::System::current().stop_with_code(i32::from(EXIT_FAILURE));
+    });
+}
+
+/// `Signals` waits for signals to end, from the service manager or the terminal.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self> {
+        let listen = |kind| signal(kind).map_err(|error| io_error("signal handler", error));
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
--- a/crates/node/src/peer/dialer.rs
+++ b/crates/node/src/peer/dialer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, WrapFuture};
+use actix::{Actor, Context, Handler, Message, Recipient};
 use actix_rt::net::TcpStream;
 use futures_util::SinkExt;
 use persimmongate_wire::frame::{self, Frame, Hello};
@@ -51,7 +51,7 @@
 impl Actor for Dialer {
     type Context = Context<Self>;
 
-    fn started(&mut self, ctx: &mut Self::Context) {
+    fn started(&mut self, _: &mut Self::Context) {
         let (sender, receiver) = mpsc::channel(QUEUE_MAX);
         self.frames = Some(sender);
         let run = run(
@@ -60,7 +60,8 @@
             self.restore.clone(),
             receiver,
         );
-        ctx.spawn(run.into_actor(self));
+        // A future of the actor's own context would keep the actor alive after its last address.
+        actix_rt::spawn(run);
     }
 }
 
--- a/crates/node/src/peer/listener.rs
+++ b/crates/node/src/peer/listener.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use actix::{
-    Actor, ActorContext, ActorFutureExt, AsyncContext, Context, Message, Recipient, WrapFuture,
+    Actor, ActorContext, ActorFutureExt, AsyncContext, Context, Handler, Message, Recipient,
+    WrapFuture,
 };
 use actix_rt::net::{TcpListener, TcpStream};
 use futures_util::{SinkExt, StreamExt};
 use opentelemetry::metrics::{Counter, Meter};
 use persimmongate_wire::frame::{self, Frame, Report};
 use slog::{Logger, error};
+use tokio::task::JoinSet;
 use tokio_tungstenite::tungstenite::{self, Message as Item};
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config};
 
@@ -29,6 +31,11 @@
 #[rtype(result = "()")]
 pub struct Received(pub Report);
 
+/// `Close` ends the listener and every link.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Close;
+
 /// `Hub` is where a link's frames go.
 #[derive(Clone)]
 struct Hub {
@@ -84,14 +91,25 @@
     }
 }
 
+impl<C: Copy + std::marker::Send + Unpin + 'static> Handler<Close> for Listener<C> {
+    type Result = ();
+
+    fn handle(&mut self, _: Close, ctx: &mut Self::Context) {
+        ctx.stop();
+    }
+}
+
+/// Accepts links; all of them end when the future is dropped.
 async fn accept(address: SocketAddr, hub: Hub) -> Result<()> {
     let listener = TcpListener::bind(address)
         .await
         .map_err(|error| io_error(format!("peer address {address}"), error))?;
+    let mut links = JoinSet::new();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                actix_rt::spawn(serve(stream, hub.clone()));
+                while links.try_join_next().is_some() {}
+                links.spawn_local(serve(stream, hub.clone()));
             }
             Err(_) => actix_rt::time::sleep(ACCEPT_WAIT).await,
         }
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -4,7 +4,7 @@
 mod listener;
 
 pub use dialer::{Dialer, Send};
-pub use listener::{Listener, Received};
+pub use listener::{Close, Listener, Received};
 
 use persimmongate_wire::frame::FRAME_MAX;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
--- a/crates/node/src/supervisor/mod.rs
+++ b/crates/node/src/supervisor/mod.rs
@@ -2,7 +2,10 @@
 //!
 //! actix's own supervisor doesn't restart an actor whose handler panicked: its mailbox stays
 //! closed. Here each child holds a [`Guard`]; dropping it, by a stop or by a panic, tells the
-//! parent, which makes a new child. Too many restarts in a period end the process.
+//! parent, which makes a new child. A child that keeps failing is restarted ever later, and too
+//! many restarts in a period end the process.
+//!
+//! Children that make no sense without a failed one are stopped and started again with it.
 
 use std::collections::VecDeque;
 use std::fmt::Debug;
@@ -10,13 +13,12 @@
 use std::time::{Duration, Instant};
 
 use actix::{
-    Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, Recipient, ResponseActFuture,
-    ResponseFuture, WrapFuture,
+    Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, Recipient,
+    ResponseActFuture, ResponseFuture, WrapFuture,
 };
 use persimmongate_core::map::Map;
 use slog::{Logger, error, info, warn};
 
-use crate::boot;
 use crate::clock;
 use crate::errors::Result;
 
@@ -30,6 +32,8 @@
     pub restarts: usize,
     /// Period in which they are counted.
     pub period: Duration,
+    /// Wait before the second restart in a period; it doubles with each further one.
+    pub backoff: Duration,
 }
 
 impl Default for Limit {
@@ -37,6 +41,7 @@
         Self {
             restarts: 5,
             period: Duration::from_secs(10),
+            backoff: Duration::from_millis(100),
         }
     }
 }
@@ -56,10 +61,31 @@
     /// Returns an error when the child can't be started; it counts as a failure of the child.
     fn start(&mut self, child: Self::Child, guard: Guard<Self::Child>) -> Result<()>;
 
+    /// Gets the children that are stopped and started again when a child failed.
+    fn linked(&self, child: Self::Child) -> Vec<Self::Child>;
+
+    /// Stops a child; the future ends when nothing of it runs any more.
+    fn stop(&mut self, child: Self::Child) -> ResponseFuture<()>;
+
     /// Finishes what is under way before the process ends.
     fn leave(&mut self) -> ResponseFuture<()>;
 }
 
+/// Stops a child by a message and waits until it was handled.
+pub fn stop<A, M>(child: Option<Addr<A>>, message: M) -> ResponseFuture<()>
+where
+    A: Actor<Context = Context<A>> + Handler<M>,
+    M: Message + Send + 'static,
+    M::Result: Send,
+{
+    Box::pin(async move {
+        if let Some(child) = child {
+            // A child that is gone needs no stop.
+            let _ = child.send(message).await;
+        }
+    })
+}
+
 /// `Leave` ends the process after what is under way.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "()")]
@@ -115,12 +141,21 @@
         }
     }
 
-    fn start_child(&mut self, child: T::Child, ctx: &mut Context<Self>) {
+    /// Gets the number of a child's next start; the ends of older starts are stale from now on.
+    fn plan(&mut self, child: T::Child) -> u64 {
         let start = self.starts.entry(child).or_default();
         *start += 1;
+        *start
+    }
+
+    fn start_child(&mut self, child: T::Child, start: u64, ctx: &mut Context<Self>) {
+        // A later failure may have planned another start meanwhile.
+        if self.leaving || self.starts.get(&child) != Some(&start) {
+            return;
+        }
         let guard = Guard {
             child,
-            start: *start,
+            start,
             parent: ctx.address().recipient(),
         };
         // A failed start drops the guard, and so reports itself.
@@ -129,8 +164,31 @@
         }
     }
 
-    /// Notes a failure and gets whether the limit still allows a restart.
-    fn may_restart(&mut self, child: T::Child) -> bool {
+    /// Stops the children linked to a failed one, then starts all of them after a wait.
+    fn restart(&mut self, failed: T::Child, wait: Duration, ctx: &mut Context<Self>) {
+        let linked = self.tree.linked(failed);
+        let mut children = self.tree.children();
+        children.retain(|child| *child == failed || linked.contains(child));
+        let mut planned = Vec::new();
+        for child in children {
+            planned.push((child, self.plan(child)));
+        }
+        let stops: Vec<_> = linked.iter().map(|child| self.tree.stop(*child)).collect();
+        let ready = async move {
+            for stop in stops {
+                stop.await;
+            }
+            actix_rt::time::sleep(wait).await;
+        };
+        ctx.spawn(ready.into_actor(self).map(move |(), act, ctx| {
+            for (child, start) in planned {
+                act.start_child(child, start, ctx);
+            }
+        }));
+    }
+
+    /// Notes a failure and gets the wait before the restart, nothing past the limit.
+    fn note_failure(&mut self, child: T::Child) -> Option<Duration> {
         let now = clock::now();
         let failures = self.failures.entry(child).or_default();
         failures.push_back(now);
@@ -140,7 +198,14 @@
         {
             failures.pop_front();
         }
-        failures.len() <= self.limit.restarts
+        if failures.len() > self.limit.restarts {
+            return None;
+        }
+        let doublings = u32::try_from(failures.len()).unwrap_or(u32::MAX);
+        Some(match doublings {
+            0 | 1 => Duration::ZERO,
+            more => self.limit.backoff * 2_u32.saturating_pow(more - 2),
+        })
     }
 }
 
@@ -149,7 +214,17 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         for child in self.tree.children() {
-            self.start_child(child, ctx);
+            let start = self.plan(child);
+            self.start_child(child, start, ctx);
+        }
+    }
+}
+
+impl<T: Tree> Drop for Supervisor<T> {
+    fn drop(&mut self) {
+        // A supervisor that panicked leaves children without a parent.
+        if let (false, Some(system)) = (self.leaving, actix_rt::System::try_current()) {
+            system.stop_with_code(EXIT_FAILED);
         }
     }
 }
@@ -161,13 +236,13 @@
         if self.leaving || self.starts.get(&ended.child) != Some(&ended.start) {
             return;
         }
-        if !self.may_restart(ended.child) {
+        let Some(wait) = self.note_failure(ended.child) else {
             error!(self.logger, "child failed too often"; "child" => ?ended.child);
             actix_rt::System::current().stop_with_code(EXIT_FAILED);
             return;
-        }
+        };
         warn!(self.logger, "child restarts"; "child" => ?ended.child);
-        self.start_child(ended.child, ctx);
+        self.restart(ended.child, wait, ctx);
     }
 }
 
@@ -184,13 +259,3 @@
         }))
     }
 }
-
-/// Tells a supervisor to leave when the process is told to end.
-pub fn leave_on_signal<T: Tree>(supervisor: actix::Addr<Supervisor<T>>) {
-    actix_rt::spawn(async move {
-        if boot::stopped().await.is_ok() {
-            // A supervisor that is gone has ended the process already.
-            let _ = supervisor.send(Leave).await;
-        }
-    });
-}
