Set every fault of the stand-ins over one call

POST /faults takes one fault as JSON: the log (down, mute, slow), its retention, the host list (frozen, hosts missing) and workers by host, rack or availability zone (failing, slow, refusing, late, crossed, truncated, vanished). It replaces POST /log/faults. Leases, tasks and delays between availability zones are left out, as nothing uses them yet.

--- a/crates/standin/src/hosts/mod.rs
+++ b/crates/standin/src/hosts/mod.rs
@@ -11,14 +11,16 @@
 use persimmongate_core::record::Fact;
 use serde::Deserialize;
 
+use crate::faults;
 use crate::ledger::{self, Ledger};
-use crate::worker::{Ask, Order, Step, Worker};
+use crate::worker::{self, Ask, Order, Step, Worker};
 
 /// `Hosts` knows the workers, and lists them late.
 pub struct Hosts {
     workers: Map<ids::Host, (Fact, Addr<Worker>)>,
     lag: Duration,
     listed: Vec<Fact>,
+    faults: faults::List,
 }
 
 impl Hosts {
@@ -33,6 +35,7 @@
             workers: facts.into_iter().map(start).collect(),
             lag,
             listed: Vec::new(),
+            faults: faults::List::default(),
         }
     }
 
@@ -55,7 +58,9 @@
         ctx.spawn(actix::ActorFutureExt::map(
             list,
             |listed, act: &mut Self, _| {
-                act.listed = listed;
+                if !act.faults.frozen {
+                    act.listed = listed;
+                }
             },
         ));
     }
@@ -79,7 +84,49 @@
     type Result = MessageResult<List>;
 
     fn handle(&mut self, _: List, _: &mut Self::Context) -> Self::Result {
-        MessageResult(self.listed.clone())
+        let missing = &self.faults.missing;
+        let listed = self.listed.iter();
+        let listed = listed.filter(|fact| !missing.contains(&fact.host));
+        MessageResult(listed.cloned().collect())
+    }
+}
+
+/// `Break` sets the faults of the list.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Break(pub faults::List);
+
+impl Handler<Break> for Hosts {
+    type Result = ();
+
+    fn handle(&mut self, Break(faults): Break, _: &mut Self::Context) {
+        self.faults = faults;
+    }
+}
+
+/// `Hit` sets the faults of some workers.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Hit {
+    /// Which workers.
+    pub target: faults::Target,
+    /// How they behave.
+    pub fault: faults::Worker,
+}
+
+impl Handler<Hit> for Hosts {
+    type Result = ResponseFuture<()>;
+
+    fn handle(&mut self, hit: Hit, _: &mut Self::Context) -> Self::Result {
+        let meant = self.workers.values();
+        let meant = meant.filter(|(fact, _)| hit.target.matches(fact));
+        let meant: Vec<Addr<Worker>> = meant.map(|(_, worker)| worker.clone()).collect();
+        Box::pin(async move {
+            for worker in meant {
+                // A worker that is gone has no behaviour.
+                let _ = worker.send(worker::Break(hit.fault)).await;
+            }
+        })
     }
 }
 
--- a/crates/standin/src/log/mod.rs
+++ b/crates/standin/src/log/mod.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, SystemTime};
 
 use actix::{Actor, Addr, Context, Handler, Message, MessageResult};
-use actix_web::web::{self, Bytes, Data, Json, PayloadConfig, Query, ServiceConfig};
+use actix_web::web::{self, Bytes, Data, PayloadConfig, Query, ServiceConfig};
 use actix_web::{HttpResponse, Responder};
 use persimmongate_core::ids;
 use persimmongate_wire::log::{Batch, Item, PAGE_MAX, Page, decode_batch, encode_page};
@@ -41,6 +41,13 @@
         }
     }
 
+    fn trim(&mut self) {
+        while self.items.len() > self.retention {
+            self.items.pop_front();
+            self.earliest += 1;
+        }
+    }
+
     fn end(&self) -> ids::Offset {
         self.earliest + self.items.len() as u64
     }
@@ -66,10 +73,7 @@
         for (offset, record) in (first..).zip(batch.records) {
             self.items.push_back(Item { offset, at, record });
         }
-        while self.items.len() > self.retention {
-            self.items.pop_front();
-            self.earliest += 1;
-        }
+        self.trim();
         self.waiters.clear();
         MessageResult(first)
     }
@@ -125,6 +129,20 @@
     }
 }
 
+/// `Keep` sets the number of records kept.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Keep(pub usize);
+
+impl Handler<Keep> for Store {
+    type Result = ();
+
+    fn handle(&mut self, Keep(records): Keep, _: &mut Self::Context) {
+        self.retention = records;
+        self.trim();
+    }
+}
+
 /// `Ask` gets the faults of the log.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "faults::Log")]
@@ -143,8 +161,7 @@
     config
         .app_data(PayloadConfig::new(PAGE_MAX))
         .route("/log/append", web::post().to(append))
-        .route("/log/read", web::get().to(read))
-        .route("/log/faults", web::post().to(set_faults));
+        .route("/log/read", web::get().to(read));
 }
 
 async fn append(store: Data<Addr<Store>>, body: Bytes) -> impl Responder {
@@ -203,10 +220,3 @@
         }
     }
 }
-
-async fn set_faults(store: Data<Addr<Store>>, faults: Json<faults::Log>) -> impl Responder {
-    match store.send(Break(*faults)).await {
-        Ok(()) => HttpResponse::NoContent().finish(),
-        Err(_) => HttpResponse::ServiceUnavailable().finish(),
-    }
-}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -10,6 +10,7 @@
 use argh::FromArgs;
 use persimmongate_standin::callers;
 use persimmongate_standin::deployment::Deployment;
+use persimmongate_standin::faults;
 use persimmongate_standin::hosts::{self, Hosts};
 use persimmongate_standin::ledger::Ledger;
 use persimmongate_standin::log::{self, Store};
@@ -101,6 +102,7 @@
             .app_data(Data::new(ledger.clone()))
             .app_data(Data::new(store.clone()))
             .app_data(Data::new(hosts.clone()))
+            .configure(faults::configure)
             .configure(log::configure)
             .configure(hosts::configure)
     })
--- a/crates/standin/src/worker/mod.rs
+++ b/crates/standin/src/worker/mod.rs
@@ -1,21 +1,21 @@
-//! One backend server: slots, drain, reboot.
+//! One backend server: slots, drain, reboot, faults.
+
+mod serve;
 
 use std::time::Duration;
 
-use actix::{
-    Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, MessageResult,
-    ResponseActFuture, WrapFuture,
-};
+use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, MessageResult};
 use actix_web::dev::ServerHandle;
-use actix_web::web::{Bytes, Data, PayloadConfig};
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, Responder};
+use actix_web::web::{Data, PayloadConfig};
+use actix_web::{App, HttpServer};
 use persimmongate_core::fleet::{Health, Status};
 use persimmongate_core::ids;
 use persimmongate_core::record::Fact;
-use persimmongate_wire::platform::{OUTCOME_HEADER, REQUEST_HEADER};
 use serde::{Deserialize, Serialize};
 
+use crate::faults;
 use crate::ledger::{Entry, Ledger};
+use serve::Run;
 
 /// Largest body that the worker reads, in bytes.
 const BODY_MAX: usize = 4 * 1024 * 1024;
@@ -37,6 +37,9 @@
     reboot: Duration,
     ledger: Addr<Ledger>,
     server: Option<ServerHandle>,
+    fault: faults::Worker,
+    /// Request that ran last.
+    last: Option<Run>,
 }
 
 impl Worker {
@@ -50,6 +53,8 @@
             reboot,
             ledger,
             server: None,
+            fault: faults::Worker::default(),
+            last: None,
         }
     }
 
@@ -70,7 +75,7 @@
             App::new()
                 .app_data(Data::new(address.clone()))
                 .app_data(PayloadConfig::new(BODY_MAX))
-                .default_service(actix_web::web::to(handle))
+                .default_service(actix_web::web::to(serve::handle))
         };
         let server = HttpServer::new(app)
             .workers(1)
@@ -92,18 +97,30 @@
         }
     }
 
+    fn stop(&mut self, health: Health) {
+        self.health = health;
+        if let Some(server) = self.server.take() {
+            actix_rt::spawn(server.stop(false));
+        }
+    }
+
     fn reboot(&mut self, ctx: &mut Context<Self>) {
         if self.in_flight > 0 {
             self.ledger.do_send(Entry::Cut(u64::from(self.in_flight)));
         }
-        self.health = Health::Rebooting;
-        if let Some(server) = self.server.take() {
-            actix_rt::spawn(server.stop(false));
-        }
+        self.stop(Health::Rebooting);
+        self.start_again(ctx);
+    }
+
+    fn start_again(&mut self, ctx: &mut Context<Self>) {
         ctx.run_later(self.reboot, |act, ctx| {
             act.fact.generation += 1;
             act.in_flight = 0;
-            act.serve(ctx);
+            if act.fault == faults::Worker::Vanished {
+                act.health = Health::Dead;
+            } else {
+                act.serve(ctx);
+            }
         });
     }
 }
@@ -116,35 +133,24 @@
     }
 }
 
-/// `Begin` runs a request; the answer tells whether it ran.
-#[derive(Clone, Debug, Message)]
-#[rtype(result = "bool")]
-struct Begin(Task);
+/// `Break` sets how the worker behaves.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Break(pub faults::Worker);
 
-impl Handler<Begin> for Worker {
-    type Result = ResponseActFuture<Self, bool>;
+impl Handler<Break> for Worker {
+    type Result = ();
 
-    fn handle(&mut self, Begin(task): Begin, _: &mut Self::Context) -> Self::Result {
-        let full = self.in_flight >= u32::from(self.fact.slots);
-        if full || self.health != Health::Serving {
-            self.ledger.do_send(Entry::Refused);
-            return Box::pin(actix::fut::ready(false));
+    fn handle(&mut self, Break(fault): Break, ctx: &mut Self::Context) {
+        self.fault = fault;
+        let vanished = fault == faults::Worker::Vanished;
+        if vanished && self.health != Health::Dead {
+            self.stop(Health::Dead);
+        }
+        if !vanished && self.health == Health::Dead {
+            self.health = Health::Rebooting;
+            self.start_again(ctx);
         }
-        self.in_flight += 1;
-        let in_flight = self.in_flight;
-        let generation = self.fact.generation;
-        self.ledger.do_send(Entry::Ran {
-            nonce: task.nonce,
-            in_flight,
-        });
-        // The work goes on when its caller is gone, as on a real worker.
-        let work = actix_rt::time::sleep(Duration::from_millis(task.work_ms));
-        Box::pin(work.into_actor(self).map(move |(), act, _| {
-            if act.fact.generation == generation {
-                act.in_flight = act.in_flight.saturating_sub(1);
-            }
-            true
-        }))
     }
 }
 
@@ -199,22 +205,3 @@
         MessageResult(Some(self.status()))
     }
 }
-
-async fn handle(worker: Data<Addr<Worker>>, request: HttpRequest, body: Bytes) -> impl Responder {
-    let Ok(task) = serde_json::from_slice::<Task>(&body) else {
-        return HttpResponse::BadRequest().finish();
-    };
-    let id = request.headers().get(REQUEST_HEADER).cloned();
-    let ran = worker.send(Begin(task.clone())).await.unwrap_or(false);
-    let mut response = if ran {
-        HttpResponse::Ok()
-    } else {
-        let mut refusal = HttpResponse::ServiceUnavailable();
-        refusal.insert_header((OUTCOME_HEADER, "not-run"));
-        refusal
-    };
-    if let Some(id) = id {
-        response.insert_header((REQUEST_HEADER, id));
-    }
-    response.json(task)
-}
