Add named checks of the promises and count breaches in the daemons

A watch beside each decision follows events and actions on its own, so a fault of the decision is not repeated in the check. Ruled out: checks inside the decisions, which would share their state and their faults. The gate and manager actors and the follower (node/log: two fields and one call) raise breaches as the counter invariant_breaches with the label check and one error line each.

--- /dev/null
+++ b/crates/core/src/invariant/promise.rs
@@ -0,0 +1,148 @@
+//! One function for each promise.
+
+use super::{Breach, Check};
+use crate::fleet::{Health, Status, View};
+use crate::gate::Exchange;
+use crate::ids;
+use crate::record::Body;
+use crate::state::{Host, State};
+
+/// `Verdict` is nothing, or the breach that was seen.
+type Verdict = Result<(), Breach>;
+
+/// Checks that an answer belongs to the request that it is given to.
+///
+/// # Errors
+///
+/// Returns the breach.
+pub fn answer(request: ids::Request, ended: Option<ids::Request>) -> Verdict {
+    if ended == Some(request) {
+        return Ok(());
+    }
+    Err(Check::Answer.breach(format!(
+        "request {request} got an answer when the exchange of {ended:?} ended"
+    )))
+}
+
+/// Checks the service that an accepted drain or move took a host from.
+///
+/// # Errors
+///
+/// Returns the breach.
+pub fn budget(state: &State, accepted: &Body) -> Verdict {
+    let (host, pool) = match accepted {
+        Body::Drain { host, .. } => (host, state.hosts.get(host).map(|entry| &entry.pool)),
+        Body::Move { host, from, to, .. } if state.service_of(from) != state.service_of(to) => {
+            let serving = state.hosts.get(host).is_some_and(Host::is_serving);
+            (host, serving.then_some(from))
+        }
+        _ => return Ok(()),
+    };
+    let Some(service) = pool.and_then(|pool| state.service_of(pool)) else {
+        return Ok(());
+    };
+    let promised = state.budgets.get(service).copied().unwrap_or(0);
+    let serving = state.serving(service);
+    if serving >= promised {
+        return Ok(());
+    }
+    Err(Check::Budget.breach(format!(
+        "{service} keeps {serving} of {promised} promised hosts without {host}"
+    )))
+}
+
+/// Checks that a host gets new work only while it is known to serve.
+///
+/// # Errors
+///
+/// Returns the breach.
+pub fn leaving(host: &ids::Host, serving: Option<bool>) -> Verdict {
+    if serving == Some(true) {
+        return Ok(());
+    }
+    Err(Check::Leaving.breach(format!("new work for {host}, serving: {serving:?}")))
+}
+
+/// Checks that no exchange of a request may have run it.
+///
+/// # Errors
+///
+/// Returns the breach.
+pub fn not_run(request: ids::Request, may_have_run: bool) -> Verdict {
+    if !may_have_run {
+        return Ok(());
+    }
+    Err(Check::NotRun.breach(format!("request {request} was sent and told not run")))
+}
+
+/// Checks that a non-idempotent request is sent under an own claim and not after it may have run.
+///
+/// # Errors
+///
+/// Returns the breach.
+pub fn once(request: ids::Request, won: bool, may_have_run: bool) -> Verdict {
+    if won && !may_have_run {
+        return Ok(());
+    }
+    Err(Check::Once.breach(format!(
+        "request {request} was sent, claim won: {won}, ran before: {may_have_run}"
+    )))
+}
+
+/// Checks that the index of pools has a host in its own pool and in no other.
+///
+/// # Errors
+///
+/// Returns the breach.
+pub fn pool(view: &View, host: &ids::Host) -> Verdict {
+    let named = view
+        .by_pool
+        .iter()
+        .filter(|(_, hosts)| hosts.contains(host));
+    let mut named = named.map(|(pool, _)| pool);
+    let own = view.hosts.get(host).map(|entry| &entry.pool);
+    if named.next() == own && named.next().is_none() {
+        return Ok(());
+    }
+    Err(Check::Pool.breach(format!("{host} is not in exactly the pool {own:?}")))
+}
+
+/// Checks that a revision does not go back.
+///
+/// # Errors
+///
+/// Returns the breach.
+pub fn revision(what: &str, known: ids::Revision, now: ids::Revision) -> Verdict {
+    if now >= known {
+        return Ok(());
+    }
+    Err(Check::Revision.breach(format!("{what} went from {known} back to {now}")))
+}
+
+/// Checks that a host is drained, by its own word and by every report, before it is stopped.
+///
+/// # Errors
+///
+/// Returns the breach.
+pub fn stop<'a>(
+    host: &ids::Host,
+    generation: ids::Generation,
+    status: Option<Status>,
+    reports: impl Iterator<Item = &'a u32>,
+) -> Verdict {
+    let in_flight: u32 = reports.sum();
+    let idle = status.is_some_and(|status| {
+        status.generation == generation && matches!(status.health, Health::Dead | Health::Drained)
+    });
+    if idle && in_flight == 0 {
+        return Ok(());
+    }
+    Err(Check::Stop.breach(format!(
+        "{host} is stopped with {in_flight} in flight and status {status:?}"
+    )))
+}
+
+/// Gets whether the backend server may have run the request.
+pub(super) fn may_have_run(exchange: &Exchange) -> bool {
+    !matches!(exchange, Exchange::Refused | Exchange::Unsent)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`fleet`]: claims, moves, drains and waves of one pool
 //! - [`gate`]: admission, routing and retries of one entry host
 //! - [`ids`]: aliases for identifiers
+//! - [`invariant`]: checks of the promises to the users
 //! - [`map`]: hash maps with a fast hasher
 //! - [`outcome`]: what a caller is told of a request
 //! - [`record`]: records of the log
@@ -22,6 +23,7 @@
 pub mod fleet;
 pub mod gate;
 pub mod ids;
+pub mod invariant;
 pub mod map;
 pub mod outcome;
 pub mod record;
--- /dev/null
+++ b/crates/core/tests/invariant/main.rs
@@ -0,0 +1,179 @@
+//! Each check tells a promise that holds from one that does not.
+
+use persimmongate_core::fleet::{Health, Status, View};
+use persimmongate_core::gate::{Action, Claim, Event, Exchange};
+use persimmongate_core::ids;
+use persimmongate_core::invariant::{self, Breach, Check};
+use persimmongate_core::outcome::{Answer, Outcome, Refusal};
+use persimmongate_core::record::{Body, Phase};
+use persimmongate_core::request::{Kind, Request, Urgency};
+use persimmongate_core::state::{Change, Host, Pool, Stage, State, Wave};
+use test_case::test_case;
+use tokio::time::{Duration, Instant};
+
+const HOST: &str = "h0";
+
+fn host(stage: Stage) -> Host {
+    Host {
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        rack: "r".into(),
+        pool: "finder".into(),
+        stage,
+        generation: 1,
+        revision: 5,
+        maintained: 0,
+        slots: 8,
+        connections: 64,
+    }
+}
+
+fn draining() -> Stage {
+    Stage::Draining {
+        wave: "w".into(),
+        since: 4,
+    }
+}
+
+fn request(kind: Kind) -> Request {
+    Request {
+        id: 1,
+        service: "finder".into(),
+        caller: "c".into(),
+        urgency: Urgency::Normal,
+        kind,
+        deadline: Instant::now().into_std() + Duration::from_secs(1),
+        path: ids::Service::new().into_bytes(),
+        body: ids::Service::new().into_bytes(),
+    }
+}
+
+fn send() -> Action {
+    Action::Send {
+        request: 1,
+        host: HOST.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+    }
+}
+
+fn done(request: ids::Request, exchange: Exchange) -> Event {
+    Event::Done {
+        request,
+        host: HOST.into(),
+        exchange,
+    }
+}
+
+fn answer() -> Answer {
+    Answer {
+        status: 200,
+        body: ids::Service::new().into_bytes(),
+    }
+}
+
+fn finish(outcome: Outcome) -> Vec<Action> {
+    vec![Action::Finish {
+        request: 1,
+        outcome,
+    }]
+}
+
+/// Shows a gate's watch a serving host and steps, and gets the checks that failed.
+fn watch(kind: Kind, steps: Vec<(Event, Vec<Action>)>) -> Vec<Check> {
+    let mut watch = invariant::Gate::default();
+    let mut breaches = Vec::new();
+    let serving = Event::Change(Change::Host(HOST.into(), host(Stage::Serving)));
+    watch.observe(&serving, &[], &mut breaches);
+    watch.observe(&Event::Arrive(request(kind)), &[], &mut breaches);
+    for (event, actions) in steps {
+        watch.observe(&event, &actions, &mut breaches);
+    }
+    breaches.into_iter().map(|breach| breach.check).collect()
+}
+
+#[test_case(vec![
+    (Event::Claimed(1, Claim::Won), vec![send()]),
+    (done(1, Exchange::Refused), vec![send()]),
+    (done(1, Exchange::Answered(answer())), finish(Outcome::Answered(answer()))),
+], &[]; "a refused request may be sent again")]
+#[test_case(vec![(Event::Tick, vec![send()])], &[Check::Once]; "sent without a claim")]
+#[test_case(vec![
+    (Event::Claimed(1, Claim::Won), vec![send()]),
+    (done(1, Exchange::Broken), vec![send()]),
+], &[Check::Once]; "sent again after it may have run")]
+#[test_case(vec![
+    (Event::Claimed(1, Claim::Won), vec![send()]),
+    (done(1, Exchange::Timeout), finish(Outcome::NotRun(Refusal::NoWorker))),
+], &[Check::NotRun]; "told not run after a timeout")]
+#[test_case(vec![
+    (Event::Tick, finish(Outcome::NotRun(Refusal::Deadline))),
+    (Event::Tick, vec![send()]),
+], &[Check::NotRun]; "sent after it was told not run")]
+#[test_case(vec![
+    (Event::Claimed(1, Claim::Won), vec![send()]),
+    (done(2, Exchange::Answered(answer())), finish(Outcome::Answered(answer()))),
+], &[Check::Answer]; "given the answer of another exchange")]
+#[test_case(vec![
+    (Event::Change(Change::Host(HOST.into(), host(draining()))), vec![]),
+    (Event::Claimed(1, Claim::Won), vec![send()]),
+], &[Check::Leaving]; "sent to a draining host")]
+#[test_case(vec![
+    (Event::Change(Change::Host(HOST.into(), Host { revision: 4, ..host(Stage::Serving) })), vec![]),
+], &[Check::Revision]; "a host goes back to an older revision")]
+fn verify_gate_watch(steps: Vec<(Event, Vec<Action>)>, expected: &[Check]) {
+    assert_eq!(watch(Kind::Once(1), steps), expected);
+}
+
+#[test_case(Health::Drained, 0, true; "drained and idle")]
+#[test_case(Health::Draining, 0, false; "still draining")]
+#[test_case(Health::Drained, 1, false; "an entry host reports a request in flight")]
+fn verify_stop(health: Health, in_flight: u32, held: bool) {
+    let status = Status {
+        generation: 1,
+        health,
+    };
+    let verdict = invariant::stop(&HOST.into(), 1, Some(status), [in_flight].iter());
+    assert_eq!(verdict.is_ok(), held);
+}
+
+#[test_case(1, true; "promise kept")]
+#[test_case(2, false; "promise broken")]
+fn verify_budget(promised: u32, held: bool) {
+    let mut state = State::default();
+    let pool = Pool {
+        service: Some("finder".into()),
+        ..Pool::default()
+    };
+    state.pools.insert("finder".into(), pool);
+    state.budgets.insert("finder".into(), promised);
+    state.hosts.insert(HOST.into(), host(draining()));
+    state.hosts.insert("h1".into(), host(Stage::Serving));
+    let wave = Wave {
+        pool: "finder".into(),
+        batch: 1,
+        since: 1,
+        phase: Phase::Running,
+        reason: String::new(),
+    };
+    state.waves.insert("w".into(), wave);
+    let body = Body::Drain {
+        host: HOST.into(),
+        generation: 1,
+        wave: "w".into(),
+        term: 1,
+    };
+    assert_eq!(invariant::budget(&state, &body).is_ok(), held);
+}
+
+#[test]
+fn verify_pool() {
+    let mut view = View::default();
+    view.apply(Change::Host(HOST.into(), host(Stage::Serving)));
+    assert_eq!(invariant::pool(&view, &HOST.into()), Ok(()));
+    view.by_pool
+        .entry("spare".into())
+        .or_default()
+        .insert(HOST.into());
+    let breach: Result<(), Breach> = invariant::pool(&view, &HOST.into());
+    assert_eq!(breach.map_err(|breach| breach.check), Err(Check::Pool));
+}
--- a/crates/entry/src/gate/mod.rs
+++ b/crates/entry/src/gate/mod.rs
@@ -7,15 +7,18 @@
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 use persimmongate_core::gate::{Action, Event, Exchange, Gate as Decisions, Options};
 use persimmongate_core::ids;
+use persimmongate_core::invariant;
 use persimmongate_core::map::Map;
 use persimmongate_core::outcome::{Outcome, Refusal};
 use persimmongate_core::request::Request;
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
+use persimmongate_node::invariant::Alarm;
 use persimmongate_node::log::{Changed, Claim, Claimed, End, Follower};
 use persimmongate_node::supervisor::Guard;
 use rand::RngExt;
 use serde_json::json;
+use slog::Logger;
 use std::time::Instant;
 use tokio::sync::oneshot;
 
@@ -29,6 +32,8 @@
 /// `Gate` owns the decisions and the callers that wait for an outcome.
 pub(crate) struct Gate<C: Copy + Send + 'static> {
     decisions: Decisions,
+    watch: invariant::Gate,
+    alarm: Alarm,
     waiting: Map<ids::Request, Caller>,
     /// Identifier of the latest request.
     latest: ids::Request,
@@ -52,9 +57,11 @@
 }
 
 impl<C: Copy + Send + Unpin + 'static> Gate<C> {
-    pub(crate) fn new(options: Options, meter: &Meter, guard: Guard<C>) -> Self {
+    pub(crate) fn new(options: Options, meter: &Meter, logger: Logger, guard: Guard<C>) -> Self {
         Self {
             decisions: Decisions::new(options, rand::rng().random()),
+            watch: invariant::Gate::default(),
+            alarm: Alarm::new(meter, logger),
             waiting: Map::default(),
             latest: 0,
             next: 0,
@@ -70,7 +77,11 @@
 
     fn step(&mut self, event: Event, ctx: &mut Context<Self>) {
         let mut actions = Vec::new();
+        let watched = event.clone();
         self.decisions.step(clock::now(), event, &mut actions);
+        let mut breaches = Vec::new();
+        self.watch.observe(&watched, &actions, &mut breaches);
+        self.alarm.raise(&breaches);
         for action in actions {
             self.carry_out(action, ctx);
         }
--- a/crates/entry/src/tree/mod.rs
+++ b/crates/entry/src/tree/mod.rs
@@ -226,7 +226,7 @@
             Child::Gate => {
                 let options = self.settings.gate.clone();
                 let meter = self.metrics.meter();
-                self.gate = Some(Gate::new(options, &meter, guard).start());
+                self.gate = Some(Gate::new(options, &meter, self.logger.clone(), guard).start());
             }
             Child::Peers => self.start_peers(guard),
             Child::Admin => self.start_admin(guard)?,
--- a/crates/fleet/src/manager/mod.rs
+++ b/crates/fleet/src/manager/mod.rs
@@ -8,13 +8,16 @@
 use opentelemetry::metrics::{Counter, Meter};
 use persimmongate_core::fleet::{Action, Call, Event, Manager as Decisions, Options};
 use persimmongate_core::ids;
+use persimmongate_core::invariant;
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
+use persimmongate_node::invariant::Alarm;
 use persimmongate_node::log::{Append, Changed, Follower, Settled};
 use persimmongate_node::peer::Received;
 use persimmongate_node::platform::Client;
 use persimmongate_node::supervisor::Guard;
 use serde_json::json;
+use slog::Logger;
 
 use crate::tree::Child;
 
@@ -26,6 +29,8 @@
 /// `Manager` owns the decisions and the calls to the platform.
 pub(crate) struct Manager<C: Copy + Send + 'static> {
     decisions: Decisions,
+    watch: invariant::Fleet,
+    alarm: Alarm,
     /// Offset up to which the fold is known; older changes are dropped.
     next: ids::Offset,
     platform: Client,
@@ -41,10 +46,13 @@
         options: Options,
         platform: Client,
         meter: &Meter,
+        logger: Logger,
         guard: Guard<C>,
     ) -> Self {
         Self {
             decisions: Decisions::new(instance, options),
+            watch: invariant::Fleet::default(),
+            alarm: Alarm::new(meter, logger),
             next: 0,
             platform,
             follower: None,
@@ -56,7 +64,12 @@
 
     fn step(&mut self, event: Event, ctx: &mut Context<Self>) {
         let mut actions = Vec::new();
+        let watched = event.clone();
         self.decisions.step(clock::now(), event, &mut actions);
+        let mut breaches = Vec::new();
+        self.watch
+            .observe(self.decisions.view(), &watched, &actions, &mut breaches);
+        self.alarm.raise(&breaches);
         for action in actions {
             match action {
                 Action::Append { token, body } => self.append(token, body, ctx),
--- a/crates/fleet/src/tree/mod.rs
+++ b/crates/fleet/src/tree/mod.rs
@@ -77,7 +77,8 @@
         let options = self.settings.manager.clone();
         let platform = Client::new(node.platform);
         let meter = self.metrics.meter();
-        let manager = Manager::new(node.instance.clone(), options, platform, &meter, guard);
+        let (instance, logger) = (node.instance.clone(), self.logger.clone());
+        let manager = Manager::new(instance, options, platform, &meter, logger, guard);
         self.manager = Some(manager.start());
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`clock`]: the runtime's clock
 //! - [`errors`]: the error type, its alias and its constructors
 //! - [`http`]: HTTP servers as children of a supervisor
+//! - [`invariant`]: count and log lines of promises that did not hold
 //! - [`log`]: follower of the platform's log, and appends to it
 //! - [`logger`]: structured log lines
 //! - [`metrics`]: counters and histograms
@@ -17,6 +18,7 @@
 pub mod clock;
 pub mod errors;
 pub mod http;
+pub mod invariant;
 pub mod log;
 pub mod logger;
 pub mod metrics;
--- a/crates/node/src/log/follower.rs
+++ b/crates/node/src/log/follower.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use opentelemetry::metrics::{Counter, Meter};
 use persimmongate_core::ids;
+use persimmongate_core::invariant;
 use persimmongate_core::record::{Body, Member};
 use persimmongate_core::state::State;
 use persimmongate_wire::log::{decode_state, encode_state};
@@ -22,6 +23,7 @@
 use super::message::{Append, Changed, Claim, Depart, End, Fetch, Fold, Restore, Subscribe};
 use crate::admin::Dump;
 use crate::clock;
+use crate::invariant::Alarm;
 use crate::supervisor::Guard;
 
 /// Time between two looks at what waits.
@@ -49,6 +51,8 @@
     pub(super) options: Options,
     pub(super) client: Client,
     pub(super) state: State,
+    pub(super) watch: invariant::Fold,
+    pub(super) alarm: Alarm,
     pub(super) incarnation: ids::Incarnation,
     pub(super) outbox: Outbox,
     pub(super) waiting: Waiting,
@@ -87,6 +91,8 @@
             client: Client::new(options.platform),
             options,
             state: State::default(),
+            watch: invariant::Fold::default(),
+            alarm: Alarm::new(meter, logger.clone()),
             incarnation: rand::rng().random(),
             outbox: Outbox::default(),
             waiting: Waiting::default(),
--- a/crates/node/src/log/read.rs
+++ b/crates/node/src/log/read.rs
@@ -96,6 +96,10 @@
         };
         let from = changes.len();
         let verdict = self.state.apply(item.offset, item.time(), &record, changes);
+        let mut breaches = Vec::new();
+        self.watch
+            .observe(&self.state, &record.body, &verdict, &mut breaches);
+        self.alarm.raise(&breaches);
         if let Verdict::Rejected(_) = verdict {
             self.counters.rejected.add(1, &[]);
         }
