--- a/crates/entry/src/tree/mod.rs
+++ b/crates/entry/src/tree/mod.rs
@@ -164,7 +164,7 @@
 
     fn start_gate(&mut self, guard: Guard<Child>) {
         let options = self.settings.gate.clone();
-        let gate = Gate::new(options, &self.metrics.meter(), guard).start();
+        let gate = Gate::new(options, &self.metrics.meter(), self.logger.clone(), guard).start();
         self.gate_seen.send_replace(Some(gate.clone()));
         self.gate = Some(gate);
     }
--- a/crates/node/src/log/follower.rs
+++ b/crates/node/src/log/follower.rs
@@ -11,6 +11,7 @@
 use opentelemetry::metrics::{Counter, Meter};
 use persimmongate_core::gate;
 use persimmongate_core::ids;
+use persimmongate_core::invariant;
 use persimmongate_core::outcome::Refusal;
 use persimmongate_core::record::{Body, Member};
 use persimmongate_core::state::State;
@@ -30,6 +31,7 @@
 use super::snapshot::Search;
 use crate::admin::Dump;
 use crate::clock;
+use crate::invariant::Alarm;
 use crate::peer::Dialer;
 use crate::supervisor::Guard;
 
@@ -62,6 +64,8 @@
     pub(super) options: Options,
     pub(super) client: Client,
     pub(super) state: State,
+    pub(super) watch: invariant::Fold,
+    pub(super) alarm: Alarm,
     pub(super) incarnation: ids::Incarnation,
     pub(super) outbox: Outbox,
     pub(super) waiting: Waiting,
@@ -107,6 +111,8 @@
             client: Client::new(options.platform),
             options,
             state: State::default(),
+            watch: invariant::Fold::default(),
+            alarm: Alarm::new(meter, logger.clone()),
             incarnation: rand::rng().random(),
             outbox: Outbox::default(),
             waiting: Waiting::default(),
--- a/crates/node/tests/log/fixture.rs
+++ b/crates/node/tests/log/fixture.rs
@@ -94,6 +94,14 @@
         Ok(())
     }
 
+    fn linked(&self, _: Child) -> Vec<Child> {
+        Vec::new()
+    }
+
+    fn stop(&mut self, _: Child) -> ResponseFuture<()> {
+        Box::pin(async {})
+    }
+
     fn leave(&mut self) -> ResponseFuture<()> {
         Box::pin(async {})
     }
