--- a/crates/core/src/gate/mod.rs
+++ b/crates/core/src/gate/mod.rs
@@ -3,9 +3,13 @@
 //! The gate owns every request between its arrival and its outcome. It takes the time and an event
 //! and returns actions; it never sends anything itself.
 
+mod admit;
 mod budget;
+mod dispatch;
 mod event;
+mod finish;
 mod options;
+mod place;
 mod queue;
 mod step;
 mod table;
