Give every call for free ports a loopback address of its own

Cause: tests of one process that asked at the same time were given the same port, since the search started at a number made from the process id. Ruled out: the log's actor (the panic came from binding the stand-in). Five runs of crates/node/tests/log passed after it.

--- a/crates/standin/src/ports/mod.rs
+++ b/crates/standin/src/ports/mod.rs
@@ -1,30 +1,34 @@
-//! Free ports of the loopback address.
+//! Free addresses of the loopback network.
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 
+use rand::RngExt;
+
 /// First port tried; below the range from which outgoing connections take theirs.
 const FIRST: u16 = 10_000;
-/// Ports tried.
-const COUNT: u32 = 20_000;
-/// Distance between the first ports of two processes.
-const STRIDE: u32 = 211;
+/// Last port tried.
+const LAST: u16 = 30_000;
 
-/// Gets free addresses, starting at a port that depends on the process.
+/// Gets free addresses, all with the same random IP number of the loopback network.
+///
+/// Calls at the same time, also in one process, get addresses of their own: the loopback network
+/// has more IP numbers than any set of tests uses.
 ///
 /// # Errors
 ///
 /// Returns an error when there are too few free ports.
 pub fn free(wanted: usize) -> io::Result<Vec<SocketAddr>> {
-    let start = std::process::id().wrapping_mul(STRIDE);
+    let mut rng = rand::rng();
+    let host: [u8; 3] = [rng.random(), rng.random(), rng.random_range(1..=254)];
+    let host = Ipv4Addr::new(127, host[0], host[1], host[2]);
     let mut held = Vec::new();
-    for step in 0..COUNT {
+    for port in FIRST..=LAST {
         if held.len() == wanted {
             break;
         }
-        let port = u16::try_from(start.wrapping_add(step) % COUNT).unwrap_or(0) + FIRST;
         // Held until all are found, so that no port is found twice.
-        held.extend(TcpListener::bind((Ipv4Addr::LOCALHOST, port)));
+        held.extend(TcpListener::bind((host, port)));
     }
     if held.len() < wanted {
         return Err(io::Error::new(
