--- a/crates/core/src/record/mod.rs
+++ b/crates/core/src/record/mod.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::ids;
@@ -131,21 +130,11 @@
         /// Rows of the sheet.
         intents: Vec<Intent>,
     },
-    /// Carries a part of the encoded fold, so that the log may drop older records.
-    Snapshot(Snapshot),
-}
-
-/// `Snapshot` is a part of the encoded fold.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Snapshot {
-    /// Offset after the last record that the fold covers.
-    pub next: ids::Offset,
-    /// Number of this part, from 0.
-    pub part: u32,
-    /// Parts of the fold.
-    pub parts: u32,
-    /// Bytes of this part.
-    pub data: Bytes,
+    /// Tells that a snapshot of the fold is complete.
+    Snapshot {
+        /// Offset after the last record that the snapshot covers.
+        next: ids::Offset,
+    },
 }
 
 /// `Fact` is what the platform lists of a host.
--- a/crates/core/src/state/apply.rs
+++ b/crates/core/src/state/apply.rs
@@ -150,10 +150,8 @@
                 self.check_holder(&record.author, &self.pool_of(host)?, *term)?;
                 self.apply_return(offset, host, *generation, changes)
             }
-            Body::Snapshot(snapshot) => {
-                if snapshot.part + 1 == snapshot.parts {
-                    self.snapshot = self.snapshot.max(snapshot.next);
-                }
+            Body::Snapshot { next } => {
+                self.snapshot = self.snapshot.max(*next);
                 Ok(())
             }
             Body::Sheet { base, intents, .. } => self.apply_sheet(offset, *base, intents, changes),
--- a/crates/node/src/log/append.rs
+++ b/crates/node/src/log/append.rs
@@ -8,7 +8,7 @@
 use persimmongate_core::outcome::Refusal;
 use persimmongate_core::record::{self, Body, Record};
 use persimmongate_core::state::{Standing, Verdict};
-use persimmongate_wire::log::{Batch, encode_batch, encode_record};
+use persimmongate_wire::log::{Batch, Stream, encode_batch, encode_record};
 use slog::warn;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -95,13 +95,6 @@
         }
     }
 
-    /// Gets whether parts of a snapshot wait.
-    pub(super) fn is_snapshotting(&self) -> bool {
-        self.queue
-            .iter()
-            .any(|(body, _)| matches!(body, Body::Snapshot(_)))
-    }
-
     /// Gets whether a join waits or has no verdict yet.
     pub(super) fn is_joining(&self) -> bool {
         let queued = self
@@ -197,7 +190,7 @@
         self.pace.note(clock::now());
         self.outbox.sending = true;
         let client = self.client.clone();
-        async move { client.append(batch).await }
+        async move { client.append(Stream::Main, batch).await }
             .into_actor(self)
             .map(|result, act, ctx| {
                 if result.is_ok() {
--- a/crates/node/src/log/client.rs
+++ b/crates/node/src/log/client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use persimmongate_core::ids;
-use persimmongate_wire::log::{PAGE_MAX, Page, decode_page};
+use persimmongate_wire::log::{PAGE_MAX, Page, Stream, decode_page};
 use persimmongate_wire::platform::Appended;
 
 use crate::errors::{Result, platform_error};
@@ -32,13 +32,13 @@
         Self { http, platform }
     }
 
-    /// Appends an encoded batch.
+    /// Appends an encoded batch to a stream.
     ///
     /// # Errors
     ///
     /// Returns an error when no answer came; the append may have taken effect all the same.
-    pub async fn append(&self, batch: Bytes) -> Result<Appended> {
-        let url = format!("http://{}/log/append", self.platform);
+    pub async fn append(&self, stream: Stream, batch: Bytes) -> Result<Appended> {
+        let url = format!("http://{}/log/{}/append", self.platform, stream.name());
         let request = self.http.post(url).timeout(APPEND_TIMEOUT);
         let mut response = request
             .send_body(batch)
@@ -50,17 +50,15 @@
         response.json().await.map_err(|e| platform_error(&e))
     }
 
-    /// Reads records from an offset; waits for a while when there is none.
+    /// Reads records of a stream from an offset; waits for a while when there is none.
     ///
     /// # Errors
     ///
     /// Returns an error when the log can't be read.
-    pub async fn read(&self, from: ids::Offset) -> Result<Page> {
+    pub async fn read(&self, stream: Stream, from: ids::Offset) -> Result<Page> {
         let wait = READ_WAIT.as_millis();
-        let url = format!(
-            "http://{}/log/read?from={from}&wait_ms={wait}",
-            self.platform
-        );
+        let (platform, name) = (self.platform, stream.name());
+        let url = format!("http://{platform}/log/{name}/read?from={from}&wait_ms={wait}");
         let mut response = self
             .http
             .get(url)
--- a/crates/node/src/log/follower.rs
+++ b/crates/node/src/log/follower.rs
@@ -81,6 +81,8 @@
     pub(super) search: Option<Search>,
     /// Time by the log of the latest snapshot that this process appended.
     pub(super) snapshot_at: SystemTime,
+    /// Offset that the snapshot under way covers.
+    pub(super) snapshotting: Option<ids::Offset>,
     /// Links to peers, open while the log can't be read.
     pub(super) dialers: Vec<Addr<Dialer>>,
     pub(super) pace: Pace,
@@ -123,6 +125,7 @@
             departed: false,
             search: None,
             snapshot_at: SystemTime::UNIX_EPOCH,
+            snapshotting: None,
             dialers: Vec::new(),
             pace: Pace::default(),
             counters,
--- a/crates/node/src/log/read.rs
+++ b/crates/node/src/log/read.rs
@@ -19,12 +19,16 @@
     /// Reads the next page, and the one after it, for as long as the actor runs.
     pub(super) fn read(&mut self, ctx: &mut Context<Self>) {
         let client = self.client.clone();
-        let next = self.wanted();
-        async move { client.read(next).await }
+        let (stream, next) = self.wanted();
+        async move { client.read(stream, next).await }
             .into_actor(self)
             .map(|result: Result<Page>, act, ctx| match result {
                 Ok(page) => {
-                    act.fold(&page, ctx);
+                    if act.search.is_some() {
+                        act.search_page(&page);
+                    } else {
+                        act.fold(&page, ctx);
+                    }
                     act.read(ctx);
                 }
                 Err(problem) => {
@@ -43,9 +47,7 @@
         let mut changes = Vec::new();
         let mut unused = Vec::new();
         let mut settled = Vec::new();
-        self.check_gap(page);
-        if self.search.is_some() {
-            self.search_page(page);
+        if self.find_gap(page) {
             return;
         }
         for item in &page.items {
@@ -79,7 +81,7 @@
         }
         if caught_up {
             self.rejoin_if_removed();
-            self.snapshot_if_due();
+            self.snapshot_if_due(ctx);
         }
         self.flush(ctx);
     }
--- a/crates/node/src/log/snapshot.rs
+++ b/crates/node/src/log/snapshot.rs
@@ -1,15 +1,21 @@
-//! Snapshots of the fold in the log, and the search for one when older records are gone.
+//! Snapshots of the fold in a stream of their own, and the search for one when records are gone.
 
 use std::time::Duration;
 
+use actix::{ActorFutureExt, Context, ContextFutureSpawner, WrapFuture};
 use bytes::{Bytes, BytesMut};
 use persimmongate_core::ids;
-use persimmongate_core::record::{self, Body, Record};
+use persimmongate_core::record::Body;
 use persimmongate_core::state::{SPARE, State};
-use persimmongate_wire::log::{Item, Page, decode_record, decode_state, encode_state};
+use persimmongate_wire::log::{
+    Batch, Item, Page, Part, Stream, decode_part, decode_state, encode_batch, encode_part,
+    encode_state,
+};
 use slog::{info, warn};
 
+use super::client::Client;
 use super::follower::Follower;
+use crate::errors::Result;
 
 /// Records after which the fold is written to the log again.
 const RECORDS: u64 = 4096;
@@ -20,97 +26,96 @@
 /// Parts accepted, at most; together they exceed the longest state.
 const PARTS_MAX: u32 = 64;
 
-/// `Search` collects the parts of a snapshot while the fold can't go on.
+/// `Search` reads the stream of snapshots while the fold can't go on.
 #[derive(Debug, Default)]
 pub(super) struct Search {
-    /// Offset of the next record to look at.
+    /// Oldest record that the main stream keeps.
+    earliest: ids::Offset,
+    /// Offset of the next part to look at.
     next: ids::Offset,
     /// Author, run and covered offset of the snapshot that is collected.
     source: Option<(ids::Instance, ids::Incarnation, ids::Offset)>,
     data: BytesMut,
     parts: u32,
+    /// Newest complete snapshot so far.
+    found: Option<Bytes>,
 }
 
 impl Search {
-    /// Makes a search that starts at the oldest record kept.
-    pub(super) fn new(earliest: ids::Offset) -> Self {
-        Self {
-            next: earliest,
-            ..Self::default()
-        }
-    }
-
-    pub(super) fn next(&self) -> ids::Offset {
-        self.next
-    }
-
-    /// Looks at a record; returns the bytes of a snapshot that is complete.
-    fn look(&mut self, item: &Item) -> Option<Bytes> {
+    /// Looks at a part; a complete snapshot replaces the one found before.
+    fn look(&mut self, item: &Item) {
         self.next = item.offset + 1;
-        let Ok(Record {
-            author,
-            incarnation,
-            body: Body::Snapshot(snapshot),
-            ..
-        }) = decode_record(&item.record)
-        else {
-            return None;
+        let Ok(part) = decode_part(&item.record) else {
+            return;
         };
-        let source = (author, incarnation, snapshot.next);
-        if snapshot.part == 0 {
+        let source = (part.author, part.incarnation, part.next);
+        if part.index == 0 {
             self.data.clear();
             self.parts = 0;
             self.source = Some(source);
-        } else if self.source != Some(source) || snapshot.part < self.parts {
+        } else if self.source != Some(source) || part.index < self.parts {
             // A part of another snapshot, or a repeated append of one that is here.
-            return None;
+            return;
         }
-        if snapshot.part != self.parts || snapshot.parts > PARTS_MAX {
+        if part.index != self.parts || part.count > PARTS_MAX {
             self.source = None;
-            return None;
+            return;
         }
         self.parts += 1;
-        self.data.extend_from_slice(&snapshot.data);
-        (self.parts == snapshot.parts).then(|| self.data.split().freeze())
+        self.data.extend_from_slice(&part.data);
+        if self.parts == part.count {
+            self.found = Some(self.data.split().freeze());
+        }
     }
 }
 
 impl<C: Copy + Send + Unpin + 'static> Follower<C> {
-    /// Gets the offset to read from.
-    pub(super) fn wanted(&self) -> ids::Offset {
-        self.search.as_ref().map_or(self.state.next, Search::next)
+    /// Gets the stream and the offset to read from.
+    pub(super) fn wanted(&self) -> (Stream, ids::Offset) {
+        match &self.search {
+            Some(search) => (Stream::Snapshots, search.next),
+            None => (Stream::Main, self.state.next),
+        }
     }
 
     /// Starts a search when the log no longer keeps the next record to fold.
-    pub(super) fn check_gap(&mut self, page: &Page) {
-        if self.search.is_none() && page.earliest > self.state.next {
-            info!(self.logger, "log starts later, looks for a snapshot";
-                "next" => self.state.next, "earliest" => page.earliest);
-            self.search = Some(Search::new(page.earliest));
+    pub(super) fn find_gap(&mut self, page: &Page) -> bool {
+        if page.earliest <= self.state.next {
+            return false;
         }
+        info!(self.logger, "log starts later, looks for a snapshot";
+            "next" => self.state.next, "earliest" => page.earliest);
+        self.search = Some(Search {
+            earliest: page.earliest,
+            ..Search::default()
+        });
+        true
     }
 
-    /// Looks for a snapshot in a page; the fold goes on from what it covers.
+    /// Looks for snapshots in a page; at the end of the stream the fold goes on from the newest.
     pub(super) fn search_page(&mut self, page: &Page) {
-        let Some(mut search) = self.search.take() else {
+        let Some(search) = self.search.as_mut() else {
             return;
         };
         for item in &page.items {
-            let Some(bytes) = search.look(item) else {
-                continue;
-            };
-            match decode_state(&bytes) {
-                // What it covers must reach up to the oldest record kept.
-                Ok(state) if state.next > self.state.next && state.next >= page.earliest => {
-                    info!(self.logger, "takes over a snapshot"; "next" => state.next);
-                    self.replace(state);
-                    return;
-                }
-                Ok(_) => {}
-                Err(problem) => warn!(self.logger, "snapshot is refused"; "error" => %problem),
+            search.look(item);
+        }
+        if search.next < page.end {
+            search.next = search.next.max(page.earliest);
+            return;
+        }
+        let Some(bytes) = search.found.take() else {
+            return;
+        };
+        match decode_state(&bytes) {
+            // What it covers must reach up to the oldest record kept.
+            Ok(state) if state.next > self.state.next && state.next >= search.earliest => {
+                info!(self.logger, "takes over a snapshot"; "next" => state.next);
+                self.replace(state);
             }
+            Ok(_) => {}
+            Err(problem) => warn!(self.logger, "snapshot is refused"; "error" => %problem),
         }
-        self.search = Some(search);
     }
 
     /// Replaces the fold by a newer one and tells subscribers.
@@ -124,13 +129,13 @@
     }
 
     /// Appends the fold when the latest snapshot is old; the spare pool's holder does it.
-    pub(super) fn snapshot_if_due(&mut self) {
+    pub(super) fn snapshot_if_due(&mut self, ctx: &mut Context<Self>) {
         let spare = self
             .state
             .pools
             .get(SPARE)
             .and_then(|pool| pool.holder.as_ref());
-        if spare != Some(&self.options.instance) || self.outbox.is_snapshotting() {
+        if spare != Some(&self.options.instance) || self.snapshotting.is_some() {
             return;
         }
         let records = self.state.next.saturating_sub(self.state.snapshot);
@@ -147,23 +152,46 @@
             warn!(self.logger, "fold is too long for a snapshot");
             return;
         };
-        for body in parts(self.state.next, &bytes) {
-            self.outbox.push(body, None);
-        }
+        let next = self.state.next;
+        self.snapshotting = Some(next);
+        let parts = self.parts(&bytes);
+        let client = self.client.clone();
+        async move { append_parts(client, parts).await }
+            .into_actor(self)
+            .map(move |result, act, _| {
+                act.snapshotting = None;
+                match result {
+                    Ok(()) => act.outbox.push(Body::Snapshot { next }, None),
+                    // The next record that is read tries again.
+                    Err(_) => act.counters.failures.add(1, &[]),
+                }
+            })
+            .spawn(ctx);
+    }
+
+    /// Cuts an encoded fold into parts.
+    fn parts(&self, bytes: &Bytes) -> Vec<Part> {
+        let count = u32::try_from(bytes.len().div_ceil(PART_BYTES)).unwrap_or(u32::MAX);
+        let part = |(index, data): (u32, &[u8])| Part {
+            author: self.options.instance.clone(),
+            incarnation: self.incarnation,
+            next: self.state.next,
+            index,
+            count,
+            data: bytes.slice_ref(data),
+        };
+        (0..).zip(bytes.chunks(PART_BYTES)).map(part).collect()
     }
 }
 
-/// Cuts an encoded fold into records.
-fn parts(next: ids::Offset, bytes: &Bytes) -> Vec<Body> {
-    let count = u32::try_from(bytes.len().div_ceil(PART_BYTES)).unwrap_or(u32::MAX);
-    let part = |(part, data): (u32, &[u8])| {
-        let data = bytes.slice_ref(data);
-        Body::Snapshot(record::Snapshot {
-            next,
-            part,
-            parts: count,
-            data,
-        })
-    };
-    (0..).zip(bytes.chunks(PART_BYTES)).map(part).collect()
+async fn append_parts(client: Client, parts: Vec<Part>) -> Result<()> {
+    for part in parts {
+        let batch = Batch {
+            records: vec![encode_part(&part)?],
+        };
+        client
+            .append(Stream::Snapshots, encode_batch(&batch)?)
+            .await?;
+    }
+    Ok(())
 }
--- a/crates/node/tests/log/fixture.rs
+++ b/crates/node/tests/log/fixture.rs
@@ -15,6 +15,7 @@
 use persimmongate_node::{logger, peer};
 use persimmongate_standin::log::{self, Break, Read, Store};
 use persimmongate_standin::{faults, ports};
+use persimmongate_wire::log::Stream;
 use tokio::sync::{mpsc, oneshot};
 
 /// Time between two looks at a process that is not ready yet.
@@ -45,7 +46,11 @@
     }
 
     pub(crate) async fn earliest(&self) -> u64 {
-        let read = Read { from: 0, now: true };
+        let read = Read {
+            stream: Stream::Main,
+            from: 0,
+            now: true,
+        };
         let page = self.store.send(read).await.expect("a running store");
         page.expect("a page").earliest
     }
--- a/crates/standin/src/log/mod.rs
+++ b/crates/standin/src/log/mod.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, SystemTime};
 
 use actix::{Actor, Addr, Context, Handler, Message, MessageResult};
-use actix_web::web::{self, Bytes, Data, PayloadConfig, Query, ServiceConfig};
+use actix_web::web::{self, Bytes, Data, Path, PayloadConfig, Query, ServiceConfig};
 use actix_web::{HttpResponse, Responder};
 use persimmongate_core::ids;
-use persimmongate_wire::log::{Batch, Item, PAGE_MAX, Page, decode_batch, encode_page};
+use persimmongate_wire::log::{Batch, Item, PAGE_MAX, Page, Stream, decode_batch, encode_page};
 use persimmongate_wire::platform::Appended;
 use serde::Deserialize;
 use tokio::sync::oneshot;
@@ -17,40 +17,81 @@
 /// Records in one page, at most.
 const PAGE_ITEMS: usize = 1024;
 
-/// `Store` holds the records.
+/// Bytes of the records in one page, at most, unless one record alone is longer.
+const PAGE_BYTES: usize = 16 * 1024 * 1024;
+
+/// `Store` holds the streams.
 #[derive(Debug)]
 pub struct Store {
-    earliest: ids::Offset,
-    items: VecDeque<Item>,
-    /// Records kept, at most.
+    main: Records,
+    snapshots: Records,
+    /// Records kept in each stream, at most.
     retention: usize,
     faults: faults::Log,
     waiters: Vec<oneshot::Sender<()>>,
 }
 
+/// `Records` holds the records of one stream.
+#[derive(Debug, Default)]
+struct Records {
+    earliest: ids::Offset,
+    items: VecDeque<Item>,
+}
+
+impl Records {
+    fn trim(&mut self, retention: usize) {
+        while self.items.len() > retention {
+            self.items.pop_front();
+            self.earliest += 1;
+        }
+    }
+
+    fn end(&self) -> ids::Offset {
+        self.earliest + self.items.len() as u64
+    }
+
+    fn page(&self, from: ids::Offset) -> Page {
+        let skip = from.saturating_sub(self.earliest);
+        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let mut bytes = 0;
+        let fits = |item: &&Item| {
+            let first = bytes == 0;
+            bytes += item.record.len();
+            first || bytes <= PAGE_BYTES
+        };
+        let items = self
+            .items
+            .iter()
+            .skip(skip)
+            .take(PAGE_ITEMS)
+            .take_while(fits);
+        Page {
+            earliest: self.earliest,
+            end: self.end(),
+            items: items.cloned().collect(),
+        }
+    }
+}
+
 impl Store {
     /// Makes an empty log that keeps a number of records.
     #[must_use]
     pub fn new(retention: usize) -> Self {
         Self {
-            earliest: 0,
-            items: VecDeque::new(),
+            main: Records::default(),
+            snapshots: Records::default(),
             retention,
             faults: faults::Log::Up,
             waiters: Vec::new(),
         }
     }
 
-    fn trim(&mut self) {
-        while self.items.len() > self.retention {
-            self.items.pop_front();
-            self.earliest += 1;
+    fn records(&mut self, stream: Stream) -> &mut Records {
+        match stream {
+            Stream::Main => &mut self.main,
+            Stream::Snapshots => &mut self.snapshots,
         }
     }
-
-    fn end(&self) -> ids::Offset {
-        self.earliest + self.items.len() as u64
-    }
 }
 
 impl Actor for Store {
@@ -60,20 +101,22 @@
 /// `Append` adds a batch and gets the offset of its first record.
 #[derive(Debug, Message)]
 #[rtype(result = "ids::Offset")]
-pub struct Append(pub Batch);
+pub struct Append(pub Stream, pub Batch);
 
 impl Handler<Append> for Store {
     type Result = MessageResult<Append>;
 
-    fn handle(&mut self, Append(batch): Append, _: &mut Self::Context) -> Self::Result {
-        let first = self.end();
+    fn handle(&mut self, Append(stream, batch): Append, _: &mut Self::Context) -> Self::Result {
         // The platform stamps records with its wall clock; no decision of the system reads one.
         let since = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
         let at = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+        let retention = self.retention;
+        let records = self.records(stream);
+        let first = records.end();
         for (offset, record) in (first..).zip(batch.records) {
-            self.items.push_back(Item { offset, at, record });
+            records.items.push_back(Item { offset, at, record });
         }
-        self.trim();
+        records.trim(retention);
         self.waiters.clear();
         MessageResult(first)
     }
@@ -83,6 +126,8 @@
 #[derive(Debug, Message)]
 #[rtype(result = "Result<Page, oneshot::Receiver<()>>")]
 pub struct Read {
+    /// Stream to read.
+    pub stream: Stream,
     /// Offset of the first record wanted.
     pub from: ids::Offset,
     /// Whether an empty page is wanted rather than a wait.
@@ -93,25 +138,13 @@
     type Result = MessageResult<Read>;
 
     fn handle(&mut self, read: Read, _: &mut Self::Context) -> Self::Result {
-        if read.from >= self.end() && !read.now {
+        let records = self.records(read.stream);
+        if read.from >= records.end() && !read.now {
             let (sender, receiver) = oneshot::channel();
             self.waiters.push(sender);
             return MessageResult(Err(receiver));
         }
-        let skip = read.from.saturating_sub(self.earliest);
-        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
-        let items = self
-            .items
-            .iter()
-            .skip(skip)
-            .take(PAGE_ITEMS)
-            .cloned()
-            .collect();
-        MessageResult(Ok(Page {
-            earliest: self.earliest,
-            end: self.end(),
-            items,
-        }))
+        MessageResult(Ok(records.page(read.from)))
     }
 }
 
@@ -139,7 +172,8 @@
 
     fn handle(&mut self, Keep(records): Keep, _: &mut Self::Context) {
         self.retention = records;
-        self.trim();
+        self.main.trim(records);
+        self.snapshots.trim(records);
     }
 }
 
@@ -160,11 +194,11 @@
 pub fn configure(config: &mut ServiceConfig) {
     config
         .app_data(PayloadConfig::new(PAGE_MAX))
-        .route("/log/append", web::post().to(append))
-        .route("/log/read", web::get().to(read));
+        .route("/log/{stream}/append", web::post().to(append))
+        .route("/log/{stream}/read", web::get().to(read));
 }
 
-async fn append(store: Data<Addr<Store>>, body: Bytes) -> impl Responder {
+async fn append(store: Data<Addr<Store>>, stream: Path<Stream>, body: Bytes) -> impl Responder {
     let Ok(batch) = decode_batch(&body) else {
         return HttpResponse::BadRequest().finish();
     };
@@ -173,7 +207,7 @@
         return HttpResponse::ServiceUnavailable().finish();
     }
     actix_rt::time::sleep(faults.delay()).await;
-    match store.send(Append(batch)).await {
+    match store.send(Append(*stream, batch)).await {
         Ok(_) if faults == faults::Log::Mute => HttpResponse::GatewayTimeout().finish(),
         Ok(first) => HttpResponse::Ok().json(Appended { first }),
         Err(_) => HttpResponse::ServiceUnavailable().finish(),
@@ -188,13 +222,18 @@
     wait_ms: u64,
 }
 
-async fn read(store: Data<Addr<Store>>, range: Query<Range>) -> impl Responder {
+async fn read(
+    store: Data<Addr<Store>>,
+    stream: Path<Stream>,
+    range: Query<Range>,
+) -> impl Responder {
     let faults = store.send(Ask).await.unwrap_or_default();
     actix_rt::time::sleep(faults.delay()).await;
     let mut now = false;
     loop {
         let result = store
             .send(Read {
+                stream: *stream,
                 from: range.from,
                 now,
             })
--- a/crates/wire/src/log/mod.rs
+++ b/crates/wire/src/log/mod.rs
@@ -18,6 +18,44 @@
 /// Longest state accepted, in bytes.
 pub const STATE_MAX: usize = 48 * 1024 * 1024;
 
+/// `Stream` is one of the log's streams, each with offsets of its own.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Stream {
+    /// Records that every process folds.
+    Main,
+    /// Snapshots of the fold, read only by a process that can't fold from the records kept.
+    Snapshots,
+}
+
+impl Stream {
+    /// Gets the name of the stream in the platform's interface.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Main => "main",
+            Self::Snapshots => "snapshots",
+        }
+    }
+}
+
+/// `Part` is a part of an encoded fold.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Part {
+    /// Process that took the snapshot.
+    pub author: ids::Instance,
+    /// Run of that process.
+    pub incarnation: ids::Incarnation,
+    /// Offset after the last record that the fold covers.
+    pub next: ids::Offset,
+    /// Number of this part, from 0.
+    pub index: u32,
+    /// Parts of the fold.
+    pub count: u32,
+    /// Bytes of this part.
+    pub data: Bytes,
+}
+
 /// `Page` is the platform's answer to a read.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Page {
@@ -93,6 +131,24 @@
     decode("record", bytes, RECORD_MAX)
 }
 
+/// Encodes a part of a snapshot.
+///
+/// # Errors
+///
+/// Returns an error when the part is too long.
+pub fn encode_part(part: &Part) -> Result<Bytes> {
+    encode("part", part, RECORD_MAX)
+}
+
+/// Decodes a part of a snapshot.
+///
+/// # Errors
+///
+/// Returns an error for bytes that are too long or no part.
+pub fn decode_part(bytes: &[u8]) -> Result<Part> {
+    decode("part", bytes, RECORD_MAX)
+}
+
 /// Encodes a batch.
 ///
 /// # Errors
--- a/crates/wire/src/platform/mod.rs
+++ b/crates/wire/src/platform/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! | call | answer |
 //! |---|---|
-//! | `POST /log/append` with a CBOR batch | [`Appended`] as JSON |
-//! | `GET /log/read?from=N&wait_ms=M` | a CBOR page |
+//! | `POST /log/{stream}/append` with a CBOR batch | [`Appended`] as JSON |
+//! | `GET /log/{stream}/read?from=N&wait_ms=M` | a CBOR page |
 //! | `GET /hosts` | a list of facts as JSON; it lags |
 //! | `GET /hosts/{host}` | a status as JSON |
 //! | `POST /hosts/{host}/{drain,undrain,reboot}?generation=G` | a status as JSON; 409 for an old G |
