Plan, apply and explain from the fold, and steer from persimmonctl

apply without a base took the revision in force, so the later of two operators overwrote the first unseen, and the same sheet twice was appended twice. The fold now keeps the sheet in force with operator and time; report::consider and report::conclude decide on an application as pure functions, and report::plan names rows that can't be met with their reason. State gains the field sheet, the log's actor a message for the age of its last read (shown as a warning in status).

persimmonctl gains plan, explain, dump of all members, a settings file, options on either side of the command, JSON for every answer and exit codes 0, 1, 2, 3. After a lost answer it reads the sheet in force and reports only what it saw. The HTTP library reports a connection that closed before the answer as one that never opened; a test found that apply then went on to the next instance, so it is told apart now.

--- /dev/null
+++ b/crates/core/src/report/explain/service.rs
@@ -0,0 +1,90 @@
+//! Explanation of a service.
+
+use super::{Explanation, hosts};
+use crate::ids;
+use crate::state::{Host, Stage, State};
+
+/// Gets the names of all services.
+pub(super) fn names(state: &State) -> Vec<&str> {
+    let pools = state.pools.values();
+    let services = pools.filter_map(|pool| pool.service.as_deref());
+    let mut names: Vec<&str> = services.collect();
+    names.sort_unstable();
+    names.dedup();
+    names
+}
+
+pub(super) fn explain(state: &State, name: &ids::Service) -> Option<Explanation> {
+    let mut pools: Vec<&ids::Pool> = state
+        .pools
+        .iter()
+        .filter(|(_, pool)| pool.service.as_ref() == Some(name))
+        .map(|(pool, _)| pool)
+        .collect();
+    pools.sort();
+    if pools.is_empty() {
+        return None;
+    }
+    let promised = state.budgets.get(name).copied().unwrap_or(0);
+    let serving = state.serving(name);
+    let names: Vec<&str> = pools.iter().map(|pool| &***pool).collect();
+    let mut now = vec![
+        format!("Its hosts are in {}.", names.join(", ")),
+        format!("It promises {promised} serving hosts and has {serving}."),
+    ];
+    now.extend(out(state, name));
+    now.extend(quotas(state, name));
+    Some(Explanation {
+        subject: format!("service {name}"),
+        now,
+        next: vec![next(promised, serving)],
+    })
+}
+
+/// Tells which hosts of a service are out, and why.
+fn out(state: &State, name: &ids::Service) -> Option<String> {
+    let is_out = |(_, host): &(&ids::Host, &Host)| {
+        !host.is_serving() && state.service_of(&host.pool) == Some(name)
+    };
+    let mut out: Vec<String> = state
+        .hosts
+        .iter()
+        .filter(is_out)
+        .map(|(host, entry)| match &entry.stage {
+            Stage::Draining { wave, .. } => format!("{host} (drained by wave {wave})"),
+            Stage::Lost => format!("{host} (lost)"),
+            Stage::Serving => host.to_string(),
+        })
+        .collect();
+    out.sort();
+    (!out.is_empty()).then(|| format!("Out of service: {}.", out.join(", ")))
+}
+
+fn quotas(state: &State, name: &ids::Service) -> Option<String> {
+    let quotas = state.quotas.get(name)?.iter();
+    let mut quotas: Vec<String> = quotas
+        .map(|(caller, slots)| format!("{caller} {slots}"))
+        .collect();
+    quotas.sort();
+    (!quotas.is_empty()).then(|| format!("Slots guaranteed to callers: {}.", quotas.join(", ")))
+}
+
+fn next(promised: u32, serving: u32) -> String {
+    let count = |number: u32| hosts(usize::try_from(number).unwrap_or(usize::MAX));
+    if serving < promised {
+        return format!(
+            "It is {} short of its budget: no wave or move takes a host from it, and its pools take \
+             hosts from the spare pool.",
+            count(promised - serving)
+        );
+    }
+    if serving == promised {
+        return "It is at its budget: no wave or move takes a host from it until another host joins \
+                or returns."
+            .to_owned();
+    }
+    format!(
+        "It can spare {} for waves and moves and keep its budget.",
+        count(serving - promised)
+    )
+}
--- a/crates/core/src/report/mod.rs
+++ b/crates/core/src/report/mod.rs
@@ -1,5 +1,11 @@
 //! What operators are shown of the fold.
 
+mod apply;
+mod explain;
+mod plan;
 mod status;
 
-pub use status::{Pool, Service, Status, Wave, status};
+pub use apply::{Answer, Application, Conflict, Decision, conclude, consider, is_steered};
+pub use explain::{Explanation, Kind, explain};
+pub use plan::{Plan, Remark, Shift, plan};
+pub use status::{Member, Pool, Service, Status, Wave, status};
--- a/crates/core/src/report/status.rs
+++ b/crates/core/src/report/status.rs
@@ -1,9 +1,12 @@
 //! The status of the fleet at a glance.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::ids;
-use crate::record::Phase;
+use crate::record::{self, Phase, Role};
 use crate::state::{Stage, State};
 
 /// `Status` is the state of the fleet at an offset.
@@ -11,8 +14,12 @@
 pub struct Status {
     /// Offset after the last record folded.
     pub next: ids::Offset,
+    /// Time since the process that answers read the log up to its end, as far as it knows.
+    pub age: Option<Duration>,
     /// Offset of the sheet in force.
     pub revision: ids::Revision,
+    /// Operator who applied it.
+    pub operator: Option<ids::Operator>,
     /// Moves accepted so far.
     pub moves: u64,
     /// Pools by name.
@@ -21,6 +28,21 @@
     pub services: Vec<Service>,
     /// Waves by name.
     pub waves: Vec<Wave>,
+    /// Processes by name.
+    pub members: Vec<Member>,
+}
+
+/// `Member` is one process of the status.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Member {
+    /// Name of the process.
+    pub name: ids::Instance,
+    /// What it does.
+    pub role: Role,
+    /// Availability zone it runs in.
+    pub zone: ids::Zone,
+    /// Address of its HTTP interface.
+    pub http: SocketAddr,
 }
 
 /// `Pool` is one pool of the status.
@@ -91,14 +113,32 @@
         .filter_map(|name| wave(state, name))
         .collect();
     waves.sort_by(|a, b| a.name.cmp(&b.name));
+    let mut members: Vec<Member> = state
+        .members
+        .iter()
+        .map(|(name, entry)| member(name, &entry.about))
+        .collect();
+    members.sort_by(|a, b| a.name.cmp(&b.name));
     let (next, revision, moves) = (state.next, state.revision, state.moves);
     Status {
         next,
+        age: None,
         revision,
+        operator: state.sheet.as_ref().map(|sheet| sheet.operator.clone()),
         moves,
         pools,
         services,
         waves,
+        members,
+    }
+}
+
+fn member(name: &ids::Instance, about: &record::Member) -> Member {
+    Member {
+        name: name.clone(),
+        role: about.role,
+        zone: about.zone.clone(),
+        http: about.http,
     }
 }
 
--- a/crates/core/src/state/apply.rs
+++ b/crates/core/src/state/apply.rs
@@ -150,7 +150,11 @@
                 self.check_holder(&record.author, &self.pool_of(host)?, *term)?;
                 self.apply_return(offset, host, *generation, changes)
             }
-            Body::Sheet { base, intents, .. } => self.apply_sheet(offset, *base, intents, changes),
+            Body::Sheet {
+                base,
+                operator,
+                intents,
+            } => self.apply_sheet(offset, *base, operator, intents, changes),
         }
     }
 
--- a/crates/core/src/state/entry.rs
+++ b/crates/core/src/state/entry.rs
@@ -9,6 +9,7 @@
 use crate::ids;
 use crate::map::Map;
 use crate::record::{self, Phase};
+use crate::sheet::Intent;
 
 /// `State` is the result of folding the log up to an offset.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -19,6 +20,8 @@
     pub at: SystemTime,
     /// Offset of the sheet in force.
     pub revision: ids::Revision,
+    /// Sheet in force, none before the first.
+    pub sheet: Option<Sheet>,
     /// Members by name.
     pub members: Map<ids::Instance, Member>,
     /// Hosts by name; a host is in exactly one pool because this map gives it one.
@@ -39,6 +42,17 @@
     pub keys: Keys,
 }
 
+/// `Sheet` is the day's intent as it was applied.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sheet {
+    /// Operator who applied it.
+    pub operator: ids::Operator,
+    /// Time that the log gave its record.
+    pub at: SystemTime,
+    /// Rows of the sheet.
+    pub intents: Vec<Intent>,
+}
+
 /// `Member` is a process that joined.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Member {
@@ -127,6 +141,7 @@
             next: 0,
             at: SystemTime::UNIX_EPOCH,
             revision: 0,
+            sheet: None,
             members: Map::default(),
             hosts: Map::default(),
             pools: [(super::SPARE.into(), Pool::default())]
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -14,7 +14,7 @@
 mod waves;
 
 pub use change::Change;
-pub use entry::{Host, Member, Pool, Stage, State, Wave};
+pub use entry::{Host, Member, Pool, Sheet, Stage, State, Wave};
 pub use keys::{KEY_WINDOW, Keys, Standing};
 pub use verdict::{Reason, Verdict};
 
--- a/crates/core/src/state/sheet.rs
+++ b/crates/core/src/state/sheet.rs
@@ -1,7 +1,7 @@
 //! The day's intent.
 
 use super::apply::Check;
-use super::{Change, Reason, State};
+use super::{Change, Reason, Sheet, State};
 use crate::ids;
 use crate::map::{Map, Set};
 use crate::sheet::Intent;
@@ -11,6 +11,7 @@
         &mut self,
         offset: ids::Offset,
         base: ids::Revision,
+        operator: &ids::Operator,
         intents: &[Intent],
         changes: &mut Vec<Change>,
     ) -> Check {
@@ -21,6 +22,11 @@
             });
         }
         self.revision = offset;
+        self.sheet = Some(Sheet {
+            operator: operator.clone(),
+            at: self.at,
+            intents: intents.to_vec(),
+        });
         self.pins.clear();
         let mut quotas: Map<ids::Service, Map<ids::Caller, u32>> = Map::default();
         let mut budgets: Map<ids::Service, u32> = Map::default();
--- /dev/null
+++ b/crates/core/tests/report/main.rs
@@ -0,0 +1,245 @@
+//! Tests of the plan, the application and the explanations.
+
+mod fixture;
+
+use fixture::{Log, SHEET, rows};
+use persimmongate_core::record::{Command, Phase};
+use persimmongate_core::report::{
+    Answer, Application, Decision, Kind, Plan, conclude, consider, explain, is_steered, plan,
+    status,
+};
+use persimmongate_core::state::{Reason, Verdict};
+use test_case::test_case;
+
+fn application(operator: &str, base: Option<u64>, sheet: &str) -> Application {
+    Application {
+        operator: operator.to_owned().into(),
+        base,
+        anyway: false,
+        rows: rows(sheet),
+    }
+}
+
+fn unmet(plan: &Plan) -> Vec<(usize, &str)> {
+    let unmet = plan.unmet.iter();
+    unmet.map(|remark| (remark.line, &*remark.text)).collect()
+}
+
+#[test]
+fn verify_a_plan_names_what_changes() {
+    let log = Log::new(10);
+    let plan = plan(&log.state, &rows(SHEET));
+    assert_eq!((plan.base, plan.operator), (0, None));
+    assert_eq!(plan.differences.len(), 4);
+    assert_eq!(
+        (
+            &*plan.shifts[0].pool,
+            plan.shifts[0].now,
+            plan.shifts[0].target
+        ),
+        ("finder", 0, 4)
+    );
+    assert_eq!(plan.unmet, []);
+}
+
+#[test]
+fn verify_the_sheet_in_force_changes_nothing() {
+    let mut log = Log::new(10);
+    log.sheet("o", 0, SHEET);
+    let plan = plan(&log.state, &rows(SHEET));
+    assert_eq!((plan.base, plan.differences.len()), (log.state.revision, 0));
+}
+
+#[test_case(3, SHEET, 2, "needs 4 more hosts, and only 3 are free"; "too few hosts")]
+#[test_case(1, SHEET, 3, "only 1 of the promised hosts can serve finder today"; "budget out of reach")]
+#[test_case(10, "pool,finder,,finder,4,,\nbudget,,,finder,4,,\nwave,w,finder,,,1,", 4, "no headroom"; "budget without headroom")]
+#[test_case(10, "pool,finder,,finder,4,,\nmove,h99,finder,,,,", 3, "has not listed this host"; "unknown host")]
+#[test_case(10, "pool,finder,,finder,4,,\nquota,c,,finder,,,20\nquota,d,,finder,,,20", 4, "guarantees 40 slots in finder, which has 32"; "quotas above the slots")]
+fn verify_a_plan_names_rows_that_cannot_be_met(
+    hosts: usize,
+    sheet: &str,
+    line: usize,
+    reason: &str,
+) {
+    let log = Log::new(hosts);
+    let plan = plan(&log.state, &rows(sheet));
+    let unmet = unmet(&plan);
+    assert!(
+        unmet
+            .iter()
+            .any(|(at, text)| *at == line && text.contains(reason)),
+        "{unmet:?}"
+    );
+    let decision = consider(&log.state, &application("o", None, sheet));
+    assert!(matches!(decision, Decision::Answer(Answer::Unmet(_))));
+    let mut anyway = application("o", None, sheet);
+    anyway.anyway = true;
+    assert_eq!(consider(&log.state, &anyway), Decision::Append(0));
+}
+
+#[test]
+fn verify_hosts_of_shrinking_pools_are_free_and_lost_hosts_are_not() {
+    let mut log = Log::new(4);
+    log.sheet("o", 0, SHEET);
+    log.fill(4);
+    let moved = "pool,other,,other,4,,\n";
+    assert_eq!(unmet(&plan(&log.state, &rows(moved))), []);
+    log.lose(0);
+    let plan = plan(&log.state, &rows(moved));
+    assert_eq!(unmet(&plan)[0].0, 2);
+}
+
+#[test]
+fn verify_waves_that_ended_or_lost_their_row_are_noted() {
+    let mut log = Log::new(10);
+    log.sheet("o", 0, SHEET);
+    let others = plan(&log.state, &rows("pool,finder,,finder,4,,"));
+    assert!(others.notes[0].text.contains("abort it to end it"));
+    log.command(Command::Abort);
+    let same = plan(&log.state, &rows(SHEET));
+    assert!(same.notes[0].text.contains("does not run again"));
+    let elsewhere = "pool,finder,,finder,4,,\npool,other,,,2,,\nwave,w,other,,,1,";
+    assert_eq!(unmet(&plan(&log.state, &rows(elsewhere)))[0].0, 4);
+}
+
+#[test]
+fn verify_the_same_sheet_twice_appends_nothing() {
+    let mut log = Log::new(10);
+    log.sheet("one", 0, SHEET);
+    let revision = log.state.revision;
+    for (operator, base) in [("one", None), ("two", None), ("two", Some(0))] {
+        let decision = consider(&log.state, &application(operator, base, SHEET));
+        let unchanged = Answer::Unchanged {
+            revision,
+            operator: "one".into(),
+        };
+        assert_eq!(decision, Decision::Answer(unchanged));
+    }
+}
+
+#[test]
+fn verify_a_sheet_of_another_operator_is_not_replaced_unseen() {
+    let mut log = Log::new(10);
+    log.sheet("one", 0, SHEET);
+    let other = SHEET.replace("finder,4", "finder,5");
+    for base in [None, Some(0)] {
+        let decision = consider(&log.state, &application("two", base, &other));
+        let Decision::Answer(Answer::Conflict(conflict)) = decision else {
+            panic!("{decision:?}")
+        };
+        assert_eq!(
+            (&*conflict.operator, conflict.revision),
+            ("one", log.state.revision)
+        );
+        assert_eq!(conflict.at, "1970-01-01T00:16:42Z");
+        let texts: Vec<String> = conflict
+            .differences
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        assert_eq!(
+            texts,
+            ["pool finder: 4 hosts for finder -> 5 hosts for finder"]
+        );
+    }
+    let revision = log.state.revision;
+    let seen = consider(&log.state, &application("two", Some(revision), &other));
+    assert_eq!(seen, Decision::Append(revision));
+    let own = consider(&log.state, &application("one", None, &other));
+    assert_eq!(own, Decision::Append(revision));
+}
+
+#[test]
+fn verify_a_race_ends_with_one_sheet_and_one_conflict() {
+    let mut log = Log::new(10);
+    let other = SHEET.replace("finder,4", "finder,5");
+    let (first, second) = (
+        application("one", None, SHEET),
+        application("two", None, &other),
+    );
+    assert_eq!(consider(&log.state, &first), Decision::Append(0));
+    assert_eq!(consider(&log.state, &second), Decision::Append(0));
+    assert_eq!(log.sheet("one", 0, SHEET), Verdict::Accepted);
+    let verdict = log.sheet("two", 0, &other);
+    assert!(matches!(
+        verdict,
+        Verdict::Rejected(Reason::Conflict { .. })
+    ));
+    let told = conclude(&log.state, &[], 0, Some(&verdict), &second.rows);
+    assert!(matches!(told, Answer::Conflict(_)));
+    // Two operators with the same sheet agree.
+    let told = conclude(&log.state, &[], 0, Some(&verdict), &first.rows);
+    assert!(matches!(told, Answer::Unchanged { .. }));
+}
+
+#[test]
+fn verify_a_verdict_that_is_not_read_in_time_is_looked_up() {
+    let mut log = Log::new(10);
+    let own = rows(SHEET);
+    assert_eq!(conclude(&log.state, &[], 0, None, &own), Answer::Unsettled);
+    log.sheet("one", 0, SHEET);
+    let told = conclude(&log.state, &[], 0, None, &own);
+    assert!(matches!(told, Answer::Applied { revision, .. } if revision == log.state.revision));
+}
+
+#[test]
+fn verify_a_rejected_sheet_leaves_the_one_in_force() {
+    let mut log = Log::new(10);
+    log.sheet("one", 0, SHEET);
+    let before = log.state.clone();
+    let verdict = log.sheet("two", 0, &SHEET.replace("finder,4", "finder,9"));
+    assert!(matches!(verdict, Verdict::Rejected(_)));
+    assert_eq!(
+        (log.state.sheet, log.state.pools),
+        (before.sheet, before.pools)
+    );
+}
+
+#[test_case(Phase::Paused, Command::Pause, true; "paused twice")]
+#[test_case(Phase::Running, Command::Pause, false; "first pause")]
+#[test_case(Phase::Done, Command::Abort, false; "abort after the end")]
+fn verify_commands_that_change_nothing_are_known(phase: Phase, command: Command, steered: bool) {
+    assert_eq!(is_steered(phase, command), steered);
+}
+
+#[test]
+fn verify_explanations_tell_what_is_and_what_comes_next() {
+    let mut log = Log::new(6);
+    log.sheet("o", 0, SHEET);
+    log.fill(3);
+    let text = |log: &Log, kind, name: &str| {
+        let found = explain(&log.state, kind, &name.to_owned().into()).expect("known");
+        format!("{} / {}", found.now.join(" "), found.next.join(" "))
+    };
+    assert!(text(&log, Kind::Pool, "finder").contains("takes 1 host from the spare pool"));
+    assert!(text(&log, Kind::Service, "finder").contains("can spare 1 host"));
+    assert!(text(&log, Kind::Host, "h0").contains("Wave w maintains it"));
+    log.drain(0);
+    assert!(text(&log, Kind::Host, "h0").contains("draining for wave w"));
+    assert!(text(&log, Kind::Service, "finder").contains("is at its budget"));
+    assert!(text(&log, Kind::Wave, "w").contains("It waits: finder has 2 serving hosts"));
+    log.lose(1);
+    assert!(text(&log, Kind::Host, "h1").contains("It is lost"));
+    assert!(text(&log, Kind::Service, "finder").contains("1 host short of its budget"));
+    log.command(Command::Pause);
+    assert!(text(&log, Kind::Wave, "w").contains("persimmonctl wave resume w"));
+    assert!(text(&log, Kind::Pool, "spare").contains("serves no callers"));
+}
+
+#[test_case(Kind::Host, "host: x does not exist; known: h0"; "host")]
+#[test_case(Kind::Pool, "pool: x does not exist; known: spare"; "pool")]
+#[test_case(Kind::Service, "service: x does not exist; known: none"; "service")]
+#[test_case(Kind::Wave, "wave: x does not exist; known: none"; "wave")]
+fn verify_unknown_names_are_answered_with_known_ones(kind: Kind, text: &str) {
+    let error = explain(&Log::new(1).state, kind, &"x".into()).expect_err("unknown");
+    assert_eq!(error.to_string(), text);
+}
+
+#[test]
+fn verify_the_status_names_operator_and_members() {
+    let mut log = Log::new(2);
+    log.sheet("one", 0, "pool,finder,,finder,1,,");
+    let status = status(&log.state);
+    assert_eq!(status.operator.as_deref(), Some("one"));
+    assert_eq!(&*status.members[0].name, "a");
+}
--- /dev/null
+++ b/crates/ctl/src/commands/wave.rs
@@ -0,0 +1,63 @@
+//! Commands to waves.
+
+use bytes::Bytes;
+use persimmongate_core::ids;
+use persimmongate_core::record::Command;
+use persimmongate_core::report::{Status, is_steered};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::failed;
+use crate::client::{Client, Failure, escape};
+use crate::print::{Answer, Exit};
+
+/// Steers a wave.
+pub(crate) async fn steer(
+    client: &Client,
+    command: Command,
+    wave: &str,
+    operator: Result<ids::Operator, Answer>,
+) -> Answer {
+    let operator = match operator {
+        Ok(operator) => operator,
+        Err(answer) => return answer,
+    };
+    let (verb, done) = match command {
+        Command::Abort => ("abort", "aborted"),
+        Command::Pause => ("pause", "paused"),
+        Command::Resume => ("resume", "running"),
+    };
+    let (name, operator) = (escape(wave), escape(&operator));
+    let path = format!("/v1/waves/{name}/{verb}?operator={operator}");
+    match client.post(&path, Bytes::new()).await {
+        Ok(value) => {
+            let changed = value.get("changed").and_then(Value::as_bool);
+            let text = match changed {
+                Some(false) => format!("no change: wave {wave} is {done} already"),
+                _ => format!("wave {wave} is {done}"),
+            };
+            Answer::new(Exit::Done, text, value)
+        }
+        Err(Failure::Lost(problem)) => recheck(client, command, wave, &problem).await,
+        Err(failure) => failed(failure),
+    }
+}
+
+/// Looks whether a command whose answer is lost took effect.
+async fn recheck(client: &Client, command: Command, wave: &str, problem: &str) -> Answer {
+    let status = client.get("/v1/status").await.ok();
+    let status = status.and_then(|value| Status::deserialize(&value).ok());
+    let steered = status.is_some_and(|status| {
+        let mut waves = status.waves.iter();
+        waves.any(|entry| entry.name == wave && is_steered(entry.phase, command))
+    });
+    if steered {
+        let text = format!("took effect; the answer was lost ({problem})");
+        return Answer::new(Exit::Done, text, json!({ "changed": true }));
+    }
+    let text = format!(
+        "not known whether the command takes effect: {problem}\n\
+         Run it again: it changes nothing if it has by then."
+    );
+    Answer::new(Exit::Unreachable, text, json!({ "error": problem }))
+}
--- /dev/null
+++ b/crates/ctl/src/print/mod.rs
@@ -0,0 +1,177 @@
+//! Text for the terminal.
+
+mod status;
+
+use std::fmt::Write;
+use std::path::Path;
+use std::process::ExitCode;
+
+use persimmongate_core::finding::Findings;
+use persimmongate_core::report::{self, Conflict, Explanation, Plan, Remark};
+use serde_json::{Value, json};
+
+pub(crate) use status::status;
+
+/// `Exit` is how a command ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Exit {
+    /// Did what was asked.
+    Done,
+    /// Was refused, or the sheet has findings.
+    Refused,
+    /// Arguments, settings or a file are wrong.
+    Usage,
+    /// Fleet or platform can't be reached, or the result is not known.
+    Unreachable,
+}
+
+/// `Answer` is what a command tells, as text and as JSON.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    exit: Exit,
+    pub(crate) text: String,
+    value: Value,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(match exit {
+            Exit::Done => 0,
+            Exit::Refused => 1,
+            Exit::Usage => 2,
+            Exit::Unreachable => 3,
+        })
+    }
+}
+
+impl Answer {
+    pub(crate) fn new(exit: Exit, text: String, value: Value) -> Self {
+        Self { exit, text, value }
+    }
+
+    /// Makes the answer for a problem that is only text.
+    pub(crate) fn problem(exit: Exit, text: &str) -> Self {
+        Self::new(exit, text.to_owned(), json!({ "error": text }))
+    }
+}
+
+/// Prints an answer: JSON always to the output, text of problems to the error output.
+pub(crate) fn answer(answer: &Answer, json: bool) -> ExitCode {
+    if json {
+        println!("{:#}", answer.value);
+    } else if answer.exit == Exit::Done {
+        println!("{}", answer.text.trim_end());
+    } else {
+        eprintln!("{}", answer.text.trim_end());
+    }
+    answer.exit.into()
+}
+
+/// Makes the text of the findings of a sheet.
+pub(crate) fn findings(path: &Path, findings: &Findings) -> String {
+    let count = match findings.items.len() {
+        1 => "1 finding".to_owned(),
+        count => format!("{count} findings"),
+    };
+    format!("{}: {count}, nothing applied\n{findings}", path.display())
+}
+
+/// Makes the text of a plan.
+pub(crate) fn plan(plan: &Plan) -> String {
+    let mut text = match &plan.operator {
+        Some(operator) => format!("base {}, applied by {operator}\n", plan.base),
+        None => "base 0, no sheet is in force\n".to_owned(),
+    };
+    if plan.differences.is_empty() {
+        text.push_str("no change: the same sheet is in force\n");
+    } else {
+        list(&mut text, "changes", plan.differences.iter());
+    }
+    let shifts = plan.shifts.iter().map(|shift| {
+        let (sign, count) = if shift.now < shift.target {
+            ('+', shift.target - shift.now)
+        } else {
+            ('-', shift.now - shift.target)
+        };
+        format!(
+            "pool {}: {} -> {} ({sign}{count})",
+            shift.pool, shift.now, shift.target
+        )
+    });
+    list(&mut text, "hosts", shifts);
+    list(&mut text, "notes", plan.notes.iter().map(remark));
+    list(
+        &mut text,
+        "can't be met today",
+        plan.unmet.iter().map(remark),
+    );
+    text
+}
+
+/// Makes the text of what became of a sheet.
+pub(crate) fn application(answer: &report::Answer) -> String {
+    match answer {
+        report::Answer::Applied {
+            revision,
+            differences,
+        } => {
+            let mut text = format!("applied, revision {revision}\n");
+            list(&mut text, "changes", differences.iter());
+            text
+        }
+        report::Answer::Conflict(conflict) => conflict_text(conflict),
+        report::Answer::Rejected { reason } => format!("refused: {reason}"),
+        report::Answer::Unchanged { revision, operator } => {
+            format!("no change: the same sheet is in force, revision {revision} by {operator}")
+        }
+        report::Answer::Unmet(unmet) => format!(
+            "refused: rows can't be met today, nothing applied; --anyway applies them\n{}",
+            plan(unmet)
+        ),
+        report::Answer::Unsettled => "not known whether the sheet comes into force".to_owned(),
+    }
+}
+
+fn conflict_text(conflict: &Conflict) -> String {
+    let Conflict {
+        revision,
+        operator,
+        at,
+        differences,
+    } = conflict;
+    let mut text = format!(
+        "conflict: {operator} applied another sheet, revision {revision}, at {at}; nothing applied\n"
+    );
+    list(&mut text, "your sheet would change", differences.iter());
+    let hint = format!("To replace it, run apply again with --base {revision}.\n");
+    text.push_str(&hint);
+    text
+}
+
+/// Makes the text of an explanation.
+pub(crate) fn explanation(explanation: &Explanation) -> String {
+    let mut text = format!("{}\n", explanation.subject);
+    list(&mut text, "now", explanation.now.iter());
+    list(&mut text, "next", explanation.next.iter());
+    text
+}
+
+fn remark(remark: &Remark) -> String {
+    match remark.line {
+        0 => format!("{}: {}", remark.subject, remark.text),
+        line => format!("line {line}, {}: {}", remark.subject, remark.text),
+    }
+}
+
+/// Adds a title and an indented line for each item, nothing without items.
+fn list(text: &mut String, title: &str, items: impl Iterator<Item = impl std::fmt::Display>) {
+    let mut items = items.peekable();
+    if items.peek().is_none() {
+        return;
+    }
+    // Writing to a string does not fail.
+    let _ = writeln!(text, "{title}:");
+    for item in items {
+        let _ = writeln!(text, "  {item}");
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/api/sheet.rs
@@ -0,0 +1,108 @@
+//! Calls about the sheet.
+
+use actix_web::web::{Bytes, Data, Query};
+use actix_web::{HttpResponse, Responder};
+use persimmongate_core::errors::Error;
+use persimmongate_core::record::Body;
+use persimmongate_core::report::{self, Answer, Application, Decision};
+use persimmongate_core::sheet;
+use persimmongate_core::{ids, name};
+use serde::Deserialize;
+use serde_json::json;
+
+use super::settle::settle;
+use super::{Log, bad_request, fold, not_ready};
+
+/// `Options` is the query of an application.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct Options {
+    operator: ids::Operator,
+    base: Option<ids::Revision>,
+    #[serde(default)]
+    anyway: bool,
+}
+
+/// Shows the sheet in force.
+pub(super) async fn show(log: Data<Log>) -> impl Responder {
+    let Some(state) = fold(&log).await else {
+        return not_ready();
+    };
+    HttpResponse::Ok().json(json!({ "revision": state.revision, "sheet": state.sheet }))
+}
+
+/// Plans a sheet without applying it.
+pub(super) async fn plan(log: Data<Log>, bytes: Bytes) -> impl Responder {
+    let rows = match sheet::read(&bytes) {
+        Ok(rows) => rows,
+        Err(error) => return refuse(error),
+    };
+    match fold(&log).await {
+        Some(state) => HttpResponse::Ok().json(report::plan(&state, &rows)),
+        None => not_ready(),
+    }
+}
+
+/// Applies a sheet.
+pub(super) async fn apply(log: Data<Log>, options: Query<Options>, bytes: Bytes) -> impl Responder {
+    let rows = match sheet::read(&bytes) {
+        Ok(rows) => rows,
+        Err(error) => return refuse(error),
+    };
+    let Options {
+        operator,
+        base,
+        anyway,
+    } = options.into_inner();
+    if let Err(problem) = name::check(&operator) {
+        return bad_request(&format!("operator: {problem}; accepted: {}", name::FORM));
+    }
+    let application = Application {
+        operator,
+        base,
+        anyway,
+        rows,
+    };
+    decide(&log, application).await
+}
+
+/// Appends a sheet when it may be applied, and tells what became of it.
+async fn decide(log: &Log, application: Application) -> HttpResponse {
+    let Some(state) = fold(log).await else {
+        return not_ready();
+    };
+    let base = match report::consider(&state, &application) {
+        Decision::Answer(answer) => return respond(&answer),
+        Decision::Append(base) => base,
+    };
+    let rows = application.rows;
+    let body = Body::Sheet {
+        base,
+        operator: application.operator,
+        intents: rows.iter().map(|row| row.intent.clone()).collect(),
+    };
+    let verdict = settle(log, body).await;
+    let Some(after) = fold(log).await else {
+        return not_ready();
+    };
+    let before = state.sheet.map(|sheet| sheet.intents).unwrap_or_default();
+    let answer = report::conclude(&after, &before, base, verdict.as_ref(), &rows);
+    respond(&answer)
+}
+
+fn refuse(error: Error) -> HttpResponse {
+    match error {
+        Error::Findings(findings) => {
+            HttpResponse::UnprocessableEntity().json(json!({ "findings": findings.items }))
+        }
+        error @ Error::Value { .. } => bad_request(&error),
+    }
+}
+
+fn respond(answer: &Answer) -> HttpResponse {
+    match answer {
+        Answer::Applied { .. } | Answer::Unchanged { .. } => HttpResponse::Ok().json(answer),
+        Answer::Conflict(_) | Answer::Rejected { .. } => HttpResponse::Conflict().json(answer),
+        Answer::Unmet(_) => HttpResponse::UnprocessableEntity().json(answer),
+        Answer::Unsettled => HttpResponse::GatewayTimeout().json(answer),
+    }
+}
--- a/crates/node/src/log/follower.rs
+++ b/crates/node/src/log/follower.rs
@@ -19,7 +19,7 @@
 use super::append::Outbox;
 use super::client::Client;
 use super::keys::Waiting;
-use super::message::{Append, Changed, Claim, Depart, End, Fetch, Fold, Restore, Subscribe};
+use super::message::{Age, Append, Changed, Claim, Depart, End, Fetch, Fold, Restore, Subscribe};
 use crate::admin::Dump;
 use crate::clock;
 use crate::supervisor::Guard;
@@ -220,6 +220,17 @@
     }
 }
 
+impl<C: Copy + Send + Unpin + 'static> Handler<Age> for Follower<C> {
+    type Result = MessageResult<Age>;
+
+    fn handle(&mut self, _: Age, _: &mut Self::Context) -> Self::Result {
+        MessageResult(
+            self.heard
+                .map(|at| clock::now().saturating_duration_since(at)),
+        )
+    }
+}
+
 impl<C: Copy + Send + Unpin + 'static> Handler<Fold> for Follower<C> {
     type Result = MessageResult<Fold>;
 
--- a/crates/node/src/log/message.rs
+++ b/crates/node/src/log/message.rs
@@ -1,5 +1,7 @@
 //! Messages of the log's actor.
 
+use std::time::Duration;
+
 use actix::{Message, Recipient};
 use bytes::Bytes;
 use persimmongate_core::gate;
@@ -98,6 +100,11 @@
     pub state: Bytes,
 }
 
+/// `Age` asks for the time since the log was last read up to its end, nothing before the first.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Option<Duration>")]
+pub struct Age;
+
 /// `Fold` asks for the fold, nothing before it was read once.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "Option<State>")]
--- a/crates/node/src/log/mod.rs
+++ b/crates/node/src/log/mod.rs
@@ -13,5 +13,5 @@
 pub use client::Client;
 pub use follower::{Follower, Options};
 pub use message::{
-    Append, Changed, Claim, Claimed, Depart, End, Fetch, Fold, Restore, Settled, Subscribe,
+    Age, Append, Changed, Claim, Claimed, Depart, End, Fetch, Fold, Restore, Settled, Subscribe,
 };
