--- a/crates/core/src/report/explain/service.rs
+++ b/crates/core/src/report/explain/service.rs
@@ -26,7 +26,7 @@
         return None;
     }
     let promised = state.budgets.get(name).copied().unwrap_or(0);
-    let serving = state.serving(name);
+    let serving = state.serving_hosts(name);
     let names: Vec<&str> = pools.iter().map(|pool| &***pool).collect();
     let mut now = vec![
         format!("Its hosts are in {}.", names.join(", ")),
--- a/crates/core/src/report/explain/wave.rs
+++ b/crates/core/src/report/explain/wave.rs
@@ -82,7 +82,7 @@
     ];
     if let Some(service) = state.service_of(&wave.pool) {
         let promised = state.budgets.get(service).copied().unwrap_or(0);
-        let serving = state.serving(service);
+        let serving = state.serving_hosts(service);
         if serving <= promised {
             next.push(format!(
                 "It waits: {service} has {serving} serving hosts and promises {promised}."
--- a/crates/core/src/state/entry.rs
+++ b/crates/core/src/state/entry.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Change, Keys};
+use super::Keys;
 use crate::ids;
 use crate::map::Map;
 use crate::record::{self, Phase};
@@ -18,6 +18,8 @@
     pub next: ids::Offset,
     /// Latest time that the log gave a record.
     pub at: SystemTime,
+    /// Offset that the latest complete snapshot in the log covers.
+    pub snapshot: ids::Offset,
     /// Offset of the sheet in force.
     pub revision: ids::Revision,
     /// Sheet in force, none before the first.
@@ -26,6 +28,8 @@
     pub members: Map<ids::Instance, Member>,
     /// Hosts by name; a host is in exactly one pool because this map gives it one.
     pub hosts: Map<ids::Host, Host>,
+    /// Serving hosts of each pool.
+    pub serving: Map<ids::Pool, u32>,
     /// Pools by name.
     pub pools: Map<ids::Pool, Pool>,
     /// Serving hosts that each service promises.
@@ -140,10 +144,12 @@
         Self {
             next: 0,
             at: SystemTime::UNIX_EPOCH,
+            snapshot: 0,
             revision: 0,
             sheet: None,
             members: Map::default(),
             hosts: Map::default(),
+            serving: Map::default(),
             pools: [(super::SPARE.into(), Pool::default())]
                 .into_iter()
                 .collect(),
@@ -174,49 +180,11 @@
 
     /// Gets the number of hosts that serve a service.
     #[must_use]
-    pub fn serving(&self, service: &ids::Service) -> u32 {
-        let count = self
-            .hosts
-            .values()
-            .filter(|host| host.is_serving() && self.service_of(&host.pool) == Some(service))
-            .count();
-        u32::try_from(count).unwrap_or(u32::MAX)
-    }
-
-    /// Gets the whole state as changes, for a view that starts from nothing.
-    #[must_use]
-    pub fn changes(&self) -> Vec<Change> {
-        let mut changes = Vec::new();
-        changes.extend(
-            self.pools
-                .iter()
-                .map(|(id, pool)| Change::Pool(id.clone(), pool.clone())),
-        );
-        changes.extend(
-            self.budgets
-                .iter()
-                .map(|(id, hosts)| Change::Budget(id.clone(), *hosts)),
-        );
-        for (service, callers) in &self.quotas {
-            let quota = |(caller, slots): (&ids::Caller, &u32)| {
-                Change::Quota(service.clone(), caller.clone(), *slots)
-            };
-            changes.extend(callers.iter().map(quota));
-        }
-        changes.extend(
-            self.hosts
-                .iter()
-                .map(|(id, host)| Change::Host(id.clone(), host.clone())),
-        );
-        changes.extend(
-            self.waves
-                .iter()
-                .map(|(id, wave)| Change::Wave(id.clone(), wave.clone())),
-        );
-        let member = |(id, member): (&ids::Instance, &Member)| {
-            Change::Member(id.clone(), Some(member.clone()))
-        };
-        changes.extend(self.members.iter().map(member));
-        changes
+    pub fn serving_hosts(&self, service: &ids::Service) -> u32 {
+        let pools = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| pool.service.as_ref() == Some(service));
+        pools.filter_map(|(name, _)| self.serving.get(name)).sum()
     }
 }
