--- a/crates/core/src/state/entry.rs
+++ b/crates/core/src/state/entry.rs
@@ -9,6 +9,7 @@
 use crate::ids;
 use crate::map::Map;
 use crate::record::{self, Phase};
+use crate::sheet::Intent;
 
 /// `State` is the result of folding the log up to an offset.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -21,6 +22,8 @@
     pub snapshot: ids::Offset,
     /// Offset of the sheet in force.
     pub revision: ids::Revision,
+    /// Sheet in force, none before the first.
+    pub sheet: Option<Sheet>,
     /// Members by name.
     pub members: Map<ids::Instance, Member>,
     /// Hosts by name; a host is in exactly one pool because this map gives it one.
@@ -43,6 +46,17 @@
     pub keys: Keys,
 }
 
+/// `Sheet` is the day's intent as it was applied.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sheet {
+    /// Operator who applied it.
+    pub operator: ids::Operator,
+    /// Time that the log gave its record.
+    pub at: SystemTime,
+    /// Rows of the sheet.
+    pub intents: Vec<Intent>,
+}
+
 /// `Member` is a process that joined.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Member {
@@ -132,6 +146,7 @@
             at: SystemTime::UNIX_EPOCH,
             snapshot: 0,
             revision: 0,
+            sheet: None,
             members: Map::default(),
             hosts: Map::default(),
             serving: Map::default(),
--- a/crates/node/src/log/follower.rs
+++ b/crates/node/src/log/follower.rs
@@ -24,7 +24,7 @@
 use super::client::Client;
 use super::keys::Waiting;
 use super::message::{
-    Append, Changed, Claim, Claimed, Depart, End, Fetch, Fold, Restore, Subscribe,
+    Age, Append, Changed, Claim, Claimed, Depart, End, Fetch, Fold, Restore, Subscribe,
 };
 use super::pace::Pace;
 use super::seeds;
@@ -260,6 +260,17 @@
     }
 }
 
+impl<C: Copy + Send + Unpin + 'static> Handler<Age> for Follower<C> {
+    type Result = MessageResult<Age>;
+
+    fn handle(&mut self, _: Age, _: &mut Self::Context) -> Self::Result {
+        MessageResult(
+            self.heard
+                .map(|at| clock::now().saturating_duration_since(at)),
+        )
+    }
+}
+
 impl<C: Copy + Send + Unpin + 'static> Handler<Fold> for Follower<C> {
     type Result = MessageResult<Fold>;
 
--- a/crates/node/src/log/mod.rs
+++ b/crates/node/src/log/mod.rs
@@ -16,5 +16,5 @@
 pub use client::Client;
 pub use follower::{Follower, Options};
 pub use message::{
-    Append, Changed, Claim, Claimed, Depart, End, Fetch, Fold, Restore, Settled, Subscribe,
+    Age, Append, Changed, Claim, Claimed, Depart, End, Fetch, Fold, Restore, Settled, Subscribe,
 };
