Add trials with real processes under failure

cargo test builds the programs of a package only for an integration test of that package, so each program has one. A test-only package was chosen over tests of the stand-ins, which would need the other packages' programs all the same.

--- /dev/null
+++ b/crates/fleet/tests/program/main.rs
@@ -0,0 +1,11 @@
+//! The program itself; the trials with real processes need it built.
+
+use std::process::Command;
+
+#[test]
+fn verify_help_is_shown() {
+    let program = env!("CARGO_BIN_EXE_persimmongate-fleet");
+    let output = Command::new(program).arg("--help").output().unwrap();
+    assert!(output.status.success());
+    assert!(!output.stdout.is_empty());
+}
--- /dev/null
+++ b/crates/tests/src/caller/mod.rs
@@ -0,0 +1,129 @@
+//! One request of a caller to one entry host.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use actix_rt::task::JoinHandle;
+use persimmongate_core::ids;
+use persimmongate_core::request::{format_key, make_key};
+use persimmongate_standin::ledger::Book;
+use persimmongate_standin::worker::Task;
+use persimmongate_wire::platform::{DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER, REASON_HEADER};
+
+/// Time that a caller waits beyond the deadline of its request.
+const GRACE: Duration = Duration::from_secs(30);
+
+/// `Told` is what a caller was told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Told {
+    /// The answer to the caller's own request.
+    Answered,
+    /// The connection broke off before an outcome.
+    Lost,
+    /// The request did not run, for a reason.
+    NotRun(String),
+    /// The request may have run, for a reason.
+    Unknown(String),
+    /// The answer of another request, or no outcome at all.
+    Wrong,
+}
+
+/// `Call` is a request that can be sent again.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Service addressed.
+    pub service: &'static str,
+    /// Tells the request from all others.
+    pub nonce: String,
+    /// Time that the work takes, in milliseconds.
+    pub work_ms: u64,
+    /// Time for which the answer is of use.
+    pub deadline: Duration,
+    /// Key of a request that runs at most once.
+    pub key: Option<ids::Key>,
+}
+
+impl Call {
+    /// Makes a request that runs at most once; its number tells it from the others of the trial.
+    #[must_use]
+    pub fn once(service: &'static str, number: u128, work_ms: u64) -> Self {
+        let now = SystemTime::UNIX_EPOCH + SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        Self {
+            key: Some(make_key(now, number)),
+            ..Self::idempotent(service, number, work_ms)
+        }
+    }
+
+    /// Makes a request that may run again.
+    #[must_use]
+    pub fn idempotent(service: &'static str, number: u128, work_ms: u64) -> Self {
+        Self {
+            service,
+            nonce: format!("{service}-{number}"),
+            work_ms,
+            deadline: Duration::from_secs(20),
+            key: None,
+        }
+    }
+
+    /// Checks what a caller was told of its only send against what ran.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the caller was misled or the request ran too often.
+    pub fn check(&self, told: &Told, book: &Book) {
+        let runs = book.runs.get(&self.nonce).copied().unwrap_or(0);
+        match told {
+            Told::Answered => assert!(runs > 0, "{self:?} was answered and never ran"),
+            Told::NotRun(reason) => assert_eq!(runs, 0, "{self:?} ran, told {reason}"),
+            Told::Wrong => panic!("{self:?} got a wrong answer"),
+            Told::Lost | Told::Unknown(_) => {}
+        }
+        if self.key.is_some() {
+            assert!(runs <= 1, "{self:?} ran {runs} times");
+        }
+    }
+
+    /// Sends the request in a task of its own.
+    #[must_use]
+    pub fn spawn(&self, http: &awc::Client, entry: SocketAddr) -> JoinHandle<Told> {
+        let (call, http) = (self.clone(), http.clone());
+        actix_rt::spawn(async move { call.send(&http, entry).await })
+    }
+
+    /// Sends the request to an entry host.
+    pub async fn send(&self, http: &awc::Client, entry: SocketAddr) -> Told {
+        let mut request = http
+            .post(format!("http://{entry}/{}", self.service))
+            .timeout(self.deadline + GRACE)
+            .insert_header((DEADLINE_HEADER, self.deadline.as_millis().to_string()));
+        if let Some(key) = self.key {
+            request = request.insert_header((KEY_HEADER, format_key(key)));
+        }
+        let task = Task {
+            nonce: self.nonce.clone(),
+            work_ms: self.work_ms,
+        };
+        let Ok(mut response) = request.send_json(&task).await else {
+            return Told::Lost;
+        };
+        let header = |name: &str| {
+            let value = response.headers().get(name);
+            let text = value.and_then(|value| value.to_str().ok());
+            text.unwrap_or_default().to_owned()
+        };
+        let (outcome, reason) = (header(OUTCOME_HEADER), header(REASON_HEADER));
+        let Ok(body) = response.body().await else {
+            return Told::Lost;
+        };
+        match outcome.as_str() {
+            "answered" => match serde_json::from_slice::<Task>(&body) {
+                Ok(answer) if answer.nonce == self.nonce => Told::Answered,
+                _ => Told::Wrong,
+            },
+            "not-run" => Told::NotRun(reason),
+            "unknown" => Told::Unknown(reason),
+            _ => Told::Wrong,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tests/tests/entry_leaves/main.rs
@@ -0,0 +1,51 @@
+//! An entry host is told to end while it has requests in flight.
+
+use futures_util::future::join_all;
+use persimmongate_tests::caller::{Call, Told};
+use persimmongate_tests::cluster::Cluster;
+use persimmongate_tests::wait::until;
+use rustix::process::Signal;
+
+/// Requests in flight when the entry host is told to end.
+const CALLS: u128 = 12;
+/// Time that each of them runs, in milliseconds.
+const WORK_MS: u64 = 1500;
+
+#[actix_rt::test]
+async fn verify_entry_that_leaves_cuts_nothing() {
+    let mut cluster = Cluster::start().await;
+    let entry = cluster.entries[0].callers();
+    let http = cluster.http.clone();
+    let calls = (0..CALLS).map(|number| match number % 2 {
+        0 => Call::idempotent("finder", number, WORK_MS),
+        _ => Call::once("finder", number, WORK_MS),
+    });
+    let calls: Vec<Call> = calls.collect();
+    let sent: Vec<_> = calls.iter().map(|call| call.spawn(&http, entry)).collect();
+    cluster.wait_runs(calls.len()).await;
+    cluster.entries[0].process.signal(Signal::TERM);
+    let late = Call::idempotent("finder", CALLS, WORK_MS);
+    let mut told = Told::Answered;
+    until("a refusal", async || {
+        told = late.send(&http, entry).await;
+        told != Told::Answered
+    })
+    .await;
+    assert_eq!(told, Told::NotRun("Leaving".to_owned()));
+    for told in join_all(sent).await {
+        assert_eq!(told.unwrap(), Told::Answered);
+    }
+    let status = cluster.entries[0].process.ended().await;
+    assert_eq!(status.code(), Some(0));
+    let book = cluster.book().await;
+    for call in &calls {
+        call.check(&Told::Answered, &book);
+    }
+    assert_eq!(book.cut, 0);
+    let left = cluster.entries[0].name.clone();
+    until("the end of the membership", async || {
+        let state = cluster.state().await;
+        state.is_some_and(|state| !state.members.contains_key(&left))
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/tests/tests/failing_rack/main.rs
@@ -0,0 +1,72 @@
+//! A rack of a pool fails in the middle of a wave over it.
+
+use persimmongate_core::record::Phase;
+use persimmongate_core::state::Stage;
+use persimmongate_standin::faults::{Fault, Target, Worker};
+use persimmongate_tests::caller::Call;
+use persimmongate_tests::cluster::{Cluster, SHEET};
+use persimmongate_tests::wait::until;
+
+/// Hosts of the pool that the sheet promises.
+const PROMISED: usize = 4;
+/// Requests sent while the rack is gone.
+const CALLS: u128 = 40;
+
+#[actix_rt::test]
+async fn verify_wave_survives_failing_rack() {
+    let cluster = Cluster::start().await;
+    let http = cluster.http.clone();
+    let output = cluster.apply(&format!("{SHEET}wave,trial,finder,,,2,,\n"));
+    assert!(output.status.success(), "{output:?}");
+    let mut rack = None;
+    until("a drain", async || {
+        let state = cluster.state().await.unwrap();
+        let mut hosts = state.hosts.values();
+        let draining = hosts.find(|host| matches!(host.stage, Stage::Draining { .. }));
+        rack = draining.map(|host| host.rack.clone());
+        rack.is_some()
+    })
+    .await;
+    let target = Target::Rack(rack.unwrap());
+    let fault = Worker::Vanished;
+    cluster
+        .set(Fault::Workers {
+            target: target.clone(),
+            fault,
+        })
+        .await;
+    let mut calls = Vec::new();
+    for number in 0..CALLS {
+        let call = match number % 2 {
+            0 => Call::idempotent("finder", number, 20),
+            _ => Call::once("finder", number, 20),
+        };
+        let entry = cluster.entries[calls.len() % cluster.entries.len()].callers();
+        let told = call.send(&http, entry).await;
+        let state = cluster.state().await.unwrap();
+        let out = state.hosts.values();
+        let out = out
+            .filter(|host| host.pool == "finder" && matches!(host.stage, Stage::Draining { .. }));
+        assert!(out.count() + PROMISED <= state.pools["finder"].target as usize);
+        calls.push((call, told));
+    }
+    let fault = Worker::Healthy;
+    cluster.set(Fault::Workers { target, fault }).await;
+    until(
+        "the end of the wave, resumed when it was paused",
+        async || {
+            let state = cluster.state().await.unwrap();
+            if state.waves["trial"].phase == Phase::Paused {
+                let output = cluster.ctl(&["wave", "resume", "trial"]);
+                assert!(output.status.success(), "{output:?}");
+            }
+            state.waves["trial"].phase == Phase::Done
+        },
+    )
+    .await;
+    let book = cluster.book().await;
+    for (call, told) in &calls {
+        call.check(told, &book);
+    }
+    assert_eq!(book.cut, 0);
+}
--- /dev/null
+++ b/crates/tests/tests/log_outage/main.rs
@@ -0,0 +1,63 @@
+//! The log goes away, every process is replaced, and the log comes back.
+
+use persimmongate_core::state::State;
+use persimmongate_standin::faults::{Fault, Log};
+use persimmongate_tests::caller::{Call, Told};
+use persimmongate_tests::cluster::{Cluster, Program};
+use persimmongate_tests::wait::until;
+use rustix::process::Signal;
+
+/// Gets the sheet in force and the hosts of each pool.
+fn intent(state: &State) -> impl PartialEq + std::fmt::Debug + use<> {
+    let mut hosts: Vec<_> = state
+        .hosts
+        .iter()
+        .map(|(name, host)| (name.clone(), host.pool.clone()))
+        .collect();
+    hosts.sort();
+    let mut targets: Vec<_> = state
+        .pools
+        .iter()
+        .map(|(name, pool)| (name.clone(), pool.target))
+        .collect();
+    targets.sort();
+    let mut budgets: Vec<_> = state.budgets.clone().into_iter().collect();
+    budgets.sort();
+    (state.revision, hosts, targets, budgets)
+}
+
+#[actix_rt::test]
+async fn verify_sheet_outlives_every_process() {
+    let mut cluster = Cluster::start().await;
+    let http = cluster.http.clone();
+    let before = intent(&cluster.state().await.unwrap());
+    cluster.set(Fault::Log(Log::Down)).await;
+    let entry = cluster.entries[0].callers();
+    let lookup = Call::idempotent("finder", 0, 10);
+    assert_eq!(lookup.send(&http, entry).await, Told::Answered);
+    let filing = Call::once("finder", 1, 10);
+    let told = filing.send(&http, entry).await;
+    assert!(matches!(told, Told::NotRun(_)), "{told:?}");
+    for mut node in cluster.entries.drain(..).chain(cluster.fleet.drain(..)) {
+        node.process.kill();
+    }
+    for index in 3..6 {
+        cluster.add(Program::Entry, &format!("entry-{index}"));
+        cluster.add(Program::Fleet, &format!("fleet-{index}"));
+    }
+    cluster.set(Fault::Log(Log::Up)).await;
+    cluster.wait_ready().await;
+    assert_eq!(intent(&cluster.state().await.unwrap()), before);
+    let entry = cluster.entries[0].callers();
+    until("an answer to the filing sent again", async || {
+        filing.send(&http, entry).await == Told::Answered
+    })
+    .await;
+    let book = cluster.book().await;
+    lookup.check(&Told::Answered, &book);
+    filing.check(&Told::Answered, &book);
+    assert_eq!(book.cut, 0);
+    cluster.fleet[0].process.signal(Signal::TERM);
+    let status = cluster.fleet[0].process.ended().await;
+    assert_eq!(status.code(), Some(0));
+}
