--- a/crates/entry/src/tree/mod.rs
+++ b/crates/entry/src/tree/mod.rs
@@ -99,6 +99,8 @@
             },
             platform: node.platform,
             renew: node.renew,
+            seeds: node.seeds.clone(),
+            snapshot_records: None,
         };
         let meter = self.metrics.meter();
         let follower = Follower::new(options, &meter, self.logger.clone(), guard).start();
@@ -162,7 +164,7 @@
 
     fn start_gate(&mut self, guard: Guard<Child>) {
         let options = self.settings.gate.clone();
-        let gate = Gate::new(options, &self.metrics.meter(), guard).start();
+        let gate = Gate::new(options, &self.metrics.meter(), self.logger.clone(), guard).start();
         self.gate_seen.send_replace(Some(gate.clone()));
         self.gate = Some(gate);
     }
