Take an append that was read back for done

Cause: a process repeated its batch until an answer came, also when every record of it had been read back. While the platform answers no append at all, each process got one batch through and nothing after it: an operator's sheet was answered with 504 (seen in the trial lost_answer, which fails without this). Ruled out: the fold, which dropped the repeated batches as duplicates. Now a batch whose last record was read back is not sent again.

--- a/crates/node/src/log/append.rs
+++ b/crates/node/src/log/append.rs
@@ -95,6 +95,14 @@
         }
     }
 
+    /// Drops the batch when it was read back, so that only its answer was lost.
+    fn drop_read_batch(&mut self) {
+        let read = !self.unsettled.contains_key(&self.sequence);
+        if read && self.batch.take().is_some() {
+            self.tell_departure();
+        }
+    }
+
     /// Gets whether a join waits or has no verdict yet.
     pub(super) fn is_joining(&self) -> bool {
         let queued = self
@@ -203,6 +211,7 @@
                     act.counters.failures.add(1, &[]);
                     ctx.run_later(RETRY_WAIT, |act, ctx| {
                         act.outbox.sending = false;
+                        act.outbox.drop_read_batch();
                         act.flush(ctx);
                     });
                 }
