Name the operator in the test of an unreachable fleet

persimmonctl now wants the operator's name before it steers a wave and exits 2 without one; the test left it out and gave the command in the wrong order. It still asks for exit 3 and a line on the standard error.

--- a/crates/ctl/tests/unreachable/main.rs
+++ b/crates/ctl/tests/unreachable/main.rs
@@ -8,7 +8,7 @@
 const NOWHERE: &str = "127.0.0.1:1";
 
 #[test_case(&["status"]; "status")]
-#[test_case(&["wave", "finder-december", "pause"]; "wave")]
+#[test_case(&["--operator", "o", "wave", "pause", "finder-december"]; "wave")]
 fn verify_unreachable_fleet_is_said(command: &[&str]) {
     let output = Command::new(env!("CARGO_BIN_EXE_persimmonctl"))
         .args(["--fleet", NOWHERE])
--- a/crates/tests/tests/entry_frozen/main.rs
+++ b/crates/tests/tests/entry_frozen/main.rs
@@ -48,5 +48,12 @@
         call.check(&told.unwrap(), &book);
     }
     assert_eq!(book.cut, 0);
-    assert_eq!(cluster.state().await.unwrap().serving(&"finder".into()), 6);
+    assert_eq!(
+        cluster
+            .state()
+            .await
+            .unwrap()
+            .serving_hosts(&"finder".into()),
+        6
+    );
 }
