Refuse bad input at every edge with a reason that is counted

Callers: a body that is too long (413), slow (408) or broken (400) was refused without an outcome header by the framework's extractor; each is now told not-run with its reason and counted in api_refused.

--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -3,23 +3,36 @@
 //! `POST /{service}/{path}` runs a request. Each answer carries its outcome in a header; a refusal
 //! or a doubt carries its reason too.
 
+mod body;
 mod parse;
 
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
-use actix_web::web::{self, Bytes, Data, ServiceConfig};
+use actix_web::web::{self, Data, Payload, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
 use persimmongate_core::outcome::{Doubt, Outcome, Refusal};
 use persimmongate_wire::platform::{OUTCOME_HEADER, REASON_HEADER};
 
 use crate::gate::{Seen, submit};
 
 /// `Defaults` holds what a request gets that does not say.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Defaults {
     /// Time for which the answer is of use.
     pub(crate) deadline: Duration,
+    /// Largest body, in bytes.
+    pub(crate) body_max: usize,
+    /// Requests refused before they reached the gate.
+    pub(crate) refused: Counter<u64>,
+}
+
+impl Defaults {
+    fn count(&self, reason: &'static str) {
+        self.refused.add(1, &[KeyValue::new("reason", reason)]);
+    }
 }
 
 /// Adds the routes for callers.
@@ -31,14 +44,27 @@
     gate: Data<Seen>,
     defaults: Data<Defaults>,
     http: HttpRequest,
-    body: Bytes,
+    payload: Payload,
 ) -> HttpResponse {
+    let body = match body::read(payload, defaults.body_max).await {
+        Ok(body) => body,
+        Err(problem) => {
+            defaults.count(problem.word());
+            return HttpResponse::build(problem.status())
+                .insert_header((OUTCOME_HEADER, "not-run"))
+                .insert_header((REASON_HEADER, problem.word()))
+                .finish();
+        }
+    };
     match parse::request(&http, body, defaults.deadline) {
         Ok(request) => respond(submit(&gate, request).await),
-        Err(problem) => HttpResponse::BadRequest()
-            .insert_header((OUTCOME_HEADER, "not-run"))
-            .insert_header((REASON_HEADER, "malformed"))
-            .body(format!("{problem}\n")),
+        Err(problem) => {
+            defaults.count("malformed");
+            HttpResponse::BadRequest()
+                .insert_header((OUTCOME_HEADER, "not-run"))
+                .insert_header((REASON_HEADER, "malformed"))
+                .body(format!("{problem}\n"))
+        }
     }
 }
 
--- a/crates/entry/src/tree/mod.rs
+++ b/crates/entry/src/tree/mod.rs
@@ -1,9 +1,10 @@
 //! The supervisor tree of the entry daemon.
 
 use std::future::ready;
+use std::time::Duration;
 
 use actix::{Actor, Addr, ResponseFuture};
-use actix_web::web::{Data, PayloadConfig};
+use actix_web::web::Data;
 use actix_web::{App, HttpServer};
 use persimmongate_core::record::{Member, Role};
 use persimmongate_core::settings;
@@ -26,6 +27,13 @@
 /// Time for requests in flight when the process is told to end.
 const CLOSE_TIMEOUT_S: u64 = 30;
 
+/// Connections of callers, at most; further ones wait in the operating system.
+const CONNECTIONS_MAX: usize = 4096;
+/// Time in which a caller must have sent the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time that an idle connection stays open.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
 /// `Child` names the children of the entry daemon in the order of their start.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum Child {
@@ -196,17 +204,20 @@
         let address = self.settings.listen;
         let defaults = api::Defaults {
             deadline: self.settings.deadline,
+            body_max: self.settings.body_max,
+            refused: self.metrics.meter().u64_counter("api_refused").build(),
         };
-        let body_max = self.settings.body_max;
         let server = HttpServer::new(move || {
             App::new()
                 .app_data(Data::new(gate.clone()))
-                .app_data(Data::new(defaults))
-                .app_data(PayloadConfig::new(body_max))
+                .app_data(Data::new(defaults.clone()))
                 .configure(api::configure)
         })
         .workers(1)
         .disable_signals()
+        .max_connections(CONNECTIONS_MAX)
+        .client_request_timeout(HEAD_TIMEOUT)
+        .keep_alive(KEEP_ALIVE)
         .shutdown_timeout(CLOSE_TIMEOUT_S)
         .bind(address)
         .map_err(|error| io_error(format!("listen address {address}"), error))?
--- a/crates/node/src/peer/dialer.rs
+++ b/crates/node/src/peer/dialer.rs
@@ -12,7 +12,7 @@
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
 use super::config;
-use super::listener::receive;
+use super::link::receive;
 use crate::log::Restore;
 
 /// Frames that wait for a link, at most; reports are repeated, so what exceeds it is dropped.
@@ -98,7 +98,7 @@
 async fn open(address: SocketAddr, hello: &Hello) -> Option<WebSocketStream<TcpStream>> {
     let stream = TcpStream::connect(address).await.ok()?;
     let url = format!("ws://{address}/");
-    let (mut link, _) = client_async_with_config(url, stream, Some(config()))
+    let (mut link, _) = client_async_with_config(url, stream, Some(config(frame::FRAME_MAX)))
         .await
         .ok()?;
     send(&mut link, &Frame::Hello(hello.clone())).await?;
@@ -125,13 +125,13 @@
                 }
             }
             frame = receive(&mut link) => match frame {
-                Some(Frame::Snapshot { next, state }) => {
+                Ok(Some(Frame::Snapshot { next, state })) => {
                     if let Some(restore) = restore {
                         restore.do_send(Restore { next, state });
                     }
                 }
-                Some(_) => {}
-                None => return,
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => return,
             },
         }
     }
--- a/crates/node/src/peer/listener.rs
+++ b/crates/node/src/peer/listener.rs
@@ -7,43 +7,26 @@
     Actor, ActorContext, ActorFutureExt, AsyncContext, Context, Handler, Message, Recipient,
     WrapFuture,
 };
-use actix_rt::net::{TcpListener, TcpStream};
-use futures_util::{SinkExt, StreamExt};
-use opentelemetry::metrics::{Counter, Meter};
-use persimmongate_wire::frame::{self, Frame, Report};
+use actix_rt::net::TcpListener;
+use opentelemetry::metrics::Meter;
 use slog::{Logger, error};
 use tokio::task::JoinSet;
-use tokio_tungstenite::tungstenite::{self, Message as Item};
-use tokio_tungstenite::{WebSocketStream, accept_async_with_config};
 
-use super::config;
+use super::link::{Hub, Received, Refusal, serve};
 use crate::errors::{Result, io_error};
 use crate::log::Fetch;
 use crate::supervisor::Guard;
 
-/// Time in which a link must open and send its first frame.
-const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+/// Links open at once, at most.
+const LINKS_MAX: usize = 256;
 /// Time before accepting goes on after the operating system refused a connection.
 const ACCEPT_WAIT: Duration = Duration::from_millis(100);
 
-/// `Received` is a report that came over a link.
-#[derive(Clone, Debug, Message)]
-#[rtype(result = "()")]
-pub struct Received(pub Report);
-
 /// `Close` ends the listener and every link.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "()")]
 pub struct Close;
 
-/// `Hub` is where a link's frames go.
-#[derive(Clone)]
-struct Hub {
-    reports: Option<Recipient<Received>>,
-    fold: Recipient<Fetch>,
-    refused: Counter<u64>,
-}
-
 /// `Listener` accepts links; each link is a task that owns its socket.
 pub struct Listener<C: Copy + std::marker::Send + 'static> {
     address: SocketAddr,
@@ -66,11 +49,7 @@
         let refused = meter.u64_counter("peer_refused").build();
         Self {
             address,
-            hub: Hub {
-                reports,
-                fold,
-                refused,
-            },
+            hub: Hub::new(reports, fold, refused),
             logger,
             _guard: guard,
         }
@@ -109,63 +88,13 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 while links.try_join_next().is_some() {}
-                links.spawn_local(serve(stream, hub.clone()));
-            }
-            Err(_) => actix_rt::time::sleep(ACCEPT_WAIT).await,
-        }
-    }
-}
-
-/// Serves one link until it ends; a frame that is refused ends it.
-async fn serve(stream: TcpStream, hub: Hub) {
-    let open = async {
-        let mut link = accept_async_with_config(stream, Some(config()))
-            .await
-            .ok()?;
-        matches!(receive(&mut link).await, Some(Frame::Hello(_))).then_some(link)
-    };
-    let opened = actix_rt::time::timeout(HELLO_TIMEOUT, open).await;
-    let Ok(Some(mut link)) = opened else {
-        hub.refused.add(1, &[]);
-        return;
-    };
-    while let Some(frame) = receive(&mut link).await {
-        match frame {
-            Frame::Fetch { next } => {
-                let Ok(Some((next, state))) = hub.fold.send(Fetch(next)).await else {
-                    continue;
-                };
-                let Ok(bytes) = frame::encode(&Frame::Snapshot { next, state }) else {
-                    continue;
-                };
-                if link.send(Item::Binary(bytes)).await.is_err() {
-                    return;
+                if links.len() < LINKS_MAX {
+                    links.spawn_local(serve(stream, hub.clone()));
+                } else {
+                    hub.refuse(Refusal::Full);
                 }
             }
-            Frame::Report(report) => {
-                if let Some(reports) = &hub.reports {
-                    reports.do_send(Received(report));
-                }
-            }
-            Frame::Hello(_) | Frame::Snapshot { .. } => {
-                hub.refused.add(1, &[]);
-                return;
-            }
-        }
-    }
-}
-
-/// Receives the next frame, or nothing when the link ends or the frame is malformed.
-pub(super) async fn receive<S>(link: &mut WebSocketStream<S>) -> Option<Frame>
-where
-    S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin,
-{
-    loop {
-        let item: std::result::Result<Item, tungstenite::Error> = link.next().await?;
-        match item.ok()? {
-            Item::Binary(bytes) => return frame::decode(&bytes).ok(),
-            Item::Ping(_) | Item::Pong(_) => {}
-            Item::Close(_) | Item::Frame(_) | Item::Text(_) => return None,
+            Err(_) => actix_rt::time::sleep(ACCEPT_WAIT).await,
         }
     }
 }
