Keep a broken row from hiding findings of other rows

One row that could not be read left out the comparison of all budgets with their pools, and an unknown intent caused findings in rows that named its pool. Only the services of broken pool rows are left out now. persimmonctl ends quietly when its reader closes the pipe, and explain names what a wave that ended did not maintain.

--- a/crates/core/src/report/explain/wave.rs
+++ b/crates/core/src/report/explain/wave.rs
@@ -31,7 +31,11 @@
     let lost = |host: &Host| host.stage == Stage::Lost;
     now.extend(list("Lost", members().filter(|(_, host)| lost(host))));
     let due = members().filter(|(_, host)| is_due(host) && host.is_serving());
-    now.extend(list("Still due", due));
+    let title = match wave.phase {
+        Phase::Aborted | Phase::Done => "Not maintained by it",
+        Phase::Paused | Phase::Running => "Still due",
+    };
+    now.extend(list(title, due));
     Some(Explanation {
         subject: format!("wave {name}"),
         now,
--- a/crates/core/src/sheet/check.rs
+++ b/crates/core/src/sheet/check.rs
@@ -6,33 +6,28 @@
 use crate::map::{Map, Set};
 use crate::state::SPARE;
 
-/// `Declared` is what pool rows define, also rows that have findings in other cells.
+/// `Declared` is what rows that could not be read would define, as far as it is known.
+#[derive(Default)]
 pub(super) struct Declared {
     pub(super) pools: Set<ids::Pool>,
     pub(super) services: Set<ids::Service>,
-    /// Whether each row so far could be read; sums over rows are checked only then.
-    pub(super) complete: bool,
+    /// Services whose hosts can't be summed up.
+    pub(super) unsized_services: Set<ids::Service>,
 }
 
-impl Default for Declared {
-    fn default() -> Self {
-        Self {
-            pools: Set::default(),
-            services: Set::default(),
-            complete: true,
+/// Adds the findings of rows that do not fit together.
+pub(super) fn check(rows: &[Row], mut declared: Declared, findings: &mut Findings) {
+    for row in rows {
+        if let Intent::Pool { name, service, .. } = &row.intent {
+            declared.pools.insert(name.clone());
+            declared.services.extend(service.clone());
         }
     }
-}
-
-/// Adds the findings of rows that do not fit together.
-pub(super) fn check(rows: &[Row], declared: &Declared, findings: &mut Findings) {
     check_subjects(rows, findings);
     for row in rows {
-        check_references(row, declared, findings);
-    }
-    if declared.complete {
-        check_sizes(rows, findings);
+        check_references(row, &declared, findings);
     }
+    check_sizes(rows, &declared, findings);
 }
 
 /// Checks that one row stands for each subject.
@@ -80,7 +75,7 @@
 }
 
 /// Checks budgets, batches and moves against the sizes of the pools.
-fn check_sizes(rows: &[Row], findings: &mut Findings) {
+fn check_sizes(rows: &[Row], declared: &Declared, findings: &mut Findings) {
     let mut pools: Map<&ids::Pool, u32> = Map::default();
     let mut services: Map<&ids::Service, u32> = Map::default();
     for row in rows {
@@ -100,7 +95,9 @@
     for row in rows {
         match &row.intent {
             Intent::Budget { service, hosts } => {
-                if let Some(size) = services.get(service).filter(|size| **size < *hosts) {
+                let known = !declared.unsized_services.contains(service);
+                let size = services.get(service).filter(|size| **size < *hosts);
+                if let Some(size) = size.filter(|_| known) {
                     let problem = format!("the pools of {service} have only {size} hosts");
                     add_number(row, "hosts", *hosts, &problem, *size, findings);
                 }
--- a/crates/core/src/sheet/parse.rs
+++ b/crates/core/src/sheet/parse.rs
@@ -83,7 +83,7 @@
         let accepted = format!("a header row: {}", COLUMNS.join(","));
         findings.add(1, "", "", "sheet is empty", accepted);
     }
-    check(&rows, &declared, findings);
+    check(&rows, declared, findings);
     rows
 }
 
--- a/crates/core/src/sheet/row.rs
+++ b/crates/core/src/sheet/row.rs
@@ -8,6 +8,7 @@
 use super::Intent;
 use super::check::Declared;
 use crate::finding::Findings;
+use crate::ids;
 use crate::name;
 
 /// Columns of the sheet in the order in which examples ship them.
@@ -47,7 +48,7 @@
         "wave" => &["name", "pool", "batch"],
         _ => {
             cells.add_unknown(&kind);
-            declared.complete = false;
+            cells.declare(declared);
             return None;
         }
     };
@@ -55,13 +56,13 @@
     let intent = match kind.as_str() {
         "budget" => read_budget(cells),
         "move" => read_move(cells),
-        "pool" => read_pool(cells, declared),
+        "pool" => read_pool(cells),
         "quota" => read_quota(cells),
         _ => read_wave(cells),
     };
     let intent = intent.filter(|_| clean && unused);
-    if intent.is_none() {
-        declared.complete = false;
+    if intent.is_none() && kind == "pool" {
+        cells.declare(declared);
     }
     intent
 }
@@ -82,15 +83,13 @@
     })
 }
 
-fn read_pool(cells: &mut Cells<'_>, declared: &mut Declared) -> Option<Intent> {
+fn read_pool(cells: &mut Cells<'_>) -> Option<Intent> {
     let (name, hosts) = (cells.name("name"), cells.number("hosts", 0..=HOSTS_MAX));
     let service = if cells.text("service").is_empty() {
         None
     } else {
         Some(cells.name("service")?)
     };
-    declared.pools.extend(name.clone());
-    declared.services.extend(service.clone());
     Some(Intent::Pool {
         name: name?,
         service,
@@ -149,6 +148,14 @@
             .add(self.line, column, value, problem, accepted);
     }
 
+    /// Notes the pool and the service of a row with findings, as other rows may name them.
+    fn declare(&self, declared: &mut Declared) {
+        declared.pools.insert(self.text("name").into());
+        let service = ids::Service::from(self.text("service"));
+        declared.services.insert(service.clone());
+        declared.unsized_services.insert(service);
+    }
+
     fn add_unknown(&mut self, kind: &str) {
         if !self.has("intent") {
             return;
--- a/crates/core/tests/sheet/main.rs
+++ b/crates/core/tests/sheet/main.rs
@@ -122,6 +122,15 @@
     assert!(items.iter().all(|item| !item.accepted.is_empty()));
 }
 
+#[test]
+fn verify_a_broken_row_hides_no_finding_of_others_and_causes_none() {
+    let rows = "pol,typo,,typo,8,,\nbudget,,,typo,9,,\nbudget,,,finder,9,,\nwave,w,typo,,,9,\n\
+        pool,other,,other,many,,\nbudget,,,other,9,,";
+    let expected = [(3, "intent"), (5, "hosts"), (7, "hosts")];
+    let expected = expected.map(|(line, column)| (line, column.to_owned()));
+    assert_eq!(places(rows), expected);
+}
+
 #[test]
 fn verify_text_of_another_encoding_is_refused() {
     let mut text = format!("{HEADER}\n").into_bytes();
--- a/crates/ctl/src/print/mod.rs
+++ b/crates/ctl/src/print/mod.rs
@@ -2,7 +2,8 @@
 
 mod status;
 
-use std::fmt::Write;
+use std::fmt::Write as _;
+use std::io::{ErrorKind, Write as _};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -57,14 +58,21 @@
 
 /// Prints an answer: JSON always to the output, text of problems to the error output.
 pub(crate) fn answer(answer: &Answer, json: bool) -> ExitCode {
-    if json {
-        println!("{:#}", answer.value);
-    } else if answer.exit == Exit::Done {
-        println!("{}", answer.text.trim_end());
+    let text = if json {
+        format!("{:#}", answer.value)
     } else {
-        eprintln!("{}", answer.text.trim_end());
+        answer.text.trim_end().to_owned()
+    };
+    let printed = if json || answer.exit == Exit::Done {
+        writeln!(std::io::stdout(), "{text}")
+    } else {
+        writeln!(std::io::stderr(), "{text}")
+    };
+    // A reader that closed the pipe has what it wanted.
+    match printed {
+        Err(error) if error.kind() != ErrorKind::BrokenPipe => Exit::Usage.into(),
+        _ => answer.exit.into(),
     }
-    answer.exit.into()
 }
 
 /// Makes the text of the findings of a sheet.
