Put a request that a full worker refused back into its queue

scripts/demo.sh kuiseb refused 5098 of 17361 requests as not run (NoWorker) at 1.25 times the capacity, with a p99 far below the deadline. Cause: a refusal by a full worker withdrew from the retry budget and counted as one of four attempts, so at saturation, where most sends are refused, the budget was empty in a moment. The deadline and the workers' slots were ruled out: p99 was 121 ms of 2000 ms.

A refusal now puts the request back into its queue, bounded by the time by which it must start, and closes the worker for a backoff that doubles; failures stay budgeted. With it come: refusal at once of what can't start in time, loans of idle slots, lists of open workers, an outcome that stays unknown once a send broke off (a later refusal was reported as not run before, which was false), and slots that stay taken after a timeout or a cancellation until the exchange ends. The link reports every end, also when it fails, and never uses the connection of an abandoned exchange again. settings/entry.rs sets the instance's name for the gate in one line.

--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -1,6 +1,9 @@
 //! Measurements of the decision code, each printed as a table with its baselines.
 
+mod flood;
 mod log;
+mod routing;
+mod sim;
 mod table;
 
 use std::process::ExitCode;
@@ -24,7 +27,9 @@
 /// `Measure` names the measurements.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Measure {
+    Flood,
     Log,
+    Routing,
 }
 
 /// `Options` is what every measurement gets.
@@ -37,11 +42,13 @@
 }
 
 impl Measure {
-    const ALL: [Self; 1] = [Self::Log];
+    const ALL: [Self; 3] = [Self::Flood, Self::Log, Self::Routing];
 
     fn name(self) -> &'static str {
         match self {
+            Self::Flood => "flood",
             Self::Log => "log",
+            Self::Routing => "routing",
         }
     }
 
@@ -54,7 +61,9 @@
             options.steps
         );
         match self {
+            Self::Flood => flood::run(options.seed),
             Self::Log => log::run(),
+            Self::Routing => routing::run(options.seed),
         }
     }
 }
--- /dev/null
+++ b/crates/core/examples/measure/sim/plan.rs
@@ -0,0 +1,157 @@
+//! Sizes and loads of a run.
+
+use std::time::Duration;
+
+use persimmongate_core::request::Urgency;
+
+/// Requests that a worker runs at once.
+pub(crate) const SLOTS: u16 = 8;
+/// Connections that a worker accepts.
+pub(crate) const CONNECTIONS: u16 = 64;
+/// Hosts in one rack.
+pub(crate) const RACK_HOSTS: usize = 4;
+/// Availability zones of a deployment.
+pub(crate) const ZONES: usize = 4;
+
+/// `Service` is one service with its mean load.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Service {
+    pub(crate) name: &'static str,
+    pub(crate) workers: usize,
+    pub(crate) urgency: Urgency,
+    pub(crate) idempotent: bool,
+    /// Mean time that a request takes, in milliseconds.
+    pub(crate) work_ms: u64,
+    /// Time for which an answer is of use, in milliseconds.
+    pub(crate) deadline_ms: u64,
+}
+
+const fn service(
+    name: &'static str,
+    workers: usize,
+    urgency: Urgency,
+    idempotent: bool,
+    work_ms: u64,
+    deadline_ms: u64,
+) -> Service {
+    Service {
+        name,
+        workers,
+        urgency,
+        idempotent,
+        work_ms,
+        deadline_ms,
+    }
+}
+
+/// `Deployment` is one of the two deployments.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Deployment {
+    pub(crate) name: &'static str,
+    pub(crate) services: [Service; 5],
+    /// One way between availability zones.
+    pub(crate) between: Duration,
+}
+
+pub(crate) static KUISEB: Deployment = Deployment {
+    name: "kuiseb",
+    services: [
+        service("finder", 8, Urgency::Urgent, true, 80, 2000),
+        service("classifier", 9, Urgency::Normal, false, 150, 5000),
+        service("classroom", 11, Urgency::Urgent, true, 80, 2000),
+        service("renderer", 12, Urgency::Batch, true, 300, 8000),
+        service("catalogue", 8, Urgency::Normal, false, 100, 5000),
+    ],
+    between: Duration::from_millis(1),
+};
+
+pub(crate) static ANDAMAN: Deployment = Deployment {
+    name: "andaman",
+    services: [
+        service("krabi", 8, Urgency::Normal, false, 100, 5000),
+        service("phuket", 9, Urgency::Urgent, true, 80, 2000),
+        service("ranong", 11, Urgency::Normal, true, 150, 5000),
+        service("satun", 12, Urgency::Batch, true, 300, 8000),
+        service("public", 8, Urgency::Urgent, true, 80, 2000),
+    ],
+    between: Duration::from_micros(1500),
+};
+
+/// `Flood` is one service's demand above its mean for a while.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Flood {
+    /// Index of the service.
+    pub(crate) service: usize,
+    /// Demand as a multiple of the mean.
+    pub(crate) factor: f64,
+    pub(crate) from: Duration,
+    pub(crate) until: Duration,
+}
+
+/// `Mode` is how a worker behaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Mode {
+    /// Breaks off every exchange at once.
+    Fails,
+    /// Does not answer at all.
+    Gone,
+    /// Takes this many times as long.
+    Slow(f64),
+    /// Works.
+    Well,
+}
+
+/// `Fault` sets the mode of a worker at a time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Fault {
+    pub(crate) at: Duration,
+    pub(crate) worker: usize,
+    pub(crate) mode: Mode,
+}
+
+/// `Plan` is what a run does.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub(crate) deployment: &'static Deployment,
+    /// Entry hosts.
+    pub(crate) entries: usize,
+    /// Mean load of each service as a share of its slots.
+    pub(crate) load: f64,
+    pub(crate) floods: Vec<Flood>,
+    pub(crate) faults: Vec<Fault>,
+    /// Share of requests that break off wherever they are sent.
+    pub(crate) poison: f64,
+    /// Share of the callers that go away before the answer.
+    pub(crate) cancels: f64,
+    /// First arrival; before, workers are in their slow start.
+    pub(crate) from: Duration,
+    /// Last arrival.
+    pub(crate) until: Duration,
+}
+
+impl Plan {
+    /// Makes a plan of a deployment under its mean load.
+    pub(crate) fn new(deployment: &'static Deployment, load: f64, seconds: u64) -> Self {
+        let from = Duration::from_secs(3);
+        Self {
+            deployment,
+            entries: 9,
+            load,
+            floods: Vec::new(),
+            faults: Vec::new(),
+            poison: 0.0,
+            cancels: 0.0,
+            from,
+            until: from + Duration::from_secs(seconds),
+        }
+    }
+
+    /// Gets the demand of a service as a multiple of its mean.
+    pub(crate) fn factor(&self, service: usize, at: Duration) -> f64 {
+        let flood = self
+            .floods
+            .iter()
+            .find(|flood| flood.service == service && (flood.from..flood.until).contains(&at));
+        flood.map_or(1.0, |flood| flood.factor)
+    }
+}
--- a/crates/core/src/gate/event.rs
+++ b/crates/core/src/gate/event.rs
@@ -58,9 +58,11 @@
     Broken,
     /// The answer carried another identifier.
     Mismatch,
-    /// The backend server refused before running the request.
+    /// The backend server is full or leaving and refused before running the request.
     Refused,
-    /// No answer came in time.
+    /// The backend server refused the request itself before running it.
+    Rejected,
+    /// No answer came until some time after the deadline.
     Timeout,
     /// No byte was sent.
     Unsent,
@@ -69,6 +71,13 @@
 /// `Action` is something that the gate wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
+    /// Never use the connection of this exchange again; its end is still reported.
+    Abandon {
+        /// Request whose answer nobody waits for.
+        request: ids::Request,
+        /// Host it was sent to.
+        host: ids::Host,
+    },
     /// Claim the key for the request.
     Claim {
         /// Request that needs the key.
--- a/crates/core/src/gate/options.rs
+++ b/crates/core/src/gate/options.rs
@@ -2,27 +2,48 @@
 
 use std::time::Duration;
 
+use crate::ids;
+
 /// `Options` sets the policy of the gate.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
-    /// Sends of one request, at most, first try included.
+    /// Sends of one request that fail, at most; refusals by full workers do not count.
     pub attempts: u32,
     /// Retries allowed for each success, as a share.
     pub retry_share: f64,
     /// Retries allowed before the first success.
     pub retry_floor: f64,
-    /// Time for which a host that refused or failed gets no further request.
+    /// Healthy hosts that reject or break off a request before it is stopped.
+    pub unrunnable_after: u32,
+    /// Time for which a full host gets no further request.
+    pub full_backoff: Duration,
+    /// Time for which a host that failed gets no further request.
     pub backoff: Duration,
     /// Consecutive failures after which a host is ejected.
     pub eject_after: u32,
     /// Time after which an ejected host gets a probe.
     pub probe_after: Duration,
-    /// Share of a service's hosts that may be ejected at once.
-    pub eject_share: f64,
+    /// Rule that bounds the ejections of one service.
+    pub ejection: Ejection,
     /// Period over which a returned host is brought to its full share of requests.
     pub slow_start: Duration,
+    /// Slots of each host that requests of other services may use while they are idle.
+    pub lend_slots: u32,
+    /// Mean time that the requests of a service that borrows take, at most.
+    pub lend_time: Duration,
     /// Name of the zone that the entry host stands in.
-    pub zone: crate::ids::Zone,
+    pub zone: ids::Zone,
+    /// Name of the entry host.
+    pub instance: ids::Instance,
+}
+
+/// `Ejection` bounds how many hosts of a service are out because of failures.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ejection {
+    /// No more than this share of the hosts is ejected.
+    Capped(f64),
+    /// All hosts are used while fewer than this share are in.
+    Threshold(f64),
 }
 
 impl Default for Options {
@@ -31,12 +52,17 @@
             attempts: 4,
             retry_share: 0.1,
             retry_floor: 10.0,
+            unrunnable_after: 3,
+            full_backoff: Duration::from_millis(10),
             backoff: Duration::from_millis(50),
             eject_after: 5,
             probe_after: Duration::from_secs(2),
-            eject_share: 0.5,
+            ejection: Ejection::Capped(0.5),
             slow_start: Duration::from_secs(2),
-            zone: crate::ids::Zone::new(),
+            lend_slots: 2,
+            lend_time: Duration::from_secs(1),
+            zone: ids::Zone::new(),
+            instance: ids::Instance::new(),
         }
     }
 }
--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -2,41 +2,28 @@
 
 use std::time::Instant;
 
-use super::step::Service;
-use super::{Action, Budget, Gate, Queue, Table};
+use super::service::Service;
+use super::{Action, Gate};
 use crate::ids;
-use crate::map::Map;
-use crate::record::Role;
-use crate::state::{Change, Host};
+use crate::state::{Change, Host, Member};
 
 impl Gate {
     pub(super) fn change(&mut self, now: Instant, change: Change, actions: &mut Vec<Action>) {
         match change {
             Change::Budget(..) | Change::Keys(..) | Change::Renewed(_) | Change::Wave(..) => {}
             Change::Host(name, host) => self.change_host(now, &name, host, actions),
-            Change::Member(name, member) => {
-                match member {
-                    Some(member) => self.members.insert(name, member.about.role),
-                    None => self.members.remove(&name),
-                };
-                let entries = self
-                    .members
-                    .values()
-                    .filter(|role| **role == Role::Entry)
-                    .count();
-                self.entries = u32::try_from(entries).unwrap_or(u32::MAX).max(1);
-                self.place_hosts(now);
-            }
+            Change::Member(name, member) => self.change_member(now, name, member),
             Change::Pool(name, pool) => {
                 if let Some(service) = &pool.service {
-                    self.add_service(service);
+                    self.add_service(now, service);
                 }
-                if self.pools.insert(name, pool.service.clone()) != Some(pool.service) {
-                    self.place_hosts(now);
+                let before = self.pools.insert(name.clone(), pool.service.clone());
+                if before != Some(pool.service) {
+                    self.place_pool(now, &name);
                 }
             }
             Change::Quota(service, caller, slots) => {
-                self.add_service(&service);
+                self.add_service(now, &service);
                 if let Some(service) = self.services.get_mut(&service) {
                     service.quotas.insert(caller, slots);
                 }
@@ -44,20 +31,30 @@
         }
     }
 
-    pub(super) fn add_service(&mut self, name: &ids::Service) {
+    fn change_member(&mut self, now: Instant, name: ids::Instance, member: Option<Member>) {
+        match member {
+            Some(member) => self.members.insert(name, member.about.role),
+            None => self.members.remove(&name),
+        };
+        let entries = self.entries();
+        for service in self.services.values_mut() {
+            service.table.set_entries(now, &self.options, entries);
+        }
+        self.forget_lendable();
+    }
+
+    fn add_service(&mut self, now: Instant, name: &ids::Service) {
         if self.services.contains_key(name) {
             return;
         }
-        let service = Service {
-            queue: Queue::default(),
-            table: Table::default(),
-            retries: Budget::new(self.options.retry_share, self.options.retry_floor),
-            quotas: Map::default(),
-        };
+        let mut service = Service::new(&self.options);
+        service
+            .table
+            .set_entries(now, &self.options, self.entries());
         self.services.insert(name.clone(), service);
     }
 
-    pub(super) fn change_host(
+    fn change_host(
         &mut self,
         now: Instant,
         name: &ids::Host,
@@ -69,39 +66,39 @@
         self.report(name, actions);
     }
 
-    pub(super) fn place_hosts(&mut self, now: Instant) {
-        let names: Vec<ids::Host> = self.hosts.keys().cloned().collect();
+    /// Places the hosts of a pool whose service changed.
+    fn place_pool(&mut self, now: Instant, pool: &ids::Pool) {
+        let hosts = self.hosts.iter().filter(|(_, host)| host.pool == *pool);
+        let names: Vec<ids::Host> = hosts.map(|(name, _)| name.clone()).collect();
         for name in &names {
             self.place_host(now, name);
         }
     }
 
-    /// Puts a host into the table of its service and out of all others.
-    pub(super) fn place_host(&mut self, now: Instant, name: &ids::Host) {
+    /// Puts a host into the table of its service and out of the one that had it.
+    fn place_host(&mut self, now: Instant, name: &ids::Host) {
+        let in_flight = self.in_flight(name);
         let Some(host) = self.hosts.get(name) else {
             return;
         };
         let service = self.pools.get(&host.pool).and_then(Option::as_ref);
-        let in_flight = self.in_flight(name);
-        for (id, entry) in &mut self.services {
-            if host.is_serving() && service == Some(id) {
-                let limit = limit_of(host, self.entries);
-                entry.table.set(now, name, host, limit);
-                if let Some(worker) = entry.table.get_mut(name) {
-                    worker.in_flight = in_flight;
-                }
-            } else {
-                entry.table.remove(name);
-            }
+        let service = service.filter(|_| host.is_serving());
+        let before = self.placed.get(name);
+        if before != service
+            && let Some(before) = before.and_then(|before| self.services.get_mut(before))
+        {
+            before.table.remove(name);
+            before.lendable = None;
+        }
+        let Some(service) = service else {
+            self.placed.remove(name);
+            return;
+        };
+        self.placed.insert(name.clone(), service.clone());
+        if let Some(service) = self.services.get_mut(service) {
+            let table = &mut service.table;
+            table.set(now, &self.options, name, host, in_flight);
+            service.lendable = None;
         }
     }
 }
-
-/// Gets the requests that one entry host may have in flight on a host.
-///
-/// Each request takes one connection, so the host's connections are divided between entry hosts;
-/// its slots are not, as the worker refuses what exceeds them before running it.
-fn limit_of(host: &Host, entries: u32) -> u32 {
-    let share = u32::from(host.connections) / entries;
-    share.min(u32::from(host.slots)).max(1)
-}
--- a/crates/core/src/gate/queue.rs
+++ b/crates/core/src/gate/queue.rs
@@ -9,87 +9,145 @@
 
 type Rank = (Urgency, Instant, ids::Request);
 
+/// Number of urgencies.
+const URGENCIES: usize = 3;
+
 /// `Queue` holds the requests of one service that wait for a slot.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     lanes: Map<ids::Caller, Lane>,
     /// Callers with queued requests in the order of their turns.
     turns: VecDeque<ids::Caller>,
-    deadlines: BTreeSet<(Instant, ids::Request)>,
+    /// Sum of the weights of the callers with queued requests.
+    weights: u32,
+    /// Requests by the time by which they must start.
+    latest: BTreeSet<(Instant, ids::Request)>,
 }
 
 /// `Lane` holds the requests of one caller.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Lane {
     requests: BTreeSet<Rank>,
+    /// Requests of each urgency.
+    counts: [u32; URGENCIES],
+    /// Requests that the caller may start in a turn.
+    weight: u32,
     /// Requests that the caller may still start in this turn.
     deficit: u32,
 }
 
+impl Lane {
+    fn new(weight: u32) -> Self {
+        Self {
+            requests: BTreeSet::new(),
+            counts: [0; URGENCIES],
+            weight: weight.max(1),
+            deficit: 0,
+        }
+    }
+}
+
 impl Queue {
-    /// Adds a request.
-    pub fn push(&mut self, request: &Request) {
-        let lane = self.lanes.entry(request.caller.clone()).or_default();
-        if lane.requests.is_empty() {
+    /// Adds a request of a caller with a weight; it must start by a time.
+    pub fn push(&mut self, request: &Request, start_by: Instant, weight: u32) {
+        let lane = self.lanes.entry(request.caller.clone()).or_insert_with(|| {
             self.turns.push_back(request.caller.clone());
+            let lane = Lane::new(weight);
+            self.weights += lane.weight;
+            lane
+        });
+        if lane.requests.insert(rank(request)) {
+            lane.counts[class(request.urgency)] += 1;
         }
-        lane.requests.insert(rank(request));
-        self.deadlines.insert((request.deadline, request.id));
+        self.latest.insert((start_by, request.id));
     }
 
     /// Removes a request that is cancelled or late.
-    pub fn remove(&mut self, request: &Request) -> bool {
+    pub fn remove(&mut self, request: &Request, start_by: Instant) -> bool {
         let Some(lane) = self.lanes.get_mut(&request.caller) else {
             return false;
         };
         let removed = lane.requests.remove(&rank(request));
+        if removed {
+            lane.counts[class(request.urgency)] -= 1;
+        }
         if lane.requests.is_empty() {
+            self.weights -= lane.weight;
             self.lanes.remove(&request.caller);
             self.turns.retain(|caller| *caller != request.caller);
         }
-        self.deadlines.remove(&(request.deadline, request.id));
+        self.latest.remove(&(start_by, request.id));
         removed
     }
 
-    /// Takes the next request; a caller starts as many in a turn as its weight says.
-    pub fn pop(&mut self, weight: impl Fn(&ids::Caller) -> u32) -> Option<ids::Request> {
-        let caller = self.turns.front()?.clone();
-        let lane = self.lanes.get_mut(&caller)?;
+    /// Gets the next request without taking it; a caller starts as many in a turn as its weight.
+    #[must_use]
+    pub fn first(&self) -> Option<ids::Request> {
+        let lane = self.lanes.get(self.turns.front()?)?;
+        lane.requests.first().map(|(_, _, request)| *request)
+    }
+
+    /// Takes the request that comes next.
+    pub fn pop(&mut self, start_by: Instant) -> Option<ids::Request> {
+        let caller = self.turns.front()?;
+        let lane = self.lanes.get_mut(caller)?;
         if lane.deficit == 0 {
-            lane.deficit = weight(&caller).max(1);
+            lane.deficit = lane.weight;
         }
-        let (_, deadline, request) = lane.requests.pop_first()?;
+        let (urgency, _, request) = lane.requests.pop_first()?;
+        lane.counts[class(urgency)] -= 1;
         lane.deficit -= 1;
-        self.deadlines.remove(&(deadline, request));
         if lane.requests.is_empty() {
-            self.lanes.remove(&caller);
+            self.weights -= lane.weight;
+            self.lanes.remove(caller);
             self.turns.pop_front();
         } else if lane.deficit == 0 {
             self.turns.rotate_left(1);
         }
+        self.latest.remove(&(start_by, request));
         Some(request)
     }
 
-    /// Gets a request whose deadline has passed.
+    /// Gets the number of requests that would start before a new one of a caller.
+    #[must_use]
+    pub fn ahead(&self, caller: &ids::Caller, urgency: Urgency, weight: u32) -> u32 {
+        let total = u32::try_from(self.len()).unwrap_or(u32::MAX);
+        let Some(lane) = self.lanes.get(caller) else {
+            // Each other caller has one turn before.
+            return (self.weights / weight.max(1)).min(total);
+        };
+        let own: u32 = lane.counts[..=class(urgency)].iter().sum();
+        (own.saturating_mul(self.weights) / lane.weight).min(total)
+    }
+
+    /// Gets a request that can no longer start in time.
     #[must_use]
     pub fn late(&self, now: Instant) -> Option<ids::Request> {
-        let (deadline, request) = self.deadlines.first()?;
-        (*deadline <= now).then_some(*request)
+        let (start_by, request) = self.latest.first()?;
+        (*start_by <= now).then_some(*request)
     }
 
     /// Gets the number of requests that wait.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.deadlines.len()
+        self.latest.len()
     }
 
     /// Gets whether no request waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.deadlines.is_empty()
+        self.latest.is_empty()
     }
 }
 
 fn rank(request: &Request) -> Rank {
     (request.urgency, request.deadline, request.id)
 }
+
+fn class(urgency: Urgency) -> usize {
+    match urgency {
+        Urgency::Urgent => 0,
+        Urgency::Normal => 1,
+        Urgency::Batch => 2,
+    }
+}
--- a/crates/core/src/gate/step.rs
+++ b/crates/core/src/gate/step.rs
@@ -1,12 +1,14 @@
 //! The gate's decisions, one event at a time.
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use super::service::Service;
 use super::track::Track;
-use super::{Action, Budget, Event, Options, Queue, Table};
+use super::{Action, Event, Options};
 use crate::ids;
 use crate::map::Map;
 use crate::record::Role;
@@ -23,24 +25,19 @@
     pub(super) pools: Map<ids::Pool, Option<ids::Service>>,
     /// Hosts as the fold has them.
     pub(super) hosts: Map<ids::Host, Host>,
+    /// Service that has each serving host in its table.
+    pub(super) placed: Map<ids::Host, ids::Service>,
     /// Requests in flight by host, kept also after a host left its table.
     pub(super) in_flight: Map<ids::Host, u32>,
-    /// Entry hosts that share the workers.
-    pub(super) entries: u32,
     pub(super) members: Map<ids::Instance, Role>,
     pub(super) tracks: Map<ids::Request, Track>,
+    /// Requests whose caller still waits, by deadline.
+    pub(super) deadlines: BTreeSet<(Instant, ids::Request)>,
+    /// Services that wait for slots of others, in the order of their turns.
+    pub(super) borrowers: Vec<ids::Service>,
     pub(super) leaving: bool,
 }
 
-/// `Service` is the queue and the workers of one service.
-#[derive(Clone, Debug)]
-pub(super) struct Service {
-    pub(super) queue: Queue,
-    pub(super) table: Table,
-    pub(super) retries: Budget,
-    pub(super) quotas: Map<ids::Caller, u32>,
-}
-
 impl Gate {
     /// Makes a gate that knows no service yet.
     #[must_use]
@@ -51,10 +48,12 @@
             services: Map::default(),
             pools: Map::default(),
             hosts: Map::default(),
+            placed: Map::default(),
             in_flight: Map::default(),
-            entries: 1,
             members: Map::default(),
             tracks: Map::default(),
+            deadlines: BTreeSet::new(),
+            borrowers: Vec::new(),
             leaving: false,
         }
     }
@@ -81,7 +80,7 @@
     /// Gets the number of requests without an outcome.
     #[must_use]
     pub fn open(&self) -> usize {
-        self.tracks.values().filter(|track| !track.finished).count()
+        self.deadlines.len()
     }
 
     /// Gets the number of requests that wait in a service's queue.
@@ -102,4 +101,23 @@
     pub fn services(&self) -> impl Iterator<Item = &ids::Service> {
         self.services.keys()
     }
+
+    /// Gets the number of entry hosts that share the workers.
+    pub(super) fn entries(&self) -> u32 {
+        let roles = self.members.values();
+        let entries = roles.filter(|role| **role == Role::Entry).count();
+        u32::try_from(entries).unwrap_or(u32::MAX).max(1)
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let names: Vec<ids::Service> = self.services.keys().cloned().collect();
+        for name in &names {
+            self.dispatch(now, name, actions);
+            if let Some(service) = self.services.get_mut(name) {
+                service.rate.tick(now);
+            }
+        }
+        self.lend(now, actions);
+        self.time_out(now, actions);
+    }
 }
--- a/crates/core/src/gate/track.rs
+++ b/crates/core/src/gate/track.rs
@@ -1,6 +1,9 @@
 //! Requests between arrival and outcome.
 
+use std::time::Instant;
+
 use crate::ids;
+use crate::outcome::Doubt;
 use crate::request::Request;
 
 /// `Place` is where a request stands.
@@ -19,10 +22,20 @@
 pub(crate) struct Track {
     pub(crate) request: Request,
     pub(crate) place: Place,
-    /// Sends so far.
-    pub(crate) attempts: u32,
-    /// Hosts that refused it or failed it.
+    /// Time by which it must start for its answer to be in time.
+    pub(crate) start_by: Instant,
+    /// Time of the latest send.
+    pub(crate) sent: Instant,
+    /// Whether the latest send borrowed a slot of another service.
+    pub(crate) loan: bool,
+    /// Sends that failed.
+    pub(crate) failures: u32,
+    /// Healthy hosts that rejected it or broke it off.
+    pub(crate) strikes: u32,
+    /// Hosts that failed it.
     pub(crate) avoid: Vec<ids::Host>,
+    /// Why it may have run, once a send left that open.
+    pub(crate) doubt: Option<Doubt>,
     /// Whether the caller was told an outcome already.
     pub(crate) finished: bool,
 }
--- a/crates/core/src/outcome/mod.rs
+++ b/crates/core/src/outcome/mod.rs
@@ -40,7 +40,7 @@
     NoService,
     /// The view of the fleet is older than non-idempotent work allows.
     Stale,
-    /// It failed before running on several healthy backend servers.
+    /// Several healthy backend servers rejected it before running it.
     Unrunnable,
 }
 
@@ -57,6 +57,8 @@
     Mismatch,
     /// No answer came before the deadline.
     Timeout,
+    /// It broke off on several healthy backend servers and is not tried again.
+    Unrunnable,
 }
 
 impl Outcome {
--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -47,6 +47,7 @@
                 probe_after: probe_after?,
                 slow_start: slow_start?,
                 zone: node.zone.clone(),
+                instance: node.instance.clone(),
                 ..defaults
             };
             Some(Self {
--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -80,7 +80,7 @@
 fn doubt_status(doubt: Doubt) -> StatusCode {
     match doubt {
         Doubt::Claimed | Doubt::Expired => StatusCode::CONFLICT,
-        Doubt::Broken | Doubt::Mismatch => StatusCode::BAD_GATEWAY,
+        Doubt::Broken | Doubt::Mismatch | Doubt::Unrunnable => StatusCode::BAD_GATEWAY,
         Doubt::Timeout => StatusCode::GATEWAY_TIMEOUT,
     }
 }
--- a/crates/entry/src/gate/mod.rs
+++ b/crates/entry/src/gate/mod.rs
@@ -56,7 +56,8 @@
         Self {
             decisions: Decisions::new(options, rand::rng().random()),
             waiting: Map::default(),
-            latest: 0,
+            // A gate that starts again in the same process numbers its requests apart from before.
+            latest: u64::from(rand::rng().random::<u32>()) << u32::BITS,
             next: 0,
             follower: None,
             links: None,
@@ -78,6 +79,11 @@
 
     fn carry_out(&mut self, action: Action, ctx: &mut Context<Self>) {
         match action {
+            Action::Abandon { request, host } => {
+                if let Some(links) = &self.links {
+                    links.do_send(link::Abandon { request, host });
+                }
+            }
             Action::Claim { request, key } => {
                 if let Some(follower) = &self.follower {
                     let reply = ctx.address().recipient();
@@ -113,13 +119,21 @@
                 address,
             } => {
                 let content = self.requests.get(&request).cloned();
-                if let (Some(links), Some(content)) = (&self.links, content) {
-                    let reply = ctx.address().recipient();
-                    links.do_send(link::Send {
-                        request: content,
+                let reply = ctx.address().recipient();
+                let message = content.map(|content| link::Send {
+                    request: content,
+                    host: host.clone(),
+                    address,
+                    reply,
+                });
+                let pair = self.links.as_ref().zip(message);
+                let taken = pair.is_some_and(|(links, it)| links.try_send(it).is_ok());
+                if !taken {
+                    // No link took it, so it was not sent; without an end its slot would stay taken.
+                    ctx.notify(Done {
+                        request,
                         host,
-                        address,
-                        reply,
+                        exchange: Exchange::Unsent,
                     });
                 }
             }
--- a/crates/entry/src/link/exchange.rs
+++ b/crates/entry/src/link/exchange.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use awc::error::{ConnectError, SendRequestError};
+use awc::http::StatusCode;
 use persimmongate_core::gate::Exchange;
 use persimmongate_core::outcome::Answer;
 use persimmongate_core::request::Request;
@@ -14,11 +15,17 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Connections of one link, at most; the gate keeps fewer requests in flight.
 const CONNECTIONS_MAX: usize = 64;
+/// Time for which an idle connection is kept, shorter than that of common servers, so that few
+/// requests meet a connection that the server is about to close.
+const KEEP_ALIVE: Duration = Duration::from_secs(3);
+/// Time after its deadline at which an exchange is given up, so that its slot is not held for ever.
+const LINGER: Duration = Duration::from_secs(30);
 
 /// Makes a client with connections of its own.
 pub(super) fn client() -> awc::Client {
     let connector = awc::Connector::new()
         .limit(CONNECTIONS_MAX)
+        .conn_keep_alive(KEEP_ALIVE)
         .timeout(CONNECT_TIMEOUT);
     awc::Client::builder()
         .connector(connector)
@@ -28,10 +35,10 @@
         .finish()
 }
 
-/// Sends a request and waits for its whole answer until the request's deadline.
+/// Sends a request and waits for its whole answer, also for some time past its deadline.
 ///
-/// Past the deadline the exchange is dropped, which closes its connection: a late answer can never
-/// meet another request.
+/// The end of a late exchange tells when the slot is free again. An exchange that is given up is
+/// dropped, which closes its connection: a late answer can never meet another request.
 pub(super) async fn run(
     http: awc::Client,
     id: String,
@@ -39,7 +46,7 @@
     address: SocketAddr,
     body_max: usize,
 ) -> Exchange {
-    let deadline = actix_rt::time::Instant::from_std(request.deadline);
+    let deadline = actix_rt::time::Instant::from_std(request.deadline + LINGER);
     let exchange = send(http, &id, request, address, body_max);
     tokio::time::timeout_at(deadline, exchange)
         .await
@@ -78,7 +85,7 @@
         .get(OUTCOME_HEADER)
         .is_some_and(|outcome| outcome == "not-run")
     {
-        return Exchange::Refused;
+        return refusal(response.status());
     }
     let status = response.status().as_u16();
     match response.body().limit(body_max).await {
@@ -87,6 +94,15 @@
     }
 }
 
+/// Tells a server without room from one that refuses the request itself.
+fn refusal(status: StatusCode) -> Exchange {
+    if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+        Exchange::Refused
+    } else {
+        Exchange::Rejected
+    }
+}
+
 /// Tells whether an error came before any byte was sent.
 ///
 /// The library also reports a connection that broke off after the request as a connect error, so
--- a/crates/entry/src/link/mod.rs
+++ b/crates/entry/src/link/mod.rs
@@ -9,6 +9,7 @@
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message,
     MessageResult, Recipient, WrapFuture,
 };
+use persimmongate_core::gate::Exchange;
 use persimmongate_core::ids;
 use persimmongate_core::map::Map;
 use persimmongate_core::request::Request;
@@ -72,6 +73,24 @@
     }
 }
 
+/// `Abandon` says that nobody waits for the answer of a request.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Abandon {
+    pub(crate) request: ids::Request,
+    pub(crate) host: ids::Host,
+}
+
+impl<C: Copy + std::marker::Send + Unpin + 'static> Handler<Abandon> for Links<C> {
+    type Result = ();
+
+    fn handle(&mut self, abandon: Abandon, _: &mut Self::Context) {
+        if let Some(link) = self.by_host.get(&abandon.host) {
+            link.do_send(abandon);
+        }
+    }
+}
+
 impl<C: Copy + std::marker::Send + Unpin + 'static> Handler<Dump> for Links<C> {
     type Result = MessageResult<Dump>;
 
@@ -86,10 +105,12 @@
 /// `Link` owns the connections to one backend server.
 struct Link {
     http: awc::Client,
+    /// Number of the client in use.
+    client: u64,
     prefix: String,
     body_max: usize,
-    /// Exchanges under way.
-    open: usize,
+    /// Exchanges under way, with the number of the client that each one uses.
+    open: Map<ids::Request, u64>,
     /// Exchanges so far, to see whether the link is used.
     used: u64,
     used_before: u64,
@@ -100,9 +121,10 @@
         let http = exchange::client();
         Self {
             http,
+            client: 0,
             prefix,
             body_max,
-            open: 0,
+            open: Map::default(),
             used: 0,
             used_before: 0,
         }
@@ -114,7 +136,7 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.run_interval(IDLE, |act, ctx| {
-            if act.open == 0 && act.used == act.used_before {
+            if act.open.is_empty() && act.used == act.used_before {
                 ctx.stop();
             }
             act.used_before = act.used;
@@ -126,7 +148,6 @@
     type Result = ();
 
     fn handle(&mut self, send: Send, ctx: &mut Self::Context) {
-        self.open += 1;
         self.used += 1;
         let id = format!("{}-{}", self.prefix, send.request.id);
         let Send {
@@ -136,14 +157,59 @@
             reply,
         } = send;
         let number = request.id;
+        self.open.insert(number, self.client);
+        let report = Report::new(number, host, reply);
         let exchange = exchange::run(self.http.clone(), id, request, address, self.body_max);
         ctx.spawn(exchange.into_actor(self).map(move |exchange, act, _| {
-            act.open -= 1;
-            reply.do_send(Done {
-                request: number,
-                host,
-                exchange,
-            });
+            act.open.remove(&number);
+            report.end(exchange);
         }));
     }
 }
+
+impl Handler<Abandon> for Link {
+    type Result = ();
+
+    fn handle(&mut self, abandon: Abandon, _: &mut Self::Context) {
+        // A new client for what comes, so that no later request meets the connection of this one.
+        if self.open.get(&abandon.request) == Some(&self.client) {
+            self.http = exchange::client();
+            self.client += 1;
+        }
+    }
+}
+
+/// `Report` tells the end of an exchange once it is dropped, also when its link fails.
+struct Report {
+    request: ids::Request,
+    host: ids::Host,
+    exchange: Exchange,
+    reply: Recipient<Done>,
+}
+
+impl Report {
+    /// Makes a report of an exchange that breaks off unless told otherwise.
+    fn new(request: ids::Request, host: ids::Host, reply: Recipient<Done>) -> Self {
+        Self {
+            request,
+            host,
+            exchange: Exchange::Broken,
+            reply,
+        }
+    }
+
+    /// Tells how the exchange ended.
+    fn end(mut self, exchange: Exchange) {
+        self.exchange = exchange;
+    }
+}
+
+impl Drop for Report {
+    fn drop(&mut self) {
+        self.reply.do_send(Done {
+            request: self.request,
+            host: self.host.clone(),
+            exchange: self.exchange.clone(),
+        });
+    }
+}
