--- a/crates/core/examples/measure/flood.rs
+++ b/crates/core/examples/measure/flood.rs
@@ -65,7 +65,6 @@
     let mut met = true;
     for deployment in [&KUISEB, &ANDAMAN] {
         for way in [Way::Gate, Way::Fifo, Way::RoundRobin] {
-            let begun = tokio::time::Instant::now();
             let calm = world(deployment, None, seed, way);
             for service in 0..deployment.services.len() {
                 let flooded = world(deployment, Some(service), seed, way);
--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -1,5 +1,6 @@
 //! Measurements of the decision code, each printed as a table with its baselines.
 
+mod capacity;
 mod flood;
 mod log;
 mod routing;
@@ -27,6 +28,7 @@
 /// `Measure` names the measurements.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Measure {
+    Capacity,
     Flood,
     Log,
     Routing,
@@ -42,10 +44,11 @@
 }
 
 impl Measure {
-    const ALL: [Self; 3] = [Self::Flood, Self::Log, Self::Routing];
+    const ALL: &[Self] = &[Self::Capacity, Self::Flood, Self::Log, Self::Routing];
 
     fn name(self) -> &'static str {
         match self {
+            Self::Capacity => "capacity",
             Self::Flood => "flood",
             Self::Log => "log",
             Self::Routing => "routing",
@@ -61,6 +64,7 @@
             options.steps
         );
         match self {
+            Self::Capacity => capacity::run(),
             Self::Flood => flood::run(options.seed),
             Self::Log => log::run(),
             Self::Routing => routing::run(options.seed),
--- a/crates/core/examples/measure/routing.rs
+++ b/crates/core/examples/measure/routing.rs
@@ -50,7 +50,7 @@
     ("round robin", Way::RoundRobin),
 ];
 
-const TROUBLES: [(&str, Trouble, f64); 9] = [
+const TROUBLES: [(&str, Trouble, f64); 10] = [
     ("none, load 0.25", Trouble::Nothing, 0.25),
     ("none, load 0.9", Trouble::Nothing, 0.9),
     ("one fails all", Trouble::OneFails, 0.5),
@@ -60,9 +60,10 @@
     ("all fail", Trouble::AllFail, 0.5),
     ("3% poison", Trouble::Poison, 0.5),
     ("20% poison", Trouble::Poison, 0.5),
+    ("60% poison", Trouble::Poison, 0.5),
 ];
 /// Share of requests that break off wherever they are sent, by trouble of that kind in turn.
-const POISON: [f64; 2] = [0.03, 0.2];
+const POISON: [f64; 3] = [0.03, 0.2, 0.6];
 
 /// Prints a table for each trouble; returns whether no worker was overrun.
 pub(crate) fn run(seed: u64) -> bool {
--- a/crates/core/src/gate/worker.rs
+++ b/crates/core/src/gate/worker.rs
@@ -12,7 +12,7 @@
 /// Doublings of the wait after a refusal, at most.
 const FULL_DOUBLINGS: u32 = 2;
 /// Doublings of the wait for a probe, at most.
-const PROBE_DOUBLINGS: u32 = 4;
+const PROBE_DOUBLINGS: u32 = 1;
 
 /// `Worker` is a backend server as this entry host sees it.
 #[derive(Clone, Debug)]
--- a/crates/entry/src/gate/mod.rs
+++ b/crates/entry/src/gate/mod.rs
@@ -7,17 +7,21 @@
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 use persimmongate_core::gate::{Action, Event, Exchange, Gate as Decisions, Options};
 use persimmongate_core::ids;
+use persimmongate_core::invariant;
 use persimmongate_core::map::Map;
 use persimmongate_core::outcome::{Outcome, Refusal};
 use persimmongate_core::request::Request;
+use persimmongate_core::state::{Change, Stage};
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
+use persimmongate_node::invariant::Alarm;
 use persimmongate_node::log::{Changed, Claim, Claimed, End, Follower};
 use persimmongate_node::supervisor::Guard;
 use rand::RngExt;
 use serde_json::json;
+use slog::Logger;
 use std::time::Instant;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::link::{self, Links};
 use crate::report::{self, Reporter};
@@ -29,6 +33,8 @@
 /// `Gate` owns the decisions and the callers that wait for an outcome.
 pub(crate) struct Gate<C: Copy + Send + 'static> {
     decisions: Decisions,
+    watch: invariant::Gate,
+    alarm: Alarm,
     waiting: Map<ids::Request, Caller>,
     /// Identifier of the latest request.
     latest: ids::Request,
@@ -37,6 +43,10 @@
     follower: Option<Addr<Follower<Child>>>,
     links: Option<Addr<Links<Child>>>,
     reporter: Option<Addr<Reporter<Child>>>,
+    /// Latest reports of draining hosts, told again to a reporter that restarted.
+    drains: Map<ids::Host, report::Drain>,
+    /// Waits until no request is without an outcome.
+    departure: Option<oneshot::Sender<()>>,
     /// Bodies and paths of requests that may still be sent.
     requests: Map<ids::Request, Request>,
     outcomes: Counter<u64>,
@@ -52,9 +62,11 @@
 }
 
 impl<C: Copy + Send + Unpin + 'static> Gate<C> {
-    pub(crate) fn new(options: Options, meter: &Meter, guard: Guard<C>) -> Self {
+    pub(crate) fn new(options: Options, meter: &Meter, logger: Logger, guard: Guard<C>) -> Self {
         Self {
             decisions: Decisions::new(options, rand::rng().random()),
+            watch: invariant::Gate::default(),
+            alarm: Alarm::new(meter, logger),
             waiting: Map::default(),
             // A gate that starts again in the same process numbers its requests apart from before.
             latest: u64::from(rand::rng().random::<u32>()) << u32::BITS,
@@ -62,6 +74,8 @@
             follower: None,
             links: None,
             reporter: None,
+            drains: Map::default(),
+            departure: None,
             requests: Map::default(),
             outcomes: meter.u64_counter("requests").build(),
             latencies: meter.f64_histogram("request_seconds").build(),
@@ -71,7 +85,11 @@
 
     fn step(&mut self, event: Event, ctx: &mut Context<Self>) {
         let mut actions = Vec::new();
+        let watched = event.clone();
         self.decisions.step(clock::now(), event, &mut actions);
+        let mut breaches = Vec::new();
+        self.watch.observe(&watched, &actions, &mut breaches);
+        self.alarm.raise(&breaches);
         for action in actions {
             self.carry_out(action, ctx);
         }
@@ -105,13 +123,15 @@
                 since,
                 in_flight,
             } => {
+                let drain = report::Drain {
+                    host: host.clone(),
+                    since,
+                    in_flight,
+                };
                 if let Some(reporter) = &self.reporter {
-                    reporter.do_send(report::Drain {
-                        host,
-                        since,
-                        in_flight,
-                    });
+                    reporter.do_send(drain.clone());
                 }
+                self.drains.insert(host, drain);
             }
             Action::Send {
                 request,
@@ -166,6 +186,18 @@
             self.step(Event::Cancel(id), ctx);
         }
         self.step(Event::Tick, ctx);
+        self.tell_departure();
+    }
+
+    /// Tells that no request is without an outcome any more.
+    fn tell_departure(&mut self) {
+        if self.waiting.is_empty()
+            && self.decisions.open() == 0
+            && let Some(departure) = self.departure.take()
+        {
+            // A process whose time limit passed has nobody to tell.
+            let _ = departure.send(());
+        }
     }
 }
 
@@ -193,7 +225,12 @@
         match wire {
             Wire::Follower(follower) => self.follower = Some(follower),
             Wire::Links(links) => self.links = Some(links),
-            Wire::Reporter(reporter) => self.reporter = Some(reporter),
+            Wire::Reporter(reporter) => {
+                for drain in self.drains.values() {
+                    reporter.do_send(drain.clone());
+                }
+                self.reporter = Some(reporter);
+            }
         }
     }
 }
@@ -235,6 +272,11 @@
         }
         self.next = changed.next;
         for change in changed.changes {
+            if let Change::Host(name, host) = &change
+                && !matches!(host.stage, Stage::Draining { .. })
+            {
+                self.drains.remove(name);
+            }
             self.step(Event::Change(change), ctx);
         }
     }
@@ -277,16 +319,22 @@
     }
 }
 
-/// `Leave` refuses new requests from now on.
+/// `Leave` refuses new requests from now on and is answered when the others have their outcome.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "()")]
 pub(crate) struct Leave;
 
 impl<C: Copy + Send + Unpin + 'static> Handler<Leave> for Gate<C> {
-    type Result = ();
+    type Result = ResponseFuture<()>;
 
-    fn handle(&mut self, _: Leave, ctx: &mut Self::Context) {
+    fn handle(&mut self, _: Leave, ctx: &mut Self::Context) -> Self::Result {
         self.step(Event::Leave, ctx);
+        let (sender, done) = oneshot::channel();
+        self.departure = Some(sender);
+        Box::pin(async move {
+            // A gate that failed has no request left.
+            let _ = done.await;
+        })
     }
 }
 
@@ -307,12 +355,16 @@
     }
 }
 
+/// `Seen` is the current gate as the interface for callers knows it.
+pub(crate) type Seen = watch::Receiver<Option<Addr<Gate<Child>>>>;
+
 /// Sends a request to the gate and waits for its outcome.
-pub(crate) fn submit(gate: &Addr<Gate<Child>>, request: Request) -> ResponseFuture<Outcome> {
+pub(crate) fn submit(gate: &Seen, request: Request) -> ResponseFuture<Outcome> {
     let (reply, outcome) = oneshot::channel();
-    let sent = gate.try_send(Submit { request, reply });
+    let gate = gate.borrow().clone();
+    let sent = gate.is_some_and(|gate| gate.try_send(Submit { request, reply }).is_ok());
     Box::pin(async move {
-        if sent.is_err() {
+        if !sent {
             return Outcome::NotRun(Refusal::Leaving);
         }
         // A gate that failed may have sent the request before.
--- a/crates/entry/src/link/mod.rs
+++ b/crates/entry/src/link/mod.rs
@@ -7,7 +7,7 @@
 
 use actix::{
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message,
-    MessageResult, Recipient, WrapFuture,
+    MessageResult, Recipient, ResponseActFuture, WrapFuture,
 };
 use persimmongate_core::gate::Exchange;
 use persimmongate_core::ids;
@@ -91,6 +91,26 @@
     }
 }
 
+/// `Close` drops every exchange under way and closes its connection.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Close;
+
+impl<C: Copy + std::marker::Send + Unpin + 'static> Handler<Close> for Links<C> {
+    type Result = ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, _: Close, _: &mut Self::Context) -> Self::Result {
+        let links: Vec<Addr<Link>> = self.by_host.drain().map(|(_, link)| link).collect();
+        let close = async move {
+            for link in links {
+                // A link that is gone has no exchange.
+                let _ = link.send(Close).await;
+            }
+        };
+        Box::pin(close.into_actor(self).map(|(), _, ctx| ctx.stop()))
+    }
+}
+
 impl<C: Copy + std::marker::Send + Unpin + 'static> Handler<Dump> for Links<C> {
     type Result = MessageResult<Dump>;
 
@@ -144,6 +164,36 @@
     }
 }
 
+impl Handler<Close> for Link {
+    type Result = ();
+
+    fn handle(&mut self, _: Close, ctx: &mut Self::Context) {
+        ctx.stop();
+    }
+}
+
+/// `Reply` tells the gate the end of an exchange, also of one that was dropped.
+struct Reply {
+    gate: Recipient<Done>,
+    done: Option<Done>,
+}
+
+impl Reply {
+    fn tell(mut self, exchange: Exchange) {
+        if let Some(done) = &mut self.done {
+            done.exchange = exchange;
+        }
+    }
+}
+
+impl Drop for Reply {
+    fn drop(&mut self) {
+        if let Some(done) = self.done.take() {
+            self.gate.do_send(done);
+        }
+    }
+}
+
 impl Handler<Send> for Link {
     type Result = ();
 
@@ -158,11 +208,19 @@
         } = send;
         let number = request.id;
         self.open.insert(number, self.client);
-        let report = Report::new(number, host, reply);
+        let done = Done {
+            request: number,
+            host,
+            exchange: Exchange::Broken,
+        };
+        let reply = Reply {
+            gate: reply,
+            done: Some(done),
+        };
         let exchange = exchange::run(self.http.clone(), id, request, address, self.body_max);
         ctx.spawn(exchange.into_actor(self).map(move |exchange, act, _| {
             act.open.remove(&number);
-            report.end(exchange);
+            reply.tell(exchange);
         }));
     }
 }
@@ -178,38 +236,3 @@
         }
     }
 }
-
-/// `Report` tells the end of an exchange once it is dropped, also when its link fails.
-struct Report {
-    request: ids::Request,
-    host: ids::Host,
-    exchange: Exchange,
-    reply: Recipient<Done>,
-}
-
-impl Report {
-    /// Makes a report of an exchange that breaks off unless told otherwise.
-    fn new(request: ids::Request, host: ids::Host, reply: Recipient<Done>) -> Self {
-        Self {
-            request,
-            host,
-            exchange: Exchange::Broken,
-            reply,
-        }
-    }
-
-    /// Tells how the exchange ended.
-    fn end(mut self, exchange: Exchange) {
-        self.exchange = exchange;
-    }
-}
-
-impl Drop for Report {
-    fn drop(&mut self) {
-        self.reply.do_send(Done {
-            request: self.request,
-            host: self.host.clone(),
-            exchange: self.exchange.clone(),
-        });
-    }
-}
--- a/crates/node/src/log/mod.rs
+++ b/crates/node/src/log/mod.rs
@@ -8,10 +8,13 @@
 mod follower;
 mod keys;
 mod message;
+mod pace;
 mod read;
+mod seeds;
+mod snapshot;
 
 pub use client::Client;
 pub use follower::{Follower, Options};
 pub use message::{
-    Append, Changed, Claim, Claimed, Depart, End, Fetch, Fold, Restore, Settled, Subscribe,
+    Age, Append, Changed, Claim, Claimed, Depart, End, Fetch, Fold, Restore, Settled, Subscribe,
 };
