--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -1,7 +1,10 @@
 //! Measurements of the decision code, each printed as a table with its baselines.
 
 mod capacity;
+mod flood;
 mod log;
+mod routing;
+mod sim;
 mod table;
 
 use std::process::ExitCode;
@@ -26,7 +29,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Measure {
     Capacity,
+    Flood,
     Log,
+    Routing,
 }
 
 /// `Options` is what every measurement gets.
@@ -39,12 +44,14 @@
 }
 
 impl Measure {
-    const ALL: &[Self] = &[Self::Capacity, Self::Log];
+    const ALL: &[Self] = &[Self::Capacity, Self::Flood, Self::Log, Self::Routing];
 
     fn name(self) -> &'static str {
         match self {
             Self::Capacity => "capacity",
+            Self::Flood => "flood",
             Self::Log => "log",
+            Self::Routing => "routing",
         }
     }
 
@@ -58,7 +65,9 @@
         );
         match self {
             Self::Capacity => capacity::run(),
+            Self::Flood => flood::run(options.seed),
             Self::Log => log::run(),
+            Self::Routing => routing::run(options.seed),
         }
     }
 }
--- a/crates/entry/src/link/mod.rs
+++ b/crates/entry/src/link/mod.rs
@@ -73,6 +73,24 @@
     }
 }
 
+/// `Abandon` says that nobody waits for the answer of a request.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Abandon {
+    pub(crate) request: ids::Request,
+    pub(crate) host: ids::Host,
+}
+
+impl<C: Copy + std::marker::Send + Unpin + 'static> Handler<Abandon> for Links<C> {
+    type Result = ();
+
+    fn handle(&mut self, abandon: Abandon, _: &mut Self::Context) {
+        if let Some(link) = self.by_host.get(&abandon.host) {
+            link.do_send(abandon);
+        }
+    }
+}
+
 /// `Close` drops every exchange under way and closes its connection.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "()")]
@@ -107,10 +125,12 @@
 /// `Link` owns the connections to one backend server.
 struct Link {
     http: awc::Client,
+    /// Number of the client in use.
+    client: u64,
     prefix: String,
     body_max: usize,
-    /// Exchanges under way.
-    open: usize,
+    /// Exchanges under way, with the number of the client that each one uses.
+    open: Map<ids::Request, u64>,
     /// Exchanges so far, to see whether the link is used.
     used: u64,
     used_before: u64,
@@ -121,9 +141,10 @@
         let http = exchange::client();
         Self {
             http,
+            client: 0,
             prefix,
             body_max,
-            open: 0,
+            open: Map::default(),
             used: 0,
             used_before: 0,
         }
@@ -135,7 +156,7 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.run_interval(IDLE, |act, ctx| {
-            if act.open == 0 && act.used == act.used_before {
+            if act.open.is_empty() && act.used == act.used_before {
                 ctx.stop();
             }
             act.used_before = act.used;
@@ -177,7 +198,6 @@
     type Result = ();
 
     fn handle(&mut self, send: Send, ctx: &mut Self::Context) {
-        self.open += 1;
         self.used += 1;
         let id = format!("{}-{}", self.prefix, send.request.id);
         let Send {
@@ -186,8 +206,10 @@
             address,
             reply,
         } = send;
+        let number = request.id;
+        self.open.insert(number, self.client);
         let done = Done {
-            request: request.id,
+            request: number,
             host,
             exchange: Exchange::Broken,
         };
@@ -197,8 +219,20 @@
         };
         let exchange = exchange::run(self.http.clone(), id, request, address, self.body_max);
         ctx.spawn(exchange.into_actor(self).map(move |exchange, act, _| {
-            act.open -= 1;
+            act.open.remove(&number);
             reply.tell(exchange);
         }));
     }
 }
+
+impl Handler<Abandon> for Link {
+    type Result = ();
+
+    fn handle(&mut self, abandon: Abandon, _: &mut Self::Context) {
+        // A new client for what comes, so that no later request meets the connection of this one.
+        if self.open.get(&abandon.request) == Some(&self.client) {
+            self.http = exchange::client();
+            self.client += 1;
+        }
+    }
+}
