Append the departure after the ends of keys

Cause: a batch put the departure before the ends of keys that waited beside it, and the fold rejects what a process says after it left. Keys of answered requests stayed without an end, and keys of requests that were not run stayed claimed. Ruled out: ends lost by the gate, as they were in the same batch. In the same trial a late request was as long as those in flight and could outlive them; it is short now.

--- a/crates/node/src/log/append.rs
+++ b/crates/node/src/log/append.rs
@@ -159,6 +159,8 @@
                 },
             ));
         }
+        // Nothing of the process counts after its departure.
+        bodies.sort_by_key(|(body, _)| *body == Body::Leave);
         let mut records = Vec::with_capacity(bodies.len());
         for (body, sent) in bodies {
             self.sequence += 1;
--- a/crates/tests/tests/entry_leaves/main.rs
+++ b/crates/tests/tests/entry_leaves/main.rs
@@ -1,6 +1,7 @@
 //! An entry host is told to end while it has requests in flight.
 
 use futures_util::future::join_all;
+use persimmongate_core::record::End;
 use persimmongate_tests::caller::{Call, Told};
 use persimmongate_tests::cluster::Cluster;
 use persimmongate_tests::wait::until;
@@ -24,7 +25,8 @@
     let sent: Vec<_> = calls.iter().map(|call| call.spawn(&http, entry)).collect();
     cluster.wait_runs(calls.len()).await;
     cluster.entries[0].process.signal(Signal::TERM);
-    let late = Call::idempotent("finder", CALLS, WORK_MS);
+    // Short, so that the requests in flight keep the interface open until it is refused.
+    let late = Call::idempotent("finder", CALLS, 1);
     let mut told = Told::Answered;
     until("a refusal", async || {
         told = late.send(&http, entry).await;
@@ -48,4 +50,9 @@
         state.is_some_and(|state| !state.members.contains_key(&left))
     })
     .await;
+    let state = cluster.state().await.unwrap();
+    for key in calls.iter().filter_map(|call| call.key) {
+        let claim = state.keys.claim(key).unwrap();
+        assert_eq!(claim.end, Some(End::Answered), "{claim:?}");
+    }
 }
