gate: keep the doubt of an earlier try when a request is given up

Cause: an idempotent request whose exchange broke, timed out or mismatched is tried again; when the next try was refused, unreachable or late, the caller was told not run although the first try may have run. Ruled out: a fault of the fakes, as the workers' own ledger and the watch beside the gate agree on each case. Non-idempotent work is never tried again after doubt and was not touched.

Shrunk to tests/soak/retry.rs (3 cases).

--- a/crates/core/src/gate/step.rs
+++ b/crates/core/src/gate/step.rs
@@ -136,6 +136,7 @@
             place,
             attempts: 0,
             avoid: Vec::new(),
+            doubt: None,
             finished: false,
         };
         self.tracks.insert(id, track);
@@ -205,7 +206,10 @@
         }
     }
 
-    /// Tells the caller of a request that never ran; its key is freed.
+    /// Tells the caller of a request that is given up; a key whose request never ran is freed.
+    ///
+    /// An earlier try of an idempotent request may have run, so only a request without such a try
+    /// is told as not run.
     fn refuse(&mut self, id: ids::Request, refusal: Refusal, actions: &mut Vec<Action>) {
         let Some(track) = self.tracks.get_mut(&id) else {
             return;
@@ -214,7 +218,9 @@
             track.finished = true;
             actions.push(Action::Finish {
                 request: id,
-                outcome: Outcome::NotRun(refusal),
+                outcome: track
+                    .doubt
+                    .map_or(Outcome::NotRun(refusal), Outcome::Unknown),
             });
         }
         if track.place != Place::Claiming {
@@ -362,13 +368,19 @@
             return;
         };
         let not_run = matches!(exchange, Exchange::Refused | Exchange::Unsent);
+        let earlier = track.doubt;
         let outcome = match exchange {
             Exchange::Answered(answer) => Outcome::Answered(answer),
             Exchange::Broken => Outcome::Unknown(Doubt::Broken),
             Exchange::Mismatch => Outcome::Unknown(Doubt::Mismatch),
             Exchange::Timeout => Outcome::Unknown(Doubt::Timeout),
-            Exchange::Refused | Exchange::Unsent => Outcome::NotRun(Refusal::NoWorker),
+            Exchange::Refused | Exchange::Unsent => {
+                earlier.map_or(Outcome::NotRun(Refusal::NoWorker), Outcome::Unknown)
+            }
         };
+        if let Outcome::Unknown(doubt) = outcome {
+            track.doubt = Some(doubt);
+        }
         let answered = matches!(outcome, Outcome::Answered(_));
         let may_retry = !answered && (not_run || track.request.is_idempotent());
         if may_retry && !track.finished && track.request.deadline > now {
--- a/crates/core/src/gate/track.rs
+++ b/crates/core/src/gate/track.rs
@@ -1,6 +1,7 @@
 //! Requests between arrival and outcome.
 
 use crate::ids;
+use crate::outcome::Doubt;
 use crate::request::Request;
 
 /// `Place` is where a request stands.
@@ -23,6 +24,8 @@
     pub(crate) attempts: u32,
     /// Hosts that refused it or failed it.
     pub(crate) avoid: Vec<ids::Host>,
+    /// Why it may have run before, once an exchange ended without an answer.
+    pub(crate) doubt: Option<Doubt>,
     /// Whether the caller was told an outcome already.
     pub(crate) finished: bool,
 }
--- /dev/null
+++ b/crates/core/tests/soak/main.rs
@@ -0,0 +1,3 @@
+//! The small cases that randomised runs were shrunk to.
+
+mod retry;
--- /dev/null
+++ b/crates/core/tests/soak/retry.rs
@@ -0,0 +1,80 @@
+//! A request whose earlier try may have run is never told as not run.
+
+use bytes::Bytes;
+use persimmongate_core::gate::{Action, Event, Exchange, Gate, Options};
+use persimmongate_core::outcome::{Doubt, Outcome};
+use persimmongate_core::request::{Kind, Request, Urgency};
+use persimmongate_core::state::{Change, Host, Pool, Stage};
+use test_case::test_case;
+use tokio::time::{Duration, Instant};
+
+fn serving() -> Host {
+    Host {
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        rack: "r".into(),
+        pool: "finder".into(),
+        stage: Stage::Serving,
+        generation: 1,
+        revision: 1,
+        maintained: 0,
+        slots: 8,
+        connections: 64,
+    }
+}
+
+#[test_case(Some(Exchange::Refused); "the next worker refuses")]
+#[test_case(Some(Exchange::Unsent); "the next worker can't be reached")]
+#[test_case(None; "the deadline passes in the queue")]
+fn verify_broken_try_stays_in_doubt(last: Option<Exchange>) {
+    let start = Instant::now().into_std();
+    let late = start + Duration::from_secs(2);
+    let options = Options {
+        attempts: 2,
+        ..Options::default()
+    };
+    let mut gate = Gate::new(options, 1);
+    let mut actions = Vec::new();
+    let pool = Pool {
+        service: Some("finder".into()),
+        ..Pool::default()
+    };
+    let request = Request {
+        id: 1,
+        service: "finder".into(),
+        caller: "c".into(),
+        urgency: Urgency::Normal,
+        kind: Kind::Idempotent,
+        deadline: start + Duration::from_secs(1),
+        path: Bytes::new(),
+        body: Bytes::new(),
+    };
+    let mut step = |now, event| {
+        actions.clear();
+        gate.step(now, event, &mut actions);
+        actions.clone()
+    };
+    let done = |exchange| Event::Done {
+        request: 1,
+        host: "h".into(),
+        exchange,
+    };
+    step(start, Event::Change(Change::Pool("finder".into(), pool)));
+    step(start, Event::Change(Change::Host("h".into(), serving())));
+    step(start, Event::Arrive(request));
+    step(start, done(Exchange::Broken));
+    let told = match last {
+        Some(exchange) => {
+            // Past the backoff the only worker gets the request again.
+            let again = start + Duration::from_millis(500);
+            step(again, Event::Tick);
+            step(again, done(exchange))
+        }
+        None => step(late, Event::Tick),
+    };
+    let expected = Action::Finish {
+        request: 1,
+        outcome: Outcome::Unknown(Doubt::Broken),
+    };
+    assert!(told.contains(&expected), "{told:?}");
+}
