state, node log: tell views what a peer's fold no longer has

Cause: a process that takes over a peer's fold while the log is down published the new fold's content but not what is gone from it, so a removed member, budget or quota stayed in the gate's and the manager's view for good; a drain then waits for an entry host that left. Ruled out: the fold itself, which was equal to the log's at every process.

Shrunk to tests/soak/catchup.rs.

--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! whether a record counts; safety never depends on a clock.
 
 mod apply;
+mod catchup;
 mod change;
 mod entry;
 mod hosts;
--- /dev/null
+++ b/crates/core/tests/soak/catchup.rs
@@ -0,0 +1,34 @@
+//! A view that takes over a peer's fold loses what the fold lost.
+
+use persimmongate_core::fleet::View;
+use persimmongate_core::record::{self, Role};
+use persimmongate_core::state::{Member, State};
+
+#[test]
+fn verify_removed_member_leaves_the_view() {
+    let address = ([127, 0, 0, 1], 1).into();
+    let member = Member {
+        about: record::Member {
+            role: Role::Entry,
+            peer: address,
+            http: address,
+            zone: "z".into(),
+        },
+        incarnation: 1,
+        sequence: 1,
+        renewed: 0,
+    };
+    let mut older = State::default();
+    older.members.insert("entry".into(), member);
+    older.budgets.insert("finder".into(), 3);
+    let newer = State::default();
+    let mut view = View::default();
+    for change in older.changes() {
+        view.apply(change);
+    }
+    for change in newer.changes_from(&older) {
+        view.apply(change);
+    }
+    assert!(view.members.is_empty());
+    assert_eq!(view.budgets.get("finder"), Some(&0));
+}
--- a/crates/node/src/log/follower.rs
+++ b/crates/node/src/log/follower.rs
@@ -245,9 +245,9 @@
         match decode_state(&restore.state) {
             Ok(state) if state.next == restore.next => {
                 info!(self.logger, "takes over a peer's fold"; "next" => state.next);
+                let changes = state.changes_from(&self.state);
                 self.state = state;
                 self.ready = true;
-                let changes = self.state.changes();
                 self.publish(changes, false);
             }
             Ok(state) => {
