--- a/crates/core/examples/measure/world/run.rs
+++ b/crates/core/examples/measure/world/run.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant, SystemTime};
 
-use persimmongate_core::gate;
 use persimmongate_core::ids;
 use persimmongate_core::invariant::{Breach, Check, Fold};
 use persimmongate_core::state::State;
@@ -12,7 +11,7 @@
 
 use super::caller::{Call, Ledger};
 use super::entry::Entry;
-use super::fault::{Fault, Injection, Plan};
+use super::fault::{Fault, Plan};
 use super::fleet::Fleet;
 use super::log::Log;
 use super::message::{Message, Network, Place};
@@ -20,14 +19,12 @@
 use super::{SECOND, STEP};
 
 /// Entry hosts, and fleet instances.
-const PROCESSES: usize = 3;
+pub(crate) const PROCESSES: usize = 3;
 /// Requests in a step, at most; under a flood their factor.
 const ARRIVALS_MAX: u32 = 4;
 const FLOOD_FACTOR: u32 = 5;
 /// Steps between two looks at what a healthy process knows.
 const LOOK_STEPS: u64 = SECOND / 2;
-/// Steps in which an accepted configuration is in force at every healthy process.
-const FORCE_STEPS: u64 = 7 * SECOND;
 /// Steps between two takeovers of a peer's fold while the log is down.
 const PEER_STEPS: u64 = SECOND;
 /// Steps without load and faults at the end.
@@ -42,11 +39,11 @@
 pub(crate) struct Until {
     pub(crate) late_writes: u64,
     pub(crate) lost_calls: u64,
-    lost_appends: u64,
-    double_appends: u64,
-    log_down: u64,
-    flood: u64,
-    stale_list: u64,
+    pub(crate) lost_appends: u64,
+    pub(crate) double_appends: u64,
+    pub(crate) log_down: u64,
+    pub(crate) flood: u64,
+    pub(crate) stale_list: u64,
 }
 
 /// `World` is everything around the decisions.
@@ -66,11 +63,11 @@
     /// Whether nobody appends any more.
     pub(crate) closing: bool,
     start: Instant,
-    state: State,
+    pub(crate) state: State,
     watch: Fold,
     /// End of the log at past steps.
-    ends: BTreeMap<u64, ids::Offset>,
-    log_up_since: u64,
+    pub(crate) ends: BTreeMap<u64, ids::Offset>,
+    pub(crate) log_up_since: u64,
 }
 
 /// `Report` is what came of a run.
@@ -301,90 +298,6 @@
             .cloned()
     }
 
-    fn inject(&mut self, injection: Injection) {
-        let until = self.step + injection.steps;
-        let index = injection.target % PROCESSES;
-        let hosts: Vec<ids::Host> = self.platform.workers.keys().cloned().collect();
-        let host = &hosts[injection.target % hosts.len()];
-        match injection.fault {
-            Fault::AppendLost => self.until.lost_appends = until,
-            Fault::AppendTwice => self.until.double_appends = until,
-            Fault::CallLost => self.until.lost_calls = until,
-            Fault::Cancel => self.cancel(index),
-            Fault::CutEntry => self.entries[index].cut_until = until,
-            Fault::CutFleet => self.fleets[index].cut_until = until,
-            Fault::Flood => self.until.flood = until,
-            Fault::FreezeEntry => self.entries[index].frozen_until = until,
-            Fault::FreezeFleet => self.fleets[index].frozen_until = until,
-            Fault::KillEntry => self.kill_entry(index),
-            Fault::KillFleet => self.kill_fleet(index),
-            Fault::LateWrite => self.until.late_writes = until,
-            Fault::ListStale => self.until.stale_list = until,
-            Fault::LogDown => self.until.log_down = until,
-            Fault::Operators => {
-                self.apply(index);
-                self.apply((index + 1) % PROCESSES);
-            }
-            Fault::Rack => self.fail(host, until, false),
-            Fault::Zone => self.fail(host, until, true),
-            Fault::Crossed | Fault::Failing | Fault::Slow => {
-                if let Some(worker) = self.platform.workers.get_mut(host) {
-                    match injection.fault {
-                        Fault::Crossed => worker.crossed_until = until,
-                        Fault::Failing => worker.failing_until = until,
-                        _ => worker.slow_until = until,
-                    }
-                }
-            }
-        }
-    }
-
-    fn cancel(&mut self, index: usize) {
-        let calls = std::mem::take(&mut self.entries[index].calls);
-        for (request, call) in calls {
-            let inbox = &mut self.entries[index].inbox;
-            inbox.push_back(gate::Event::Cancel(request));
-            self.entries[index].gone.insert(request, call.clone());
-            // A caller that went away is told nothing; it may come again.
-            let next = self.ledger.told(&call, None, &mut self.breaches);
-            self.retry(next);
-        }
-    }
-
-    /// Fails the hosts that share a rack or zone with a host.
-    fn fail(&mut self, host: &ids::Host, until: u64, zone: bool) {
-        let Some(worker) = self.platform.workers.get(host) else {
-            return;
-        };
-        let fact = worker.fact.clone();
-        let mut cut = Vec::new();
-        for (name, worker) in &mut self.platform.workers {
-            let same = if zone {
-                worker.fact.zone == fact.zone
-            } else {
-                worker.fact.rack == fact.rack
-            };
-            if same && !worker.is_dead() {
-                cut.extend(worker.fail().into_iter().map(|job| (name.clone(), job)));
-                self.network.send(until, Message::Revive(name.clone()));
-            }
-        }
-        for (name, job) in cut {
-            self.end_job(&name, &job, &super::platform::End::Broken);
-        }
-    }
-
-    /// Ends every fault.
-    fn heal(&mut self) {
-        self.until = Until::default();
-        for entry in &mut self.entries {
-            (entry.cut_until, entry.frozen_until) = (0, 0);
-        }
-        for fleet in &mut self.fleets {
-            (fleet.cut_until, fleet.frozen_until) = (0, 0);
-        }
-    }
-
     fn fold(&mut self) {
         let from = usize::try_from(self.state.next).unwrap_or(usize::MAX);
         for (at, record) in self.log.all().get(from..).unwrap_or_default() {
@@ -396,77 +309,6 @@
         }
     }
 
-    /// Checks that healthy processes know what was accepted some seconds ago.
-    fn look(&mut self) {
-        let step = self.step;
-        self.ends.insert(step, self.log.end());
-        let Some(old) = step.checked_sub(FORCE_STEPS) else {
-            return;
-        };
-        self.ends = self.ends.split_off(&old);
-        let Some(due) = self.ends.get(&old).copied() else {
-            return;
-        };
-        if self.log.down || self.log_up_since > old {
-            return;
-        }
-        let entries = self
-            .entries
-            .iter()
-            .filter(|entry| entry.cut_until <= old && entry.frozen_until <= old)
-            .map(|entry| &entry.follower.state);
-        let fleets = self
-            .fleets
-            .iter()
-            .filter(|fleet| fleet.cut_until <= old && fleet.frozen_until <= old)
-            .map(|fleet| &fleet.follower.state);
-        for state in entries.chain(fleets).filter(|state| state.next < due) {
-            let detail = format!("a process knows {} of {due} records", state.next);
-            self.breaches.push(Check::Revision.breach(detail));
-        }
-    }
-
-    /// Checks that all processes agree and every call ended, once nothing fails any more.
-    fn compare(&mut self) {
-        let mut breaches = Vec::new();
-        for fleet in &self.fleets {
-            let view = fleet.manager.view();
-            let same = fleet.follower.state == self.state
-                && view.hosts == self.state.hosts
-                && view.pools == self.state.pools
-                && view.waves == self.state.waves;
-            let members = view
-                .members
-                .keys()
-                .all(|n| self.state.members.contains_key(n));
-            if !same || !members {
-                let detail = format!("fleet-{} differs from the log", fleet.place.index);
-                breaches.push(Check::Revision.breach(detail));
-            }
-        }
-        for entry in &self.entries {
-            if entry.follower.state != self.state {
-                let detail = format!("entry-{} differs from the log", entry.place.index);
-                breaches.push(Check::Revision.breach(detail));
-            }
-            if entry.gate.open() + entry.watch.open() + entry.calls.len() > 0 {
-                let (open, calls) = (entry.gate.open(), entry.calls.len());
-                let detail = format!(
-                    "entry-{} keeps {open} requests and {calls} callers, watch {}",
-                    entry.place.index,
-                    entry.watch.open()
-                );
-                breaches.push(Check::Answer.breach(detail));
-            }
-        }
-        if self.ledger.made() != self.ledger.ended() {
-            let (made, ended) = (self.ledger.made(), self.ledger.ended());
-            let detail = format!("{ended} of {made} calls ended");
-            breaches.push(Check::Answer.breach(detail));
-        }
-        self.breaches.extend(breaches);
-    }
-
     fn note(&mut self, report: &mut Report) {
         for breach in self.breaches.drain(..) {
             *report.breaches.entry(breach.check).or_default() += 1;
