--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -5,7 +5,9 @@
 mod log;
 mod routing;
 mod sim;
+mod soak;
 mod table;
+mod world;
 
 use std::process::ExitCode;
 
@@ -32,6 +34,7 @@
     Flood,
     Log,
     Routing,
+    Soak,
 }
 
 /// `Options` is what every measurement gets.
@@ -44,7 +47,13 @@
 }
 
 impl Measure {
-    const ALL: &[Self] = &[Self::Capacity, Self::Flood, Self::Log, Self::Routing];
+    const ALL: &[Self] = &[
+        Self::Capacity,
+        Self::Flood,
+        Self::Log,
+        Self::Routing,
+        Self::Soak,
+    ];
 
     fn name(self) -> &'static str {
         match self {
@@ -52,6 +61,7 @@
             Self::Flood => "flood",
             Self::Log => "log",
             Self::Routing => "routing",
+            Self::Soak => "soak",
         }
     }
 
@@ -68,6 +78,7 @@
             Self::Flood => flood::run(options.seed),
             Self::Log => log::run(),
             Self::Routing => routing::run(options.seed),
+            Self::Soak => soak::run(options.seed, options.steps),
         }
     }
 }
