Let the demo end all it started, quietly, and check itself

The demo ended processes by ids noted when they started, so an id that was used again could have been hit, and a sleep of a background shell outlived an interruption. It now ends the shell's running jobs, first by TERM and after two seconds by KILL, and its pauses end at once. The killed entry host leaves no line of the shell. With "break" the platform reboots busy hosts without a drain, to see that a broken promise fails the run.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,38 +1,56 @@
 #!/usr/bin/env bash
 # Builds everything, runs a deployment on loopback and checks every promise.
-# Usage: scripts/demo.sh [kuiseb|andaman]
+# Usage: scripts/demo.sh [kuiseb|andaman] [break]
+# With "break" the platform reboots busy hosts without a drain, so that the run must fail.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 deployment=${1:-kuiseb}
+break=${2:-}
+usage() { echo "usage: scripts/demo.sh [kuiseb|andaman] [break]" >&2; exit 2; }
 case "$deployment" in
 kuiseb) wave=finder-december ;;
 andaman) wave=phuket-december ;;
-*) echo "usage: scripts/demo.sh [kuiseb|andaman]" >&2; exit 2 ;;
+*) usage ;;
 esac
+case "$break" in '' | break) ;; *) usage ;; esac
 
 cargo build --release --locked --workspace --bins
 bin=${CARGO_TARGET_DIR:-target}/release
 work=$(mktemp -d)
-pids=()
 
-# Ends every process that this script started, by its id, also when interrupted.
+# Ends every process that this script started, also when interrupted. What is still there after
+# two seconds is killed.
 finish() {
-    local pid
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+    trap '' INT TERM
+    stop TERM
+    for _ in $(seq 20); do
+        [ -n "$(jobs -pr)" ] || break
+        sleep 0.1
+    done
+    stop KILL
+    wait 2>/dev/null || true
     rm -rf "$work"
 }
+stop() { # signal
+    local pid
+    for pid in $(jobs -pr); do kill -s "$1" "$pid" 2>/dev/null || true; done
+}
 trap finish EXIT
 trap 'exit 130' INT TERM
 
+# Sleeps in a way that a signal interrupts at once.
+pause() {
+    sleep "$1" &
+    wait $!
+}
+
 mapfile -t ports < <("$bin/persimmongate-standin" ports 19)
 platform=${ports[0]}
 
 start() {
     local log=$1; shift
     "$@" 2>>"$work/$log" &
-    pids+=($!)
 }
 
 settings() { # instance zone http peer
@@ -53,7 +71,7 @@
 for index in 0 1 2; do
     base=$((1 + index * 5))
     start_entry "$index" "entry-$index"
-    [ "$index" = 1 ] && victim=$!
+    if [ "$index" = 1 ]; then victim=$!; fi
     entries+=("${ports[base + 2]}")
     settings "fleet-$index" "zone-$index" "${ports[base + 3]}" "${ports[base + 4]}" \
         >"$work/fleet-$index.toml"
@@ -67,7 +85,7 @@
     local what=$1; shift
     for _ in $(seq 100); do
         if "$@" >/dev/null 2>&1; then return; fi
-        sleep 0.2
+        pause 0.2
     done
     echo "timed out: $what" >&2
     tail -n 5 "$work"/*.log >&2
@@ -87,22 +105,25 @@
 wait_for "filled pools" pools_filled
 "${ctl[@]}" apply "examples/$deployment/sheet.csv"
 
-# One entry host is lost in the middle of the wave, and another takes its place.
-(
-    sleep 6
-    kill -9 "$victim"
-) &
-pids+=($!)
-(
-    sleep 8
-    sed -e 's/entry-1/entry-1b/' "$work/entry-1.toml" >"$work/entry-1b.toml"
-    exec "$bin/persimmongate-entry" --settings "$work/entry-1b.toml" 2>>"$work/entry-1b.log"
-) &
-pids+=($!)
+"$bin/persimmongate-standin" callers --deployment "$deployment" --platform "$platform" \
+    --entries "$(join "${entries[@]}")" --fleet "$(join "${fleet[@]}")" --wave "$wave" &
+callers=$!
+
+# One entry host is lost in the middle of the wave. Another takes its place behind the balancer,
+# under a name of its own and at the address to which the balancer sends callers.
+pause 6
+disown "$victim"
+kill -9 "$victim"
+if [ -n "$break" ]; then
+    for host in $(seq -f 'host-%03g' 0 15); do
+        curl -sS -X POST "http://$platform/hosts/$host/reboot?generation=1" >/dev/null
+    done
+fi
+pause 2
+start_entry 1 entry-1b
 
 status=0
-"$bin/persimmongate-standin" callers --deployment "$deployment" --platform "$platform" \
-    --entries "$(join "${entries[@]}")" --fleet "$(join "${fleet[@]}")" --wave "$wave" || status=$?
+wait "$callers" || status=$?
 if [ "$status" -ne 0 ]; then
     tail -n 5 "$work"/*.log >&2
     echo "a promise did not hold" >&2
