--- a/crates/core/examples/measure/log.rs
+++ b/crates/core/examples/measure/log.rs
@@ -59,6 +59,7 @@
     let (wave, pool, term) = (|| "finder-december".into(), || "finder".into(), 1000);
     let reason = "asked for by the sheet".to_owned();
     let mut bodies = key_bodies();
+    bodies.extend(host_bodies());
     bodies.extend([
         ("claim", Body::Claim { pool: pool(), term }),
         (
@@ -69,15 +70,6 @@
                 operator: "operator".into(),
             },
         ),
-        (
-            "drain",
-            Body::Drain {
-                host: host(),
-                generation: 100,
-                wave: wave(),
-                term,
-            },
-        ),
         ("enroll, one host", Body::Enroll { hosts: vec![fact] }),
         (
             "expire",
@@ -88,23 +80,6 @@
         ),
         ("join", Body::Join(about)),
         ("leave", Body::Leave),
-        (
-            "lost",
-            Body::Lost {
-                host: host(),
-                generation: 100,
-            },
-        ),
-        (
-            "move",
-            Body::Move {
-                host: host(),
-                from: "spare".into(),
-                to: pool(),
-                revision: 1 << 32,
-                term,
-            },
-        ),
         (
             "progress",
             Body::Progress {
@@ -115,14 +90,6 @@
             },
         ),
         ("renew", Body::Renew),
-        (
-            "return",
-            Body::Return {
-                host: host(),
-                generation: 101,
-                term,
-            },
-        ),
         (
             "sheet, one row",
             Body::Sheet {
@@ -153,3 +120,54 @@
         ),
     ]
 }
+
+fn host_bodies() -> Vec<(&'static str, Body)> {
+    let host = || "host-000123".into();
+    let (wave, pool, term) = (|| "finder-december".into(), || "finder".into(), 1000);
+    vec![
+        (
+            "drain",
+            Body::Drain {
+                host: host(),
+                generation: 100,
+                wave: wave(),
+                term,
+            },
+        ),
+        (
+            "lost",
+            Body::Lost {
+                host: host(),
+                generation: 100,
+                revision: 1 << 32,
+                term,
+            },
+        ),
+        (
+            "move",
+            Body::Move {
+                host: host(),
+                from: "spare".into(),
+                to: pool(),
+                revision: 1 << 32,
+                term,
+            },
+        ),
+        (
+            "return",
+            Body::Return {
+                host: host(),
+                generation: 101,
+                term,
+            },
+        ),
+        (
+            "stop",
+            Body::Stop {
+                host: host(),
+                generation: 100,
+                term,
+            },
+        ),
+    ]
+}
--- a/crates/core/src/fleet/claim.rs
+++ b/crates/core/src/fleet/claim.rs
@@ -8,23 +8,56 @@
 use crate::ids;
 use crate::record::{Body, Role};
 
+/// Share of the member timeout within which the own renewal must have been read back.
+const CURRENT_SHARE: u32 = 2;
+
 impl Manager {
+    /// Checks by the own renewal that the log works and that this process reads it.
+    ///
+    /// A process that was frozen or cut off has not seen the renewals of others either, so each
+    /// member gets a whole period once the log works again.
+    pub(crate) fn check_current(&mut self, now: Instant) -> bool {
+        let bound = self.options.member_timeout / CURRENT_SHARE;
+        let current = self
+            .renewed
+            .get(&self.instance)
+            .is_some_and(|at| now.saturating_duration_since(*at) < bound);
+        if current && !self.current {
+            self.forgive(now);
+        }
+        self.current = current;
+        current
+    }
+
+    /// Counts the silence of every member from now on.
+    pub(crate) fn forgive(&mut self, now: Instant) {
+        for at in self.renewed.values_mut() {
+            *at = now;
+        }
+    }
+
     /// Removes members that missed their renewals by the own clock.
     pub(crate) fn expire_members(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let timeout = self.options.member_timeout;
-        let silent = self.renewed.iter().filter(|(name, at)| {
-            **name != self.instance && now.saturating_duration_since(**at) >= timeout
-        });
-        let mut silent: Vec<ids::Instance> = silent.map(|(name, _)| name.clone()).collect();
+        let silence = |at: &Instant| now.saturating_duration_since(*at);
+        let silent = self
+            .renewed
+            .iter()
+            .filter(|(name, at)| **name != self.instance && silence(at) >= timeout);
+        let mut silent: Vec<(ids::Instance, Instant)> =
+            silent.map(|(name, at)| (name.clone(), *at)).collect();
         silent.sort();
-        for instance in silent {
+        for (instance, at) in silent {
+            let wait = timeout + self.options.claim_step * self.rank(&instance);
             let Some(member) = self.view.members.get(&instance) else {
                 continue;
             };
-            let incarnation = member.incarnation;
+            if silence(&at) < wait {
+                continue;
+            }
             let body = Body::Expire {
                 instance: instance.clone(),
-                incarnation,
+                incarnation: member.incarnation,
             };
             self.append(Subject::Member(instance), body, actions);
         }
@@ -57,21 +90,22 @@
         }
     }
 
-    /// Gets the own place in the rendezvous order of a pool, 0 for the first.
-    fn rank(&self, pool: &ids::Pool) -> u32 {
-        let own = weight(pool, &self.instance);
+    /// Gets the own place in the rendezvous order of a name, 0 for the first.
+    fn rank(&self, name: &str) -> u32 {
+        let own = weight(name, &self.instance);
         let fleet = self
             .view
             .members
             .iter()
-            .filter(|(_, member)| member.about.role == Role::Fleet);
-        let above = fleet.filter(|(name, _)| weight(pool, name) > own).count();
+            .filter(|(other, member)| member.about.role == Role::Fleet && **other != name);
+        let above = fleet.filter(|(other, _)| weight(name, other) > own).count();
         u32::try_from(above).unwrap_or(u32::MAX)
     }
 }
 
-fn weight(pool: &ids::Pool, instance: &ids::Instance) -> u64 {
+/// Gets the weight of a candidate for a name in the rendezvous order.
+pub(crate) fn weight(name: &str, candidate: &str) -> u64 {
     let mut hasher = rustc_hash::FxHasher::default();
-    (pool, instance).hash(&mut hasher);
+    (name, candidate).hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/core/src/fleet/drain.rs
+++ b/crates/core/src/fleet/drain.rs
@@ -1,124 +1,217 @@
-//! Planned stops: a handshake with every entry host, then the platform's drain as a fence.
+//! Planned stops: reports of every entry host, the platform's drain as the fence, a recorded stop,
+//! and the return of the next generation.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::manager::Subject;
-use super::{Action, Call, Health, Manager, Status};
+use super::watch::Watch;
+use super::{Action, Call, Health, Manager};
 use crate::ids;
-use crate::map::Map;
-use crate::record::Body;
-
-/// `Drain` is a planned stop under way.
-#[derive(Clone, Debug)]
-pub(crate) struct Drain {
-    /// Offset of the drain record.
-    pub(crate) since: ids::Offset,
-    /// Time at which this process learnt of it.
-    pub(crate) started: Instant,
-    /// Requests in flight as each entry host last reported them.
-    pub(crate) reports: Map<ids::Instance, u32>,
-    /// What the platform last told.
-    pub(crate) status: Option<Status>,
-    /// Time of the latest call to the platform.
-    called: Option<Instant>,
+use crate::record::{Body, Phase};
+use crate::state::{Host, Stage};
+
+/// `Case` is one host out of service with what decides about it.
+#[derive(Clone, Copy, Debug)]
+struct Case<'a> {
+    now: Instant,
+    name: &'a ids::Host,
+    host: &'a Host,
+    watch: &'a Watch,
+    /// Term of the claim on the host's pool.
+    term: ids::Term,
 }
 
-impl Drain {
-    pub(crate) fn new(since: ids::Offset, now: Instant) -> Self {
-        Self {
-            since,
-            started: now,
-            reports: Map::default(),
-            status: None,
-            called: None,
-        }
+impl Case<'_> {
+    fn elapsed(&self) -> Duration {
+        self.now.saturating_duration_since(self.watch.started)
+    }
+
+    fn health(&self) -> Option<Health> {
+        self.watch.status.map(|status| status.health)
+    }
+
+    /// Gets the status unless it is of a newer generation.
+    fn same(&self) -> Option<Health> {
+        let status = self.watch.status;
+        let same = status.filter(|status| status.generation == self.host.generation);
+        same.map(|status| status.health)
     }
 }
 
 impl Manager {
-    /// Brings each drain of a held pool one step further.
-    pub(crate) fn advance_drains(
+    /// Brings each host out of service of a held pool one step further.
+    pub(crate) fn advance_hosts(
         &mut self,
         now: Instant,
         pool: &ids::Pool,
         term: ids::Term,
         actions: &mut Vec<Action>,
     ) {
-        let hosts = self
-            .view
-            .hosts_of(pool)
-            .filter(|(name, _)| self.drains.contains_key(*name));
-        let hosts: Vec<ids::Host> = hosts.map(|(name, _)| name.clone()).collect();
-        for host in &hosts {
-            self.advance_drain(now, host, term, actions);
+        let out = self.view.out_of(pool);
+        let out: Vec<(ids::Host, Host)> = out.map(|(n, host)| (n.clone(), host.clone())).collect();
+        for (name, host) in &out {
+            let Some(watch) = self.watches.get(name).cloned() else {
+                continue;
+            };
+            if watch.revision != host.revision || self.is_host_pending(name) {
+                continue;
+            }
+            let case = Case {
+                now,
+                name,
+                host,
+                watch: &watch,
+                term,
+            };
+            match &host.stage {
+                Stage::Draining { wave, .. } => self.advance_drain(case, wave, actions),
+                Stage::Stopping { .. } => self.advance_stop(case, actions),
+                Stage::Lost => self.advance_lost(case, actions),
+                Stage::Serving => {}
+            }
         }
     }
 
-    fn advance_drain(
-        &mut self,
-        now: Instant,
-        name: &ids::Host,
-        term: ids::Term,
-        actions: &mut Vec<Action>,
-    ) {
-        let (Some(drain), Some(host)) = (self.drains.get(name), self.view.hosts.get(name)) else {
-            return;
-        };
-        if let Some(Status {
-            generation,
-            health: Health::Serving,
-        }) = drain.status
-            && generation > host.generation
+    fn advance_drain(&mut self, case: Case<'_>, wave: &ids::Wave, actions: &mut Vec<Action>) {
+        if let Some(generation) = case.watch.serving(self.options.checks)
+            && generation > case.host.generation
         {
-            let body = Body::Return {
-                host: name.clone(),
-                generation,
-                term,
-            };
-            self.append(Subject::Host(name.clone()), body, actions);
+            // It failed and started again by itself before it was stopped.
+            self.put_back(case, generation, actions);
             return;
         }
-        let wait = self.options.poll;
-        if drain
-            .called
-            .is_some_and(|at| now.saturating_duration_since(at) < wait)
-        {
+        if case.watch.cancelled {
+            self.cancel_drain(case, actions);
             return;
         }
-        let Some(call) = self.next_call(now, drain, host.generation) else {
+        if self.is_to_cancel(case, wave, actions) {
+            // An answer from before this decision does not tell that the drain was taken back.
+            if let Some(watch) = self.watches.get_mut(case.name) {
+                watch.cancelled = true;
+                watch.forget();
+            }
             return;
+        }
+        let quiet = self.is_quiet(case);
+        let call = match case.same() {
+            Some(Health::Serving) if quiet || self.is_late(case) => Call::Drain,
+            Some(Health::Serving) => return,
+            Some(Health::Drained) if quiet => return self.stop(case, actions),
+            Some(Health::Dead) if self.is_overdue(case) => {
+                return self.lose(case.name, case.term, actions);
+            }
+            None | Some(_) => Call::Query,
         };
-        if let Some(drain) = self.drains.get_mut(name) {
-            drain.called = Some(now);
+        self.call(case.now, case.name, call, actions);
+    }
+
+    /// Gets whether a drain has to be taken back; a drain that takes too long pauses its wave.
+    fn is_to_cancel(
+        &mut self,
+        case: Case<'_>,
+        wave: &ids::Wave,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let phase = self.view.waves.get(wave).map(|wave| wave.phase);
+        if matches!(phase, None | Some(Phase::Aborted)) {
+            return true;
+        }
+        if case.elapsed() < self.options.drain_timeout {
+            return false;
         }
-        self.call(name, call, actions);
+        if phase == Some(Phase::Running) {
+            let (name, minutes) = (case.name, self.options.drain_timeout.as_secs() / 60);
+            let reason = format!(
+                "{name} still ran work after {minutes} minutes of draining and is put back; end or \
+                 checkpoint its long jobs, then resume the wave"
+            );
+            self.pause(wave, reason, case.term, actions);
+        }
+        true
     }
 
-    /// Gets the next call for a drain, or nothing while entry hosts are waited for.
-    fn next_call(&self, now: Instant, drain: &Drain, generation: ids::Generation) -> Option<Call> {
-        let Some(status) = drain.status else {
-            return Some(Call::Query);
+    fn cancel_drain(&mut self, case: Case<'_>, actions: &mut Vec<Action>) {
+        let call = match case.health() {
+            Some(Health::Serving) if case.watch.repeats >= self.options.checks => {
+                return self.put_back(case, case.host.generation, actions);
+            }
+            Some(Health::Dead) if self.is_overdue(case) => {
+                return self.lose(case.name, case.term, actions);
+            }
+            None | Some(Health::Drained | Health::Draining) => Call::Undrain,
+            Some(Health::Dead | Health::Rebooting | Health::Serving) => Call::Query,
         };
-        if status.generation != generation {
-            return Some(Call::Query);
+        self.call(case.now, case.name, call, actions);
+    }
+
+    fn advance_stop(&mut self, case: Case<'_>, actions: &mut Vec<Action>) {
+        if let Some(generation) = case.watch.serving(self.options.checks)
+            && generation > case.host.generation
+        {
+            self.put_back(case, generation, actions);
+            return;
         }
-        let overdue = now.saturating_duration_since(drain.started) >= self.options.report_timeout;
-        // An entry host that is silent may be frozen between its check and its write. The worker
-        // refuses such a late request before running it, so the platform's drain is the fence.
-        let quiet = self
-            .view
-            .entries()
-            .all(|entry| match drain.reports.get(entry) {
-                Some(in_flight) => *in_flight == 0,
-                None => overdue,
-            });
-        match status.health {
-            Health::Serving if quiet || overdue => Some(Call::Drain),
-            Health::Drained if quiet => Some(Call::Reboot),
-            Health::Serving => None,
-            Health::Dead | Health::Drained | Health::Draining | Health::Rebooting => {
-                Some(Call::Query)
-            }
+        if case.host.wave().is_some() && self.is_overdue(case) {
+            self.lose(case.name, case.term, actions);
+            return;
         }
+        let call = match case.same() {
+            Some(Health::Dead | Health::Drained) => Call::Reboot,
+            // Another process may have taken the platform's drain back before the stop.
+            Some(Health::Serving) => Call::Drain,
+            None | Some(Health::Draining | Health::Rebooting) => Call::Query,
+        };
+        self.call(case.now, case.name, call, actions);
+    }
+
+    fn advance_lost(&mut self, case: Case<'_>, actions: &mut Vec<Action>) {
+        if let Some(generation) = case.watch.serving(self.options.checks) {
+            self.put_back(case, generation, actions);
+            return;
+        }
+        // A late call may have drained a host that nobody wants to drain. The next generation
+        // refuses every call that is still under way, so the host is stopped, not put back.
+        if case.same() == Some(Health::Drained) && case.watch.repeats >= self.options.checks {
+            self.stop(case, actions);
+            return;
+        }
+        self.call(case.now, case.name, Call::Query, actions);
+    }
+
+    /// Gets whether no entry host has requests in flight on a host, as far as they report.
+    ///
+    /// An entry host that is silent may be frozen between its check and its write. The worker
+    /// refuses such a late request before running it, so the platform's drain is the fence.
+    fn is_quiet(&self, case: Case<'_>) -> bool {
+        let late = self.is_late(case);
+        let reports = &case.watch.reports;
+        let mut entries = self.view.entries();
+        entries.all(|entry| reports.get(entry).map_or(late, |count| *count == 0))
+    }
+
+    fn is_late(&self, case: Case<'_>) -> bool {
+        case.elapsed() >= self.options.report_timeout
+    }
+
+    fn is_overdue(&self, case: Case<'_>) -> bool {
+        case.elapsed() >= self.options.reboot_timeout
+    }
+
+    fn put_back(&mut self, case: Case<'_>, generation: ids::Generation, actions: &mut Vec<Action>) {
+        let body = Body::Return {
+            host: case.name.clone(),
+            generation,
+            term: case.term,
+        };
+        self.append(Subject::Host(case.name.clone()), body, actions);
+    }
+
+    fn stop(&mut self, case: Case<'_>, actions: &mut Vec<Action>) {
+        let body = Body::Stop {
+            host: case.name.clone(),
+            generation: case.host.generation,
+            term: case.term,
+        };
+        self.append(Subject::Host(case.name.clone()), body, actions);
     }
 }
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -9,6 +9,13 @@
 /// `Event` is something that happened to the manager.
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// The platform answered a call.
+    Answer {
+        /// Token of the call.
+        token: u64,
+        /// Status of the host after the call, or nothing when the call failed.
+        status: Option<Status>,
+    },
     /// The fold of the log changed.
     Change(Change),
     /// The log was read up to its end after it could not be read for a while.
@@ -33,8 +40,6 @@
         /// Verdict, or nothing when the append failed.
         verdict: Option<Verdict>,
     },
-    /// The platform told the status of a host.
-    Status(ids::Host, Status),
     /// Time passed.
     Tick,
 }
@@ -76,6 +81,8 @@
     },
     /// Call the platform.
     Call {
+        /// Token to answer.
+        token: u64,
         /// Host meant.
         host: ids::Host,
         /// Generation meant; the platform refuses the call for any other.
--- a/crates/core/src/fleet/manager.rs
+++ b/crates/core/src/fleet/manager.rs
@@ -2,12 +2,12 @@
 
 use std::time::Instant;
 
-use super::drain::Drain;
-use super::{Action, Call, Event, Options, View};
+use super::watch::Watch;
+use super::{Action, Event, Options, View};
 use crate::ids;
 use crate::map::{Map, Set};
-use crate::record::{Body, Fact};
-use crate::state::{Change, Stage};
+use crate::record::Body;
+use crate::state::Change;
 
 /// `Manager` decides for the pools that one fleet instance holds.
 #[derive(Clone, Debug)]
@@ -19,12 +19,37 @@
     pub(crate) renewed: Map<ids::Instance, Instant>,
     /// Time since which each pool has had no holder.
     pub(crate) vacant: Map<ids::Pool, Instant>,
-    /// Drains of held pools.
-    pub(crate) drains: Map<ids::Host, Drain>,
+    /// Hosts out of service, and hosts in service that are asked for their status.
+    pub(crate) watches: Map<ids::Host, Watch>,
+    /// Hosts in service that the host list lacks, with their revision and since when.
+    pub(crate) missing: Map<ids::Host, (ids::Revision, Instant)>,
+    /// Host of each call that is not answered.
+    pub(crate) calls: Map<u64, ids::Host>,
+    /// Progress of the periodic work on each pool.
+    pub(crate) reviews: Map<ids::Pool, Review>,
+    /// Pool to which each move under way goes.
+    pub(crate) coming: Map<ids::Host, ids::Pool>,
+    /// Pools that changed since their latest review.
+    changed: Set<ids::Pool>,
+    /// Whether the own renewal was read back a short time ago.
+    pub(crate) current: bool,
     /// Subject of each append that is not settled.
     pending: Map<u64, Subject>,
     subjects: Set<Subject>,
-    tokens: u64,
+    pub(crate) tokens: u64,
+}
+
+/// `Review` is the progress of the periodic work on one pool.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Review {
+    /// Time of the latest review of its waves and its size.
+    reviewed: Option<Instant>,
+    /// Time at which the next host is asked for its status.
+    pub(crate) audited: Option<Instant>,
+    /// Host that was asked last.
+    pub(crate) cursor: Option<ids::Host>,
+    /// Time since which the pool has had too many hosts.
+    pub(crate) surplus: Option<Instant>,
 }
 
 /// `Subject` is what an append is about; one append for each is under way at most.
@@ -47,7 +72,13 @@
             view: View::default(),
             renewed: Map::default(),
             vacant: Map::default(),
-            drains: Map::default(),
+            watches: Map::default(),
+            missing: Map::default(),
+            calls: Map::default(),
+            reviews: Map::default(),
+            coming: Map::default(),
+            changed: Set::default(),
+            current: false,
             pending: Map::default(),
             subjects: Set::default(),
             tokens: 0,
@@ -63,33 +94,22 @@
     /// Takes an event at a time and appends what is to be done.
     pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Caught => {
-                for at in self.renewed.values_mut() {
-                    *at = now;
-                }
-            }
+            Event::Answer { token, status } => self.answer(token, status),
+            Event::Caught => self.forgive(now),
             Event::Change(change) => self.change(now, change),
-            Event::Listed(facts) => self.listed(facts, actions),
+            Event::Listed(facts) => self.listed(now, facts, actions),
             Event::Report {
                 instance,
                 host,
                 since,
                 in_flight,
-            } => {
-                if let Some(drain) = self.drains.get_mut(&host)
-                    && drain.since == since
-                {
-                    drain.reports.insert(instance, in_flight);
-                }
-            }
+            } => self.report(instance, &host, since, in_flight),
             Event::Settled { token, .. } => {
                 if let Some(subject) = self.pending.remove(&token) {
                     self.subjects.remove(&subject);
-                }
-            }
-            Event::Status(host, status) => {
-                if let Some(drain) = self.drains.get_mut(&host) {
-                    drain.status = Some(status);
+                    if let Subject::Host(name) = &subject {
+                        self.coming.remove(name);
+                    }
                 }
             }
             Event::Tick => self.tick(now, actions),
@@ -98,20 +118,10 @@
 
     fn change(&mut self, now: Instant, change: Change) {
         match &change {
-            Change::Host(name, host) => match &host.stage {
-                Stage::Draining { since, .. } => {
-                    let known = self
-                        .drains
-                        .get(name)
-                        .is_some_and(|drain| drain.since == *since);
-                    if !known {
-                        self.drains.insert(name.clone(), Drain::new(*since, now));
-                    }
-                }
-                Stage::Lost | Stage::Serving => {
-                    self.drains.remove(name);
-                }
-            },
+            Change::Host(name, host) => {
+                self.watch(now, name, host);
+                self.changed.insert(host.pool.clone());
+            }
             Change::Member(name, Some(_)) | Change::Renewed(name) => {
                 self.renewed.insert(name.clone(), now);
             }
@@ -119,26 +129,51 @@
                 self.renewed.remove(name);
             }
             Change::Pool(name, pool) => {
+                self.changed.insert(name.clone());
                 if pool.holder.is_some() {
                     self.vacant.remove(name);
                 } else {
                     self.vacant.entry(name.clone()).or_insert(now);
                 }
             }
-            Change::Budget(..) | Change::Keys(..) | Change::Quota(..) | Change::Wave(..) => {}
+            Change::Wave(_, wave) => {
+                self.changed.insert(wave.pool.clone());
+            }
+            Change::Budget(..) | Change::Keys(..) | Change::Pin(..) | Change::Quota(..) => {}
         }
         self.view.apply(change);
     }
 
     fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        // With a view that may be old this process decides nothing and calls nobody.
+        if !self.check_current(now) {
+            return;
+        }
         self.expire_members(now, actions);
         self.claim_pools(now, actions);
-        let held = self.held();
-        for (pool, term) in &held {
-            self.advance_drains(now, pool, *term, actions);
-            self.advance_waves(pool, *term, actions);
-            self.balance(pool, *term, actions);
+        for (pool, term) in &self.held() {
+            self.advance_hosts(now, pool, *term, actions);
+            self.audit(now, pool, actions);
+            if self.is_due(now, pool) {
+                self.advance_waves(pool, *term, actions);
+                self.balance(now, pool, *term, actions);
+            }
+        }
+        self.changed.clear();
+        self.check_doubts(now, actions);
+    }
+
+    /// Gets whether a pool changed or was not reviewed for a while.
+    fn is_due(&mut self, now: Instant, pool: &ids::Pool) -> bool {
+        let period = self.options.review;
+        let review = self.reviews.entry(pool.clone()).or_default();
+        let elapsed = |at: Instant| now.saturating_duration_since(at);
+        let due = review.reviewed.is_none_or(|at| elapsed(at) >= period);
+        if due || self.changed.contains(pool) {
+            review.reviewed = Some(now);
+            return true;
         }
+        false
     }
 
     /// Gets the pools that this instance decides for, with its terms.
@@ -167,34 +202,16 @@
         });
     }
 
-    /// Gets whether an append about a subject is under way.
-    pub(crate) fn is_pending(&self, subject: &Subject) -> bool {
-        self.subjects.contains(subject)
+    /// Gets whether an append about a host is under way.
+    pub(crate) fn is_host_pending(&self, host: &ids::Host) -> bool {
+        self.subjects.contains(&Subject::Host(host.clone()))
     }
 
-    pub(crate) fn call(&self, host: &ids::Host, call: Call, actions: &mut Vec<Action>) {
-        if let Some(entry) = self.view.hosts.get(host) {
-            let generation = entry.generation;
-            actions.push(Action::Call {
-                host: host.clone(),
-                generation,
-                call,
-            });
-        }
-    }
-
-    /// Enrolls hosts that the fold does not know; the spare pool's holder does it for all.
-    fn listed(&mut self, facts: Vec<Fact>, actions: &mut Vec<Action>) {
-        let spare = self.view.pools.get(crate::state::SPARE);
-        if spare.and_then(|pool| pool.holder.as_ref()) != Some(&self.instance) {
-            return;
-        }
-        let new = facts
-            .into_iter()
-            .filter(|fact| !self.view.hosts.contains_key(&fact.host));
-        let hosts: Vec<Fact> = new.collect();
-        if !hosts.is_empty() {
-            self.append(Subject::List, Body::Enroll { hosts }, actions);
-        }
+    /// Gets the hosts about which an append is under way.
+    pub(crate) fn pending_hosts(&self) -> impl Iterator<Item = &ids::Host> {
+        self.subjects.iter().filter_map(|subject| match subject {
+            Subject::Host(host) => Some(host),
+            _ => None,
+        })
     }
 }
--- a/crates/core/src/fleet/options.rs
+++ b/crates/core/src/fleet/options.rs
@@ -11,12 +11,28 @@
     pub claim_step: Duration,
     /// Time that a drain waits for an entry host that does not report.
     pub report_timeout: Duration,
+    /// Time after which a drain that does not end is cancelled and its wave paused.
+    pub drain_timeout: Duration,
     /// Time between two calls to the platform about one host.
     pub poll: Duration,
     /// Time after a stop within which a host is expected back.
     pub reboot_timeout: Duration,
+    /// Time within which each host in service is asked for its status once.
+    pub audit: Duration,
+    /// Time for which a host is missing from the host list before it is asked for its status.
+    pub missing_timeout: Duration,
+    /// Time for which a host that does not answer is missing before it counts as lost.
+    pub gone_timeout: Duration,
+    /// Equal answers in a row that decide whether a host is lost or back.
+    pub checks: u32,
+    /// Time between two reviews of a pool in which nothing changed.
+    pub review: Duration,
+    /// Time for which a pool has too many hosts before it gives one away.
+    pub settle: Duration,
     /// Moves under way for one pool, at most.
     pub moves: usize,
+    /// Share of all hosts expected to be under repair at one time, in percent.
+    pub repair_percent: u32,
 }
 
 impl Default for Options {
@@ -25,9 +41,17 @@
             member_timeout: Duration::from_secs(10),
             claim_step: Duration::from_millis(500),
             report_timeout: Duration::from_secs(5),
+            drain_timeout: Duration::from_mins(30),
             poll: Duration::from_millis(500),
             reboot_timeout: Duration::from_mins(10),
+            audit: Duration::from_mins(1),
+            missing_timeout: Duration::from_secs(5),
+            gone_timeout: Duration::from_mins(1),
+            checks: 2,
+            review: Duration::from_secs(1),
+            settle: Duration::from_mins(2),
             moves: 4,
+            repair_percent: 2,
         }
     }
 }
--- a/crates/core/src/fleet/view.rs
+++ b/crates/core/src/fleet/view.rs
@@ -12,8 +12,8 @@
 pub struct View {
     /// Hosts by name.
     pub hosts: Map<ids::Host, Host>,
-    /// Names of the hosts of each pool, in order.
-    pub by_pool: Map<ids::Pool, BTreeSet<ids::Host>>,
+    /// Index of the hosts of each pool.
+    pub by_pool: Map<ids::Pool, Index>,
     /// Pools by name.
     pub pools: Map<ids::Pool, Pool>,
     /// Serving hosts that each service promises.
@@ -22,6 +22,47 @@
     pub waves: Map<ids::Wave, Wave>,
     /// Members by name.
     pub members: Map<ids::Instance, Member>,
+    /// Hosts that the sheet puts into a pool by name.
+    pub pins: Map<ids::Host, ids::Pool>,
+}
+
+/// `Index` counts and sorts the hosts of one pool.
+#[derive(Clone, Debug, Default)]
+pub struct Index {
+    /// Names of all hosts, in order.
+    pub names: BTreeSet<ids::Host>,
+    /// Names of the hosts out of service, in order.
+    pub out: BTreeSet<ids::Host>,
+    /// Serving hosts by rack.
+    pub racks: Map<ids::Rack, u32>,
+    /// Serving hosts.
+    pub serving: u32,
+}
+
+impl Index {
+    fn add(&mut self, name: &ids::Host, host: &Host) {
+        self.names.insert(name.clone());
+        if host.is_serving() {
+            self.serving += 1;
+            *self.racks.entry(host.rack.clone()).or_default() += 1;
+        } else {
+            self.out.insert(name.clone());
+        }
+    }
+
+    fn remove(&mut self, name: &ids::Host, host: &Host) {
+        self.names.remove(name);
+        self.out.remove(name);
+        if host.is_serving() {
+            self.serving -= 1;
+            if let Some(count) = self.racks.get_mut(&host.rack) {
+                *count -= 1;
+                if *count == 0 {
+                    self.racks.remove(&host.rack);
+                }
+            }
+        }
+    }
 }
 
 impl View {
@@ -38,6 +79,12 @@
             Change::Member(name, None) => {
                 self.members.remove(&name);
             }
+            Change::Pin(host, Some(pool)) => {
+                self.pins.insert(host, pool);
+            }
+            Change::Pin(host, None) => {
+                self.pins.remove(&host);
+            }
             Change::Pool(name, pool) => {
                 self.pools.insert(name, pool);
             }
@@ -49,14 +96,14 @@
     }
 
     fn set_host(&mut self, name: ids::Host, host: Host) {
-        let pool = host.pool.clone();
-        if let Some(old) = self.hosts.insert(name.clone(), host)
-            && old.pool != pool
-            && let Some(names) = self.by_pool.get_mut(&old.pool)
+        if let Some(old) = self.hosts.get(&name)
+            && let Some(index) = self.by_pool.get_mut(&old.pool)
         {
-            names.remove(&name);
+            index.remove(&name, old);
         }
-        self.by_pool.entry(pool).or_default().insert(name);
+        let index = self.by_pool.entry(host.pool.clone()).or_default();
+        index.add(&name, &host);
+        self.hosts.insert(name, host);
     }
 
     /// Gets the hosts of a pool in the order of their names.
@@ -64,29 +111,60 @@
         &'a self,
         pool: &ids::Pool,
     ) -> impl Iterator<Item = (&'a ids::Host, &'a Host)> + use<'a> {
-        let names = self.by_pool.get(pool).into_iter().flatten();
+        let names = self.by_pool.get(pool).map(|index| &index.names);
+        let names = names.into_iter().flatten();
+        names.filter_map(|name| self.hosts.get_key_value(name))
+    }
+
+    /// Gets the hosts of a pool that are out of service, in the order of their names.
+    pub fn out_of<'a>(
+        &'a self,
+        pool: &ids::Pool,
+    ) -> impl Iterator<Item = (&'a ids::Host, &'a Host)> + use<'a> {
+        let names = self.by_pool.get(pool).map(|index| &index.out);
+        let names = names.into_iter().flatten();
         names.filter_map(|name| self.hosts.get_key_value(name))
     }
 
+    /// Gets the number of serving hosts of a pool.
+    #[must_use]
+    pub fn serving_in(&self, pool: &ids::Pool) -> u32 {
+        self.by_pool.get(pool).map_or(0, |index| index.serving)
+    }
+
+    /// Gets the pools of a service.
+    pub(crate) fn pools_of<'a>(
+        &'a self,
+        service: &'a ids::Service,
+    ) -> impl Iterator<Item = &'a ids::Pool> {
+        let pools = self.pools.iter();
+        pools.filter_map(|(name, pool)| (pool.service.as_ref() == Some(service)).then_some(name))
+    }
+
     /// Gets the number of hosts that serve a service.
     #[must_use]
     pub fn serving(&self, service: &ids::Service) -> u32 {
-        let pools = self
-            .pools
-            .iter()
-            .filter(|(_, pool)| pool.service.as_ref() == Some(service));
-        let hosts = pools.flat_map(|(name, _)| self.hosts_of(name));
-        u32::try_from(hosts.filter(|(_, host)| host.is_serving()).count()).unwrap_or(u32::MAX)
+        self.pools_of(service)
+            .map(|pool| self.serving_in(pool))
+            .sum()
     }
 
-    /// Gets the hosts that a pool's service can spare now.
+    /// Gets the serving hosts that a service promises.
     #[must_use]
-    pub fn headroom(&self, pool: &ids::Pool) -> u32 {
-        let Some(service) = self.pools.get(pool).and_then(|pool| pool.service.as_ref()) else {
-            return u32::MAX;
-        };
-        let promised = self.budgets.get(service).copied().unwrap_or(0);
-        self.serving(service).saturating_sub(promised)
+    pub fn promised(&self, service: &ids::Service) -> u32 {
+        self.budgets.get(service).copied().unwrap_or(0)
+    }
+
+    /// Gets the serving hosts of a service in the rack that has most of them.
+    #[must_use]
+    pub fn largest_rack(&self, service: &ids::Service) -> u32 {
+        let mut racks: Map<&ids::Rack, u32> = Map::default();
+        for pool in self.pools_of(service) {
+            for (rack, count) in self.by_pool.get(pool).into_iter().flat_map(|i| &i.racks) {
+                *racks.entry(rack).or_default() += count;
+            }
+        }
+        racks.into_values().max().unwrap_or(0)
     }
 
     /// Gets the entry hosts that are members.
--- a/crates/core/src/gate/step.rs
+++ b/crates/core/src/gate/step.rs
@@ -439,7 +439,11 @@
 
     fn change(&mut self, now: Instant, change: Change, actions: &mut Vec<Action>) {
         match change {
-            Change::Budget(..) | Change::Keys(..) | Change::Renewed(_) | Change::Wave(..) => {}
+            Change::Budget(..)
+            | Change::Keys(..)
+            | Change::Pin(..)
+            | Change::Renewed(_)
+            | Change::Wave(..) => {}
             Change::Host(name, host) => self.change_host(now, &name, host, actions),
             Change::Member(name, member) => {
                 match member {
--- a/crates/core/src/record/mod.rs
+++ b/crates/core/src/record/mod.rs
@@ -80,6 +80,10 @@
         host: ids::Host,
         /// Generation that failed.
         generation: ids::Generation,
+        /// Revision of the host the decision was made against.
+        revision: ids::Revision,
+        /// Term of the claim on the host's pool.
+        term: ids::Term,
     },
     /// Moves a host between pools.
     Move {
@@ -121,6 +125,15 @@
         /// Term of the claim on the host's pool.
         term: ids::Term,
     },
+    /// Stops a host for a start with a new generation; from here on the old one never returns.
+    Stop {
+        /// Host to stop.
+        host: ids::Host,
+        /// Generation to stop.
+        generation: ids::Generation,
+        /// Term of the claim on the host's pool.
+        term: ids::Term,
+    },
     /// Replaces the day's intent.
     Sheet {
         /// Revision of the intent that the operator saw.
--- a/crates/core/src/report/status.rs
+++ b/crates/core/src/report/status.rs
@@ -4,7 +4,7 @@
 
 use crate::ids;
 use crate::record::Phase;
-use crate::state::{Stage, State};
+use crate::state::State;
 
 /// `Status` is the state of the fleet at an offset.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -118,7 +118,7 @@
 fn wave(state: &State, name: &ids::Wave) -> Option<Wave> {
     let entry = state.waves.get(name)?;
     let hosts = || state.hosts.values().filter(|host| host.pool == entry.pool);
-    let out = |host: &&crate::state::Host| matches!(host.stage, Stage::Draining { .. });
+    let out = |host: &&crate::state::Host| host.wave().is_some();
     Some(Wave {
         name: name.clone(),
         pool: entry.pool.clone(),
--- a/crates/core/src/state/apply.rs
+++ b/crates/core/src/state/apply.rs
@@ -66,15 +66,11 @@
                 command,
                 operator,
             } => self.apply_command(wave, *command, operator, changes),
-            Body::Drain {
-                host,
-                generation,
-                wave,
-                term,
-            } => {
-                self.check_holder(&record.author, &self.pool_of(host)?, *term)?;
-                self.apply_drain(offset, host, *generation, wave, changes)
-            }
+            Body::Drain { .. }
+            | Body::Lost { .. }
+            | Body::Move { .. }
+            | Body::Return { .. }
+            | Body::Stop { .. } => self.apply_host(offset, record, changes),
             Body::Enroll { hosts } => {
                 for fact in hosts {
                     self.apply_fact(offset, fact, changes);
@@ -112,18 +108,6 @@
                 self.remove_member(&record.author, changes);
                 Ok(())
             }
-            Body::Lost { host, generation } => self.apply_lost(offset, host, *generation, changes),
-            Body::Move {
-                host,
-                from,
-                to,
-                revision,
-                term,
-            } => {
-                self.check_holder(&record.author, from, *term)
-                    .or_else(|_| self.check_holder(&record.author, to, *term))?;
-                self.apply_move(offset, host, from, to, *revision, changes)
-            }
             Body::Outcomes { ends } => {
                 self.apply_ends(record, ends);
                 Ok(())
@@ -142,14 +126,6 @@
                 changes.push(Change::Renewed(record.author.clone()));
                 Ok(())
             }
-            Body::Return {
-                host,
-                generation,
-                term,
-            } => {
-                self.check_holder(&record.author, &self.pool_of(host)?, *term)?;
-                self.apply_return(offset, host, *generation, changes)
-            }
             Body::Sheet { base, intents, .. } => self.apply_sheet(offset, *base, intents, changes),
         }
     }
--- a/crates/core/src/state/change.rs
+++ b/crates/core/src/state/change.rs
@@ -17,6 +17,8 @@
     Keys(ids::Instance, Vec<ids::Key>),
     /// A member as it is now, or nothing when it is gone.
     Member(ids::Instance, Option<Member>),
+    /// The pool into which the sheet puts a host by name, or nothing when it names none.
+    Pin(ids::Host, Option<ids::Pool>),
     /// A pool as it is now.
     Pool(ids::Pool, Pool),
     /// The guaranteed slots of a caller in a service.
--- a/crates/core/src/state/entry.rs
+++ b/crates/core/src/state/entry.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Change, Keys};
+use super::{Change, Keys, Reason};
 use crate::ids;
 use crate::map::Map;
 use crate::record::{self, Phase};
@@ -66,6 +66,11 @@
     Lost,
     /// Gets work.
     Serving,
+    /// Is being stopped; only a newer generation returns.
+    Stopping {
+        /// Wave the stop belongs to, none for a repair or a host that exceeded its time.
+        wave: Option<ids::Wave>,
+    },
 }
 
 /// `Host` is a host of the fleet.
@@ -117,6 +122,8 @@
     pub since: ids::Offset,
     /// Where the wave stands.
     pub phase: Phase,
+    /// Hosts that did not return since it last started or resumed.
+    pub failed: u32,
     /// Why it stands there, in words for the operator.
     pub reason: String,
 }
@@ -148,6 +155,26 @@
     pub fn is_serving(&self) -> bool {
         self.stage == Stage::Serving
     }
+
+    /// Checks that a decision was made for the generation in force.
+    pub(super) fn check_generation(&self, seen: ids::Generation) -> Result<(), Reason> {
+        let current = self.generation;
+        if current == seen {
+            Ok(())
+        } else {
+            Err(Reason::Conflict { current, seen })
+        }
+    }
+
+    /// Gets the wave that keeps the host out of service.
+    #[must_use]
+    pub fn wave(&self) -> Option<&ids::Wave> {
+        match &self.stage {
+            Stage::Draining { wave, .. } => Some(wave),
+            Stage::Stopping { wave } => wave.as_ref(),
+            Stage::Lost | Stage::Serving => None,
+        }
+    }
 }
 
 impl State {
@@ -193,6 +220,9 @@
                 .iter()
                 .map(|(id, host)| Change::Host(id.clone(), host.clone())),
         );
+        let pin =
+            |(id, pool): (&ids::Host, &ids::Pool)| Change::Pin(id.clone(), Some(pool.clone()));
+        changes.extend(self.pins.iter().map(pin));
         changes.extend(
             self.waves
                 .iter()
--- a/crates/core/src/state/hosts.rs
+++ b/crates/core/src/state/hosts.rs
@@ -3,24 +3,81 @@
 use super::apply::Check;
 use super::{Change, Host, Reason, SPARE, Stage, State};
 use crate::ids;
-use crate::record::{Fact, Phase};
+use crate::record::{Body, Fact, Phase, Record};
 
 impl State {
-    pub(super) fn pool_of(&self, host: &ids::Host) -> Result<ids::Pool, Reason> {
+    /// Applies a record about one host.
+    pub(super) fn apply_host(
+        &mut self,
+        offset: ids::Offset,
+        record: &Record,
+        changes: &mut Vec<Change>,
+    ) -> Check {
+        match &record.body {
+            Body::Drain {
+                host,
+                generation,
+                wave,
+                term,
+            } => {
+                self.check_holder(&record.author, &self.pool_of(host)?, *term)?;
+                self.apply_drain(offset, host, *generation, wave, changes)
+            }
+            Body::Lost {
+                host,
+                generation,
+                revision,
+                term,
+            } => {
+                self.check_holder(&record.author, &self.pool_of(host)?, *term)?;
+                self.apply_lost(offset, host, *generation, *revision, changes)
+            }
+            Body::Move {
+                host,
+                from,
+                to,
+                revision,
+                term,
+            } => {
+                self.check_holder(&record.author, from, *term)
+                    .or_else(|_| self.check_holder(&record.author, to, *term))?;
+                self.apply_move(offset, host, from, to, *revision, changes)
+            }
+            Body::Return {
+                host,
+                generation,
+                term,
+            } => {
+                self.check_holder(&record.author, &self.pool_of(host)?, *term)?;
+                self.apply_return(offset, host, *generation, changes)
+            }
+            Body::Stop {
+                host,
+                generation,
+                term,
+            } => {
+                self.check_holder(&record.author, &self.pool_of(host)?, *term)?;
+                self.apply_stop(offset, host, *generation, changes)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn pool_of(&self, host: &ids::Host) -> Result<ids::Pool, Reason> {
         match self.hosts.get(host) {
             Some(entry) => Ok(entry.pool.clone()),
             None => Err(Reason::Absent(format!("host {host}"))),
         }
     }
 
-    pub(super) fn host_mut(&mut self, host: &ids::Host) -> Result<&mut Host, Reason> {
+    fn host_mut(&mut self, host: &ids::Host) -> Result<&mut Host, Reason> {
         self.hosts
             .get_mut(host)
             .ok_or_else(|| Reason::Absent(format!("host {host}")))
     }
 
     /// Checks that a service keeps its promise with one serving host less.
-    pub(super) fn check_budget(&self, pool: &ids::Pool) -> Check {
+    fn check_budget(&self, pool: &ids::Pool) -> Check {
         let Some(service) = self.service_of(pool) else {
             return Ok(());
         };
@@ -36,7 +93,7 @@
         Ok(())
     }
 
-    pub(super) fn apply_drain(
+    fn apply_drain(
         &mut self,
         offset: ids::Offset,
         host: &ids::Host,
@@ -50,12 +107,7 @@
         }
         self.check_budget(&self.pool_of(host)?)?;
         let entry = self.host_mut(host)?;
-        if entry.generation != generation {
-            return Err(Reason::Conflict {
-                current: entry.generation,
-                seen: generation,
-            });
-        }
+        entry.check_generation(generation)?;
         if !entry.is_serving() {
             return Err(Reason::Stage(format!("the host is {:?}", entry.stage)));
         }
@@ -94,30 +146,57 @@
         changes.push(Change::Host(fact.host.clone(), host));
     }
 
-    pub(super) fn apply_lost(
+    fn apply_lost(
         &mut self,
         offset: ids::Offset,
         host: &ids::Host,
         generation: ids::Generation,
+        revision: ids::Revision,
         changes: &mut Vec<Change>,
     ) -> Check {
         let entry = self.host_mut(host)?;
-        if entry.generation != generation {
+        if entry.generation != generation || entry.revision != revision {
             return Err(Reason::Conflict {
-                current: entry.generation,
-                seen: generation,
+                current: entry.revision,
+                seen: revision,
             });
         }
-        if !entry.is_serving() {
-            return Err(Reason::Stage(format!("the host is {:?}", entry.stage)));
+        let wave = entry.wave().cloned();
+        entry.stage = match &entry.stage {
+            Stage::Draining { .. } | Stage::Serving => Stage::Lost,
+            // A stop may still be under way, so the old generation must not return.
+            Stage::Stopping { wave: Some(_) } => Stage::Stopping { wave: None },
+            stage => return Err(Reason::Stage(format!("the host is {stage:?}"))),
+        };
+        entry.revision = offset;
+        changes.push(Change::Host(host.clone(), entry.clone()));
+        if let Some(wave) = wave {
+            self.fail_wave(&wave, changes);
         }
-        entry.stage = Stage::Lost;
+        Ok(())
+    }
+
+    fn apply_stop(
+        &mut self,
+        offset: ids::Offset,
+        host: &ids::Host,
+        generation: ids::Generation,
+        changes: &mut Vec<Change>,
+    ) -> Check {
+        let entry = self.host_mut(host)?;
+        entry.check_generation(generation)?;
+        let wave = match &entry.stage {
+            Stage::Draining { wave, .. } => Some(wave.clone()),
+            Stage::Lost => None,
+            stage => return Err(Reason::Stage(format!("the host is {stage:?}"))),
+        };
+        entry.stage = Stage::Stopping { wave };
         entry.revision = offset;
         changes.push(Change::Host(host.clone(), entry.clone()));
         Ok(())
     }
 
-    pub(super) fn apply_move(
+    fn apply_move(
         &mut self,
         offset: ids::Offset,
         host: &ids::Host,
@@ -139,8 +218,8 @@
                 seen: revision,
             });
         }
-        if matches!(entry.stage, Stage::Draining { .. }) {
-            return Err(Reason::Stage("the host is draining".to_owned()));
+        if entry.wave().is_some() {
+            return Err(Reason::Stage(format!("the host is {:?}", entry.stage)));
         }
         if entry.is_serving() && self.service_of(from) != self.service_of(to) {
             self.check_budget(from)?;
@@ -153,7 +232,7 @@
         Ok(())
     }
 
-    pub(super) fn apply_return(
+    fn apply_return(
         &mut self,
         offset: ids::Offset,
         host: &ids::Host,
@@ -164,7 +243,9 @@
         if entry.is_serving() {
             return Err(Reason::Stage("the host is serving".to_owned()));
         }
-        if generation < entry.generation {
+        // A stop of the old generation may arrive late; it must not meet a host in service.
+        let least = entry.generation + u64::from(matches!(entry.stage, Stage::Stopping { .. }));
+        if generation < least {
             return Err(Reason::Conflict {
                 current: entry.generation,
                 seen: generation,
--- a/crates/core/src/state/sheet.rs
+++ b/crates/core/src/state/sheet.rs
@@ -21,7 +21,7 @@
             });
         }
         self.revision = offset;
-        self.pins.clear();
+        let mut pins: Map<ids::Host, ids::Pool> = Map::default();
         let mut quotas: Map<ids::Service, Map<ids::Caller, u32>> = Map::default();
         let mut budgets: Map<ids::Service, u32> = Map::default();
         let mut named: Set<ids::Pool> = Set::default();
@@ -31,7 +31,7 @@
                     budgets.insert(service.clone(), *hosts);
                 }
                 Intent::Move { host, pool } => {
-                    self.pins.insert(host.clone(), pool.clone());
+                    pins.insert(host.clone(), pool.clone());
                 }
                 Intent::Pool {
                     name,
@@ -57,11 +57,20 @@
             }
         }
         self.retire_pools(&named, changes);
+        self.replace_pins(pins, changes);
         self.replace_budgets(budgets, changes);
         self.replace_quotas(quotas, changes);
         Ok(())
     }
 
+    fn replace_pins(&mut self, pins: Map<ids::Host, ids::Pool>, changes: &mut Vec<Change>) {
+        let gone = self.pins.keys().filter(|host| !pins.contains_key(*host));
+        changes.extend(gone.map(|host| Change::Pin(host.clone(), None)));
+        let set = pins.iter();
+        changes.extend(set.map(|(host, pool)| Change::Pin(host.clone(), Some(pool.clone()))));
+        self.pins = pins;
+    }
+
     pub(super) fn replace_budgets(
         &mut self,
         budgets: Map<ids::Service, u32>,
--- a/crates/core/src/state/waves.rs
+++ b/crates/core/src/state/waves.rs
@@ -42,12 +42,23 @@
         if matches!(entry.phase, Phase::Done | Phase::Aborted) {
             return Err(Reason::Stage(format!("the wave is {:?}", entry.phase)));
         }
+        if entry.phase != phase && phase == Phase::Running {
+            entry.failed = 0;
+        }
         entry.phase = phase;
         entry.reason = reason;
         changes.push(Change::Wave(wave.clone(), entry.clone()));
         Ok(())
     }
 
+    /// Counts a host of a wave that did not return.
+    pub(super) fn fail_wave(&mut self, wave: &ids::Wave, changes: &mut Vec<Change>) {
+        if let Some(entry) = self.waves.get_mut(wave) {
+            entry.failed += 1;
+            changes.push(Change::Wave(wave.clone(), entry.clone()));
+        }
+    }
+
     pub(super) fn set_wave(
         &mut self,
         offset: ids::Offset,
@@ -61,6 +72,7 @@
             batch,
             since: offset,
             phase: Phase::Running,
+            failed: 0,
             reason: "asked for by the sheet".to_owned(),
         });
         // A wave keeps its progress when a later sheet names it again; only its size may change.
--- /dev/null
+++ b/crates/core/tests/fleet/bench.rs
@@ -0,0 +1,361 @@
+//! Managers over one fold, with a platform that answers at once.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use persimmongate_core::fleet::{Action, Call, Event, Health, Manager, Options, Status};
+use persimmongate_core::ids;
+use persimmongate_core::map::{Map, Set};
+use persimmongate_core::record::{Body, Command, Fact, Member, Phase, Record, Role};
+use persimmongate_core::sheet::Intent;
+use persimmongate_core::state::{Change, Host, Stage, State, Verdict};
+
+const STEP: Duration = Duration::from_millis(100);
+
+/// `Node` is a manager with what it has not read.
+struct Node {
+    manager: Manager,
+    frozen: bool,
+    backlog: Vec<Event>,
+}
+
+/// `Bench` holds managers `a` and `b`, entry host `e`, and the platform.
+pub(crate) struct Bench {
+    pub(crate) state: State,
+    pub(crate) now: Instant,
+    nodes: Vec<Node>,
+    sequence: ids::Sequence,
+    pub(crate) platform: Map<ids::Host, Status>,
+    /// Hosts that never finish their work.
+    pub(crate) busy: Set<ids::Host>,
+    /// Hosts that do not serve after a reboot.
+    pub(crate) broken: Set<ids::Host>,
+    /// Whether calls are kept instead of carried out.
+    pub(crate) hold: bool,
+    pub(crate) held: Vec<(usize, Action)>,
+    /// Reboots carried out, with the health before.
+    pub(crate) reboots: Vec<(ids::Host, Health)>,
+    /// What entry host `e` reports, none while it is silent.
+    pub(crate) in_flight: Option<u32>,
+    /// Whether members renew.
+    pub(crate) renewing: bool,
+    pub(crate) bodies: Vec<Body>,
+}
+
+pub(crate) fn options() -> Options {
+    Options {
+        poll: STEP,
+        audit: Duration::from_secs(5),
+        settle: Duration::from_secs(20),
+        reboot_timeout: Duration::from_secs(30),
+        drain_timeout: Duration::from_mins(1),
+        ..Options::default()
+    }
+}
+
+fn fact(index: usize) -> Fact {
+    Fact {
+        host: format!("h{index:02}").into(),
+        address: ([127, 0, 0, 1], 2).into(),
+        zone: format!("z{}", index % 4).into(),
+        rack: format!("r{index}").into(),
+        generation: 1,
+        slots: 8,
+        connections: 64,
+    }
+}
+
+fn member(role: Role) -> Member {
+    let address = ([127, 0, 0, 1], 1).into();
+    Member {
+        role,
+        peer: address,
+        http: address,
+        zone: "z".into(),
+    }
+}
+
+impl Bench {
+    /// Makes a bench in which pool `finder` has its 8 hosts of 10.
+    pub(crate) fn new(promised: u32) -> Self {
+        let initial = State::default().changes().into_iter();
+        let initial: Vec<Event> = initial.map(Event::Change).collect();
+        let node = |name: &'static str| Node {
+            manager: Manager::new(name.into(), options()),
+            frozen: false,
+            backlog: initial.clone(),
+        };
+        let serving = Status {
+            generation: 1,
+            health: Health::Serving,
+        };
+        let facts: Vec<Fact> = (0..10).map(fact).collect();
+        let mut bench = Self {
+            state: State::default(),
+            now: tokio::time::Instant::now().into_std(),
+            nodes: vec![node("a"), node("b")],
+            sequence: 0,
+            platform: facts.iter().map(|f| (f.host.clone(), serving)).collect(),
+            busy: Set::default(),
+            broken: Set::default(),
+            hold: false,
+            held: Vec::new(),
+            reboots: Vec::new(),
+            in_flight: Some(0),
+            renewing: true,
+            bodies: Vec::new(),
+        };
+        for name in ["a", "b"] {
+            bench.append(name, Body::Join(member(Role::Fleet)));
+        }
+        bench.append("e", Body::Join(member(Role::Entry)));
+        bench.run(2);
+        bench.append("e", Body::Enroll { hosts: facts });
+        bench.sheet(promised, Vec::new());
+        bench.run(5);
+        assert_eq!(bench.state.serving(&"finder".into()), 8);
+        bench
+    }
+
+    /// Publishes the sheet with more rows.
+    pub(crate) fn sheet(&mut self, promised: u32, rows: Vec<Intent>) {
+        let mut intents = vec![
+            Intent::Pool {
+                name: "finder".into(),
+                service: Some("finder".into()),
+                hosts: 8,
+            },
+            Intent::Budget {
+                service: "finder".into(),
+                hosts: promised,
+            },
+        ];
+        intents.extend(rows);
+        let base = self.state.revision;
+        let operator = "o".into();
+        let verdict = self.append(
+            "e",
+            Body::Sheet {
+                base,
+                operator,
+                intents,
+            },
+        );
+        assert_eq!(verdict, Verdict::Accepted);
+    }
+
+    /// Publishes a sheet with a wave over the finder's pool.
+    pub(crate) fn wave(&mut self, promised: u32, name: &'static str) {
+        let wave = Intent::Wave {
+            name: name.into(),
+            pool: "finder".into(),
+            batch: 2,
+        };
+        self.sheet(promised, vec![wave]);
+    }
+
+    pub(crate) fn command(&mut self, wave: &'static str, command: Command) {
+        let (wave, operator) = (wave.into(), "o".into());
+        let body = Body::Command {
+            wave,
+            command,
+            operator,
+        };
+        assert_eq!(self.append("e", body), Verdict::Accepted);
+    }
+
+    /// Folds a record and tells every manager that runs.
+    pub(crate) fn append(&mut self, author: &str, body: Body) -> Verdict {
+        self.sequence += 1;
+        self.bodies.push(body.clone());
+        let record = Record {
+            author: author.to_owned().into(),
+            incarnation: 1,
+            sequence: self.sequence,
+            body,
+        };
+        let mut changes: Vec<Change> = Vec::new();
+        let offset = self.state.next;
+        let at = SystemTime::UNIX_EPOCH;
+        let verdict = self.state.apply(offset, at, &record, &mut changes);
+        for change in changes {
+            for node in &mut self.nodes {
+                node.backlog.push(Event::Change(change.clone()));
+            }
+        }
+        verdict
+    }
+
+    pub(crate) fn freeze(&mut self, node: usize, frozen: bool) {
+        self.nodes[node].frozen = frozen;
+    }
+
+    pub(crate) fn send(&mut self, node: usize, event: Event) {
+        self.nodes[node].backlog.push(event);
+    }
+
+    /// Sends the host list without some hosts to all managers.
+    pub(crate) fn list(&mut self, without: &[&str]) {
+        let facts = (0..10).map(fact);
+        let facts: Vec<Fact> = facts.filter(|f| !without.contains(&&*f.host)).collect();
+        for node in 0..self.nodes.len() {
+            self.send(node, Event::Listed(facts.clone()));
+        }
+    }
+
+    /// Lets seconds pass.
+    pub(crate) fn run(&mut self, seconds: u32) {
+        for step in 0..seconds * 10 {
+            self.now += STEP;
+            if step % 10 == 0 && self.renewing {
+                for name in ["a", "b", "e"] {
+                    let frozen = name == "a" && self.nodes[0].frozen;
+                    if !frozen {
+                        self.append(name, Body::Renew);
+                    }
+                }
+            }
+            self.report();
+            for node in 0..self.nodes.len() {
+                if !self.nodes[node].frozen {
+                    self.step(node);
+                }
+            }
+        }
+    }
+
+    /// Lets time pass until no host is out for a wave and the wave ended, or for a minute.
+    pub(crate) fn finish(&mut self, wave: &str) -> Phase {
+        for _ in 0..300 {
+            self.run(1);
+            if matches!(self.state.waves[wave].phase, Phase::Done | Phase::Paused) {
+                break;
+            }
+        }
+        self.state.waves[wave].phase
+    }
+
+    fn report(&mut self) {
+        let Some(in_flight) = self.in_flight else {
+            return;
+        };
+        let draining = self
+            .state
+            .hosts
+            .iter()
+            .filter_map(|(name, host)| match host.stage {
+                Stage::Draining { since, .. } => Some((name.clone(), since)),
+                _ => None,
+            });
+        for (host, since) in draining.collect::<Vec<_>>() {
+            for node in 0..self.nodes.len() {
+                let instance = "e".into();
+                let host = host.clone();
+                self.send(
+                    node,
+                    Event::Report {
+                        instance,
+                        host,
+                        since,
+                        in_flight,
+                    },
+                );
+            }
+        }
+    }
+
+    fn step(&mut self, node: usize) {
+        let mut events = std::mem::take(&mut self.nodes[node].backlog);
+        events.push(Event::Tick);
+        for event in events {
+            let mut actions = Vec::new();
+            self.nodes[node].manager.step(self.now, event, &mut actions);
+            for action in actions {
+                self.act(node, action);
+            }
+        }
+    }
+
+    fn act(&mut self, node: usize, action: Action) {
+        match action {
+            Action::Append { token, body } => {
+                let author = ["a", "b"][node];
+                let verdict = Some(self.append(author, body));
+                self.send(node, Event::Settled { token, verdict });
+            }
+            call @ Action::Call { .. } if self.hold => self.held.push((node, call)),
+            Action::Call {
+                token,
+                host,
+                generation,
+                call,
+            } => {
+                let status = self.call(&host, generation, call);
+                self.send(node, Event::Answer { token, status });
+            }
+        }
+    }
+
+    /// Carries out a call; a reboot also while the host serves, so that the test sees it.
+    pub(crate) fn call(
+        &mut self,
+        host: &ids::Host,
+        generation: ids::Generation,
+        call: Call,
+    ) -> Option<Status> {
+        let (busy, broken) = (self.busy.contains(host), self.broken.contains(host));
+        let status = self.platform.get_mut(host)?;
+        if call != Call::Query && status.generation != generation {
+            return None;
+        }
+        match (call, status.health) {
+            (Call::Drain, Health::Serving) if busy => status.health = Health::Draining,
+            (Call::Drain, Health::Serving) => status.health = Health::Drained,
+            (Call::Undrain, Health::Drained | Health::Draining) => status.health = Health::Serving,
+            (Call::Reboot, health) => {
+                self.reboots.push((host.clone(), health));
+                status.health = Health::Serving;
+                status.generation += 1;
+                if broken {
+                    status.health = Health::Dead;
+                    status.generation -= 1;
+                }
+            }
+            _ => {}
+        }
+        Some(*status)
+    }
+
+    /// Gets the only host that drains.
+    pub(crate) fn draining(&self) -> Option<(ids::Host, Host)> {
+        let hosts = self.state.hosts.iter();
+        let mut draining = hosts.filter(|(_, host)| matches!(host.stage, Stage::Draining { .. }));
+        let found = draining
+            .next()
+            .map(|(name, host)| (name.clone(), host.clone()));
+        assert!(draining.next().is_none());
+        found
+    }
+
+    pub(crate) fn holder(&self) -> &str {
+        self.state.pools["finder"].holder.as_deref().unwrap_or("")
+    }
+
+    /// Gets the number of the node that holds the finder's pool.
+    pub(crate) fn holding(&self) -> usize {
+        usize::from(self.holder() == "b")
+    }
+
+    pub(crate) fn set(&mut self, host: &ids::Host, health: Health) {
+        if let Some(status) = self.platform.get_mut(host) {
+            status.health = health;
+        }
+    }
+
+    pub(crate) fn pooled(&self, pool: &str) -> Vec<ids::Host> {
+        let hosts = self.state.hosts.iter();
+        let hosts = hosts.filter(|(_, host)| &*host.pool == pool);
+        let mut hosts: Vec<ids::Host> = hosts.map(|(name, _)| name.clone()).collect();
+        hosts.sort();
+        hosts
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the fleet's decisions.
+
+mod bench;
+mod drains;
+mod failures;
+mod waves;
--- /dev/null
+++ b/crates/core/tests/fleet/waves.rs
@@ -0,0 +1,175 @@
+//! Waves, pins and the buffer.
+
+use persimmongate_core::fleet::buffer;
+use persimmongate_core::record::{Body, Command, Phase};
+use persimmongate_core::sheet::Intent;
+use persimmongate_core::state::{SPARE, Stage};
+use test_case::test_case;
+
+use crate::bench::Bench;
+
+fn out(bench: &Bench) -> usize {
+    let hosts = bench.state.hosts.values();
+    hosts.filter(|host| host.wave().is_some()).count()
+}
+
+#[test_case(4; "with room")]
+#[test_case(6; "with the room of a spare host")]
+fn verify_wave_maintains_every_host_inside_the_budget(promised: u32) {
+    let mut bench = Bench::new(promised);
+    let hosts = bench.pooled("finder");
+    bench.wave(promised, "w");
+    let mut phase = Phase::Running;
+    while phase == Phase::Running {
+        bench.run(1);
+        assert!(out(&bench) <= 2);
+        assert!(bench.state.serving(&"finder".into()) > promised);
+        phase = bench.state.waves["w"].phase;
+    }
+    assert_eq!(phase, Phase::Done);
+    let maintained = |host| bench.state.hosts[host].maintained > 0;
+    assert!(hosts.iter().all(maintained));
+}
+
+#[test]
+fn verify_first_host_goes_alone() {
+    let mut bench = Bench::new(4);
+    bench.in_flight = Some(1);
+    bench.wave(4, "w");
+    bench.run(10);
+    assert!(bench.draining().is_some());
+}
+
+#[test]
+fn verify_first_failure_pauses_the_wave_with_the_next_step() {
+    let mut bench = Bench::new(4);
+    let hosts = bench.pooled("finder");
+    bench.broken.extend(hosts);
+    bench.wave(4, "w");
+    assert_eq!(bench.finish("w"), Phase::Paused);
+    let wave = &bench.state.waves["w"];
+    assert_eq!(wave.failed, 1);
+    assert!(wave.reason.contains("resume or abort"), "{}", wave.reason);
+    assert_eq!(
+        bench.reboots.len(),
+        bench
+            .reboots
+            .iter()
+            .filter(|r| r.0 == bench.reboots[0].0)
+            .count()
+    );
+    // The operator's resume counts failures anew.
+    bench.broken.clear();
+    bench.command("w", Command::Resume);
+    assert_eq!(bench.finish("w"), Phase::Done);
+}
+
+#[test]
+fn verify_pause_starts_no_further_drain() {
+    let mut bench = Bench::new(4);
+    bench.wave(4, "w");
+    bench.run(1);
+    bench.command("w", Command::Pause);
+    bench.run(5);
+    assert_eq!(out(&bench), 0);
+    let done = bench
+        .state
+        .hosts
+        .values()
+        .filter(|host| host.maintained > 0)
+        .count();
+    bench.run(20);
+    let later = bench
+        .state
+        .hosts
+        .values()
+        .filter(|host| host.maintained > 0)
+        .count();
+    assert_eq!(done, later);
+    bench.command("w", Command::Resume);
+    assert_eq!(bench.finish("w"), Phase::Done);
+}
+
+#[test]
+fn verify_wave_that_cannot_start_tells_why() {
+    let mut bench = Bench::new(8);
+    for host in bench.pooled(SPARE) {
+        bench.set(&host, persimmongate_core::fleet::Health::Dead);
+    }
+    bench.run(15);
+    bench.wave(8, "w");
+    bench.run(10);
+    let wave = &bench.state.waves["w"];
+    assert_eq!(wave.phase, Phase::Running);
+    assert!(
+        wave.reason.starts_with("waits: finder serves with 8"),
+        "{}",
+        wave.reason
+    );
+    assert_eq!(out(&bench), 0);
+    let told = |body: &&Body| matches!(body, Body::Progress { .. });
+    assert_eq!(bench.bodies.iter().filter(told).count(), 1);
+}
+
+#[test]
+fn verify_second_wave_in_the_middle_counts_against_the_same_batch() {
+    let mut bench = Bench::new(4);
+    bench.wave(4, "w");
+    bench.run(3);
+    let wave = |name: &'static str| Intent::Wave {
+        name: name.into(),
+        pool: "finder".into(),
+        batch: 2,
+    };
+    bench.sheet(4, vec![wave("w"), wave("second")]);
+    while bench.state.waves["second"].phase == Phase::Running {
+        bench.run(1);
+        assert!(out(&bench) <= 2);
+    }
+    let since = bench.state.waves["second"].since;
+    let finder = bench.pooled("finder");
+    assert!(
+        finder
+            .iter()
+            .all(|host| bench.state.hosts[host].maintained >= since)
+    );
+}
+
+#[test]
+fn verify_pinned_host_moves_to_its_pool_and_stays() {
+    let mut bench = Bench::new(4);
+    let host = bench.pooled(SPARE)[0].clone();
+    let pin = Intent::Move {
+        host: host.clone(),
+        pool: "finder".into(),
+    };
+    bench.sheet(4, vec![pin]);
+    bench.run(30);
+    let finder = bench.pooled("finder");
+    assert!(finder.contains(&host));
+    assert_eq!(finder.len(), 8);
+}
+
+#[test]
+fn verify_buffer_is_shared_between_services() {
+    let mut bench = Bench::new(7);
+    bench.wave(7, "w");
+    let mut view = persimmongate_core::fleet::View::default();
+    for change in bench.state.changes() {
+        view.apply(change);
+    }
+    let buffer = buffer(&view, 2);
+    let need = &buffer.needs[0];
+    assert_eq!(
+        (need.promised, need.wave, need.domain, need.error),
+        (7, 2, 1, 1)
+    );
+    assert_eq!((need.lacking(), buffer.shared, buffer.spare), (3, 3, 2));
+    assert!(
+        bench
+            .state
+            .hosts
+            .values()
+            .all(|host| host.stage == Stage::Serving)
+    );
+}
--- a/crates/fleet/src/manager/mod.rs
+++ b/crates/fleet/src/manager/mod.rs
@@ -61,11 +61,12 @@
             match action {
                 Action::Append { token, body } => self.append(token, body, ctx),
                 Action::Call {
+                    token,
                     host,
                     generation,
                     call,
                 } => {
-                    self.call(host, generation, call, ctx);
+                    self.call(token, host, generation, call, ctx);
                 }
             }
         }
@@ -89,6 +90,7 @@
 
     fn call(
         &mut self,
+        token: u64,
         host: ids::Host,
         generation: ids::Generation,
         call: Call,
@@ -96,17 +98,14 @@
     ) {
         self.calls.add(1, &[]);
         let client = self.platform.clone();
-        let called = host.clone();
-        let status = async move { client.call(&called, generation, call).await };
-        ctx.spawn(
-            status
-                .into_actor(self)
-                .map(move |status, act, ctx| match status {
-                    Ok(status) => act.step(Event::Status(host, status), ctx),
-                    // The next poll asks again.
-                    Err(_) => act.refusals.add(1, &[]),
-                }),
-        );
+        let status = async move { client.call(&host, generation, call).await };
+        ctx.spawn(status.into_actor(self).map(move |status, act, ctx| {
+            let status = status.ok();
+            if status.is_none() {
+                act.refusals.add(1, &[]);
+            }
+            act.step(Event::Answer { token, status }, ctx);
+        }));
     }
 
     fn list(&mut self, ctx: &mut Context<Self>) {
