Add runs of the real managers with faults, and measure wave, moves and takeover

Each run counts requests cut and seconds below a promise, folds the log a second time and compares every instance with it.

--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -1,7 +1,11 @@
 //! Measurements of the decision code, each printed as a table with its baselines.
 
 mod log;
+mod moves;
 mod table;
+mod takeover;
+mod wave;
+mod world;
 
 use std::process::ExitCode;
 
@@ -25,6 +29,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Measure {
     Log,
+    Moves,
+    Takeover,
+    Wave,
 }
 
 /// `Options` is what every measurement gets.
@@ -37,11 +44,14 @@
 }
 
 impl Measure {
-    const ALL: [Self; 1] = [Self::Log];
+    const ALL: &[Self] = &[Self::Log, Self::Moves, Self::Takeover, Self::Wave];
 
     fn name(self) -> &'static str {
         match self {
             Self::Log => "log",
+            Self::Moves => "moves",
+            Self::Takeover => "takeover",
+            Self::Wave => "wave",
         }
     }
 
@@ -55,6 +65,9 @@
         );
         match self {
             Self::Log => log::run(),
+            Self::Moves => moves::run(options.seed),
+            Self::Takeover => takeover::run(options.seed),
+            Self::Wave => wave::run(options.seed),
         }
     }
 }
--- /dev/null
+++ b/crates/core/examples/measure/world/greedy.rs
@@ -0,0 +1,42 @@
+//! The baselines for moves: none at all, and one at every difference from the sheet.
+
+use persimmongate_core::ids;
+use persimmongate_core::record::Body;
+use persimmongate_core::state::SPARE;
+
+use super::World;
+
+impl World {
+    /// Moves a host for each pool whose serving hosts differ from the sheet.
+    pub(super) fn step_greedy(&mut self) {
+        for service in self.plan.services.clone() {
+            let (pool, serving) = (service.name, self.log.state.serving(&service.name.into()));
+            if serving < service.hosts {
+                self.move_one(SPARE, pool, pool);
+            } else if serving > service.hosts {
+                self.move_one(pool, SPARE, pool);
+            }
+        }
+    }
+
+    fn move_one(&mut self, from: &'static str, to: &'static str, held: &str) {
+        let hosts = self.log.state.hosts.iter();
+        let open = hosts.filter(|(_, host)| &*host.pool == from && host.is_serving());
+        let mut open: Vec<(ids::Host, ids::Revision)> = open
+            .map(|(name, host)| (name.clone(), host.revision))
+            .collect();
+        open.sort();
+        let Some((host, revision)) = open.into_iter().next() else {
+            return;
+        };
+        let term = self.log.state.pools[held].term;
+        let body = Body::Move {
+            host,
+            from: from.into(),
+            to: to.into(),
+            revision,
+            term,
+        };
+        self.append_as_holder(held, body);
+    }
+}
--- /dev/null
+++ b/crates/core/examples/measure/world/platform.rs
@@ -0,0 +1,203 @@
+//! Machines that drain and reboot, with a host list that lags.
+
+use std::time::{Duration, Instant};
+
+use persimmongate_core::fleet::{Call, Health, Status};
+use persimmongate_core::ids;
+use persimmongate_core::map::Map;
+use persimmongate_core::record::Fact;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+/// Time between two host lists, and the age of the older one when the next appears.
+const LIST_LAG: Duration = Duration::from_secs(10);
+/// Seconds that a reboot takes.
+const REBOOT_S: std::ops::Range<u64> = 60..180;
+/// Seconds that the repair of a failed machine takes.
+const REPAIR_S: std::ops::Range<u64> = 300..1200;
+
+/// `Job` is a request that runs on a machine.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    /// Entry host that waits for the answer.
+    pub(crate) entry: usize,
+    /// Time at which it ends.
+    pub(crate) ends: Instant,
+}
+
+/// `Machine` is one worker with its host.
+#[derive(Clone, Debug)]
+pub(crate) struct Machine {
+    pub(crate) fact: Fact,
+    pub(crate) health: Health,
+    pub(crate) jobs: Vec<Job>,
+    /// Time at which it serves again.
+    back: Option<Instant>,
+    /// Time at which its latest drain began.
+    drained: Option<Instant>,
+    /// Time of its own that its latest drain and reboot took.
+    pub(crate) own: Option<Duration>,
+}
+
+/// `Platform` holds all machines.
+#[derive(Debug)]
+pub(crate) struct Platform {
+    pub(crate) machines: Map<ids::Host, Machine>,
+    pub(crate) names: Vec<ids::Host>,
+    /// Percentage of reboots after which a machine does not serve again.
+    pub(crate) broken_percent: u32,
+    /// Requests that a reboot ended.
+    pub(crate) cut: usize,
+    listed: Vec<Fact>,
+    next_list: Instant,
+    next_listed: Vec<Fact>,
+}
+
+impl Platform {
+    pub(crate) fn new(facts: Vec<Fact>, broken_percent: u32, now: Instant) -> Self {
+        let machine = |fact: Fact| Machine {
+            fact,
+            health: Health::Serving,
+            jobs: Vec::new(),
+            back: None,
+            drained: None,
+            own: None,
+        };
+        Self {
+            names: facts.iter().map(|fact| fact.host.clone()).collect(),
+            listed: facts.clone(),
+            next_listed: facts.clone(),
+            machines: facts
+                .into_iter()
+                .map(|fact| (fact.host.clone(), machine(fact)))
+                .collect(),
+            broken_percent,
+            cut: 0,
+            next_list: now,
+        }
+    }
+
+    /// Gets the list as it was one or two periods ago.
+    pub(crate) fn list(&self) -> Vec<Fact> {
+        self.listed.clone()
+    }
+
+    /// Ends jobs, reboots and repairs; returns the entry hosts that get an answer, with the host.
+    pub(crate) fn step(&mut self, now: Instant) -> Vec<(usize, ids::Host)> {
+        let mut answers = Vec::new();
+        for name in &self.names {
+            let Some(machine) = self.machines.get_mut(name) else {
+                continue;
+            };
+            machine.jobs.retain(|job| {
+                let ended = job.ends <= now;
+                if ended {
+                    answers.push((job.entry, name.clone()));
+                }
+                !ended
+            });
+            if machine.back.is_some_and(|at| at <= now) {
+                machine.back = None;
+                machine.health = Health::Serving;
+                machine.fact.generation += 1;
+            }
+        }
+        if now >= self.next_list {
+            self.next_list = now + LIST_LAG;
+            let up = |name: &ids::Host| {
+                let machine = self.machines.get(name)?;
+                let down = matches!(machine.health, Health::Dead | Health::Rebooting);
+                (!down).then(|| machine.fact.clone())
+            };
+            let fresh = self.names.iter().filter_map(up).collect();
+            self.listed = std::mem::replace(&mut self.next_listed, fresh);
+        }
+        answers
+    }
+
+    /// Runs a job unless the machine refuses it; an old connection does not reach a new start.
+    pub(crate) fn run(&mut self, name: &ids::Host, generation: ids::Generation, job: Job) -> bool {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return false;
+        };
+        let full = machine.jobs.len() >= usize::from(machine.fact.slots);
+        let same = machine.fact.generation == generation;
+        if full || !same || machine.health != Health::Serving {
+            return false;
+        }
+        machine.jobs.push(job);
+        true
+    }
+
+    /// Carries out a call; a call for another generation is refused.
+    ///
+    /// A reboot is carried out also while jobs run, so that one that comes too early is seen.
+    pub(crate) fn call(
+        &mut self,
+        now: Instant,
+        name: &ids::Host,
+        generation: ids::Generation,
+        call: Call,
+        random: &mut ChaCha8Rng,
+    ) -> Option<Status> {
+        let broken = random.random_range(0..100) < self.broken_percent;
+        let reboot = Duration::from_secs(random.random_range(REBOOT_S));
+        let repair = Duration::from_secs(random.random_range(REPAIR_S));
+        let machine = self.machines.get_mut(name)?;
+        if call != Call::Query && machine.fact.generation != generation {
+            return None;
+        }
+        match (call, machine.health) {
+            (Call::Drain, Health::Serving) => {
+                machine.health = Health::Draining;
+                machine.drained = Some(now);
+            }
+            (Call::Undrain, Health::Draining) => machine.health = Health::Serving,
+            (Call::Reboot, Health::Serving | Health::Draining) => {
+                self.cut += machine.jobs.len();
+                machine.jobs.clear();
+                machine.health = Health::Rebooting;
+                machine.back = Some(now + reboot);
+                if broken {
+                    machine.health = Health::Dead;
+                    machine.back = Some(now + repair + reboot);
+                }
+                let drain = machine.drained.take().unwrap_or(now);
+                machine.own = Some(now.saturating_duration_since(drain) + reboot);
+            }
+            _ => {}
+        }
+        Some(machine.status())
+    }
+
+    /// Fails a machine without a plan; its jobs are lost.
+    pub(crate) fn crash(&mut self, now: Instant, name: &ids::Host, random: &mut ChaCha8Rng) {
+        let repair = Duration::from_secs(random.random_range(REPAIR_S));
+        if let Some(machine) = self.machines.get_mut(name)
+            && !matches!(machine.health, Health::Dead | Health::Rebooting)
+        {
+            machine.jobs.clear();
+            machine.health = Health::Dead;
+            machine.back = Some(now + repair);
+        }
+    }
+
+    /// Gets whether a machine takes requests.
+    pub(crate) fn is_serving(&self, name: &ids::Host) -> bool {
+        let machine = self.machines.get(name);
+        machine.is_some_and(|machine| machine.health == Health::Serving)
+    }
+}
+
+impl Machine {
+    fn status(&self) -> Status {
+        let health = match self.health {
+            Health::Draining if self.jobs.is_empty() => Health::Drained,
+            health => health,
+        };
+        Status {
+            generation: self.fact.generation,
+            health,
+        }
+    }
+}
