--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -1,5 +1,6 @@
 //! Measurements of the decision code, each printed as a table with its baselines.
 
+mod capacity;
 mod log;
 mod moves;
 mod table;
@@ -28,6 +29,7 @@
 /// `Measure` names the measurements.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Measure {
+    Capacity,
     Log,
     Moves,
     Takeover,
@@ -44,10 +46,17 @@
 }
 
 impl Measure {
-    const ALL: &[Self] = &[Self::Log, Self::Moves, Self::Takeover, Self::Wave];
+    const ALL: &[Self] = &[
+        Self::Capacity,
+        Self::Log,
+        Self::Moves,
+        Self::Takeover,
+        Self::Wave,
+    ];
 
     fn name(self) -> &'static str {
         match self {
+            Self::Capacity => "capacity",
             Self::Log => "log",
             Self::Moves => "moves",
             Self::Takeover => "takeover",
@@ -64,6 +73,7 @@
             options.steps
         );
         match self {
+            Self::Capacity => capacity::run(),
             Self::Log => log::run(),
             Self::Moves => moves::run(options.seed),
             Self::Takeover => takeover::run(options.seed),
--- a/crates/core/examples/measure/world/greedy.rs
+++ b/crates/core/examples/measure/world/greedy.rs
@@ -2,7 +2,7 @@
 
 use persimmongate_core::ids;
 use persimmongate_core::record::Body;
-use persimmongate_core::state::SPARE;
+use persimmongate_core::state::{Host, SPARE};
 
 use super::World;
 
@@ -10,7 +10,10 @@
     /// Moves a host for each pool whose serving hosts differ from the sheet.
     pub(super) fn step_greedy(&mut self) {
         for service in self.plan.services.clone() {
-            let (pool, serving) = (service.name, self.log.state.serving(&service.name.into()));
+            let (pool, serving) = (
+                service.name,
+                self.log.state.serving_hosts(&service.name.into()),
+            );
             if serving < service.hosts {
                 self.move_one(SPARE, pool, pool);
             } else if serving > service.hosts {
@@ -19,14 +22,25 @@
         }
     }
 
+    /// Moves the host that leaves the pool of the service spread best over racks.
     fn move_one(&mut self, from: &'static str, to: &'static str, held: &str) {
         let hosts = self.log.state.hosts.iter();
         let open = hosts.filter(|(_, host)| &*host.pool == from && host.is_serving());
-        let mut open: Vec<(ids::Host, ids::Revision)> = open
+        let key = |(name, host): &(&ids::Host, &Host)| {
+            let hosts = self.log.state.hosts.values();
+            let count = hosts.filter(|other| &*other.pool == held && other.rack == host.rack);
+            let count = count.count();
+            let crowded = if to == held {
+                count
+            } else {
+                usize::MAX - count
+            };
+            (crowded, (*name).clone())
+        };
+        let Some((host, revision)) = open
+            .min_by_key(key)
             .map(|(name, host)| (name.clone(), host.revision))
-            .collect();
-        open.sort();
-        let Some((host, revision)) = open.into_iter().next() else {
+        else {
             return;
         };
         let term = self.log.state.pools[held].term;
--- a/crates/core/examples/measure/world/mod.rs
+++ b/crates/core/examples/measure/world/mod.rs
@@ -142,7 +142,7 @@
             }
             let state = &self.log.state;
             let mut services = self.plan.services.iter();
-            full = published && services.all(|s| state.serving(&s.name.into()) >= s.hosts);
+            full = published && services.all(|s| state.serving_hosts(&s.name.into()) >= s.hosts);
         }
         full
     }
--- a/crates/core/src/fleet/moves.rs
+++ b/crates/core/src/fleet/moves.rs
@@ -31,14 +31,20 @@
         if *pool == spare {
             return;
         }
-        let (have, wanted) = (self.size(pool), self.wanted(pool));
+        let have = self.size(pool);
+        let floor = self.floor(pool);
+        let target = self.view.pools.get(pool).map_or(0, |entry| entry.target);
+        let wanted = floor.max(target);
         let surplus = have > wanted;
+        // A lost host that is expected back is replaced only when the floor needs it.
+        let lacking = floor.saturating_sub(have);
+        let lacking = lacking.max(target.saturating_sub(have + self.expected(now, pool)));
         let review = self.reviews.entry(pool.clone()).or_default();
         if !surplus {
             review.surplus = None;
         }
-        if have < wanted {
-            let mut hosts = self.candidates(&spare, pool, wanted - have);
+        if lacking > 0 {
+            let mut hosts = self.candidates(&spare, pool, lacking);
             if hosts.is_empty() && self.is_below_promise(pool) {
                 hosts.extend(self.borrow(pool));
             }
@@ -65,28 +71,45 @@
         self.view.serving_in(pool) + u32::try_from(out + coming).unwrap_or(u32::MAX)
     }
 
-    /// Gets the hosts that a pool should have: those of the sheet, and during a wave as many as
-    /// let a whole batch go.
-    fn wanted(&self, pool: &ids::Pool) -> u32 {
+    /// Gets the lost hosts of a pool that may be back after a short repair.
+    fn expected(&self, now: Instant, pool: &ids::Pool) -> u32 {
+        let lost = self
+            .view
+            .out_of(pool)
+            .filter(|(_, host)| host.wave().is_none());
+        let recent = lost.filter(|(name, _)| {
+            let watch = self.watches.get(*name);
+            watch.is_some_and(|watch| {
+                now.saturating_duration_since(watch.started) < self.options.repair
+            })
+        });
+        u32::try_from(recent.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Gets the hosts that a pool needs at any time: those of its service's promise and of its
+    /// largest rack, and during a wave as many as let a whole batch go.
+    fn floor(&self, pool: &ids::Pool) -> u32 {
         let Some(entry) = self.view.pools.get(pool) else {
             return 0;
         };
         let Some(service) = entry.service.as_ref().filter(|_| entry.target > 0) else {
-            return entry.target;
+            return 0;
         };
         let waves = self.view.waves.values();
         let running = waves.filter(|w| w.pool == *pool && w.phase == Phase::Running);
-        let Some(batch) = running.map(|wave| wave.batch).max() else {
-            return entry.target;
-        };
+        let batch = running.map(|wave| wave.batch).max();
         let elsewhere = self.view.serving(service) - self.view.serving_in(pool);
-        let reserve = self.view.promised(service) + batch + self.view.largest_rack(service);
-        entry.target.max(reserve.saturating_sub(elsewhere))
+        let reserve = self.view.promised(service) + self.view.largest_rack(service);
+        let floor = reserve.saturating_sub(elsewhere);
+        match batch {
+            Some(batch) => floor + batch,
+            None => floor.min(entry.target),
+        }
     }
 
     /// Gets whether another pool lacks a host and the spare pool has none.
     fn is_wanted_elsewhere(&self, pool: &ids::Pool) -> bool {
-        let lacks = |name: &ids::Pool| name != pool && self.size(name) < self.wanted(name);
+        let lacks = |name: &ids::Pool| name != pool && self.size(name) < self.floor(name);
         self.view.serving_in(&SPARE.into()) == 0
             && self
                 .view
--- a/crates/core/src/fleet/options.rs
+++ b/crates/core/src/fleet/options.rs
@@ -29,6 +29,8 @@
     pub review: Duration,
     /// Time for which a pool has too many hosts before it gives one away.
     pub settle: Duration,
+    /// Time after a failure within which a host is expected back by itself.
+    pub repair: Duration,
     /// Moves under way for one pool, at most.
     pub moves: usize,
     /// Share of all hosts expected to be under repair at one time, in percent.
@@ -50,6 +52,7 @@
             checks: 2,
             review: Duration::from_secs(1),
             settle: Duration::from_mins(2),
+            repair: Duration::from_mins(30),
             moves: 4,
             repair_percent: 2,
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,7 +8,9 @@
 //! - [`fleet`]: claims, moves, drains and waves of one pool
 //! - [`gate`]: admission, routing and retries of one entry host
 //! - [`ids`]: aliases for identifiers
+//! - [`invariant`]: checks of the promises to the users
 //! - [`map`]: hash maps with a fast hasher
+//! - [`name`]: the form of names
 //! - [`outcome`]: what a caller is told of a request
 //! - [`record`]: records of the log
 //! - [`report`]: what operators are shown
@@ -22,7 +24,9 @@
 pub mod fleet;
 pub mod gate;
 pub mod ids;
+pub mod invariant;
 pub mod map;
+pub mod name;
 pub mod outcome;
 pub mod record;
 pub mod report;
--- a/crates/core/src/state/apply.rs
+++ b/crates/core/src/state/apply.rs
@@ -5,7 +5,7 @@
 use super::keys::Claim;
 use super::{Change, Member, Reason, Standing, State, Verdict};
 use crate::ids;
-use crate::record::{Body, End, Record};
+use crate::record::{self, Body, End, Record};
 
 /// `Check` is whether a record may change the state.
 pub(super) type Check = Result<(), Reason>;
@@ -89,15 +89,7 @@
                 Ok(())
             }
             Body::Join(about) => {
-                let member = Member {
-                    about: about.clone(),
-                    incarnation: record.incarnation,
-                    sequence: record.sequence,
-                    renewed: offset,
-                };
-                self.remove_member(&record.author, changes);
-                self.members.insert(record.author.clone(), member.clone());
-                changes.push(Change::Member(record.author.clone(), Some(member)));
+                self.apply_join(offset, record, about, changes);
                 Ok(())
             }
             Body::Keys { keys } => {
@@ -126,10 +118,36 @@
                 changes.push(Change::Renewed(record.author.clone()));
                 Ok(())
             }
-            Body::Sheet { base, intents, .. } => self.apply_sheet(offset, *base, intents, changes),
+            Body::Snapshot { next } => {
+                self.snapshot = self.snapshot.max(*next);
+                Ok(())
+            }
+            Body::Sheet {
+                base,
+                operator,
+                intents,
+            } => self.apply_sheet(offset, *base, operator, intents, changes),
         }
     }
 
+    fn apply_join(
+        &mut self,
+        offset: ids::Offset,
+        record: &Record,
+        about: &record::Member,
+        changes: &mut Vec<Change>,
+    ) {
+        let member = Member {
+            about: about.clone(),
+            incarnation: record.incarnation,
+            sequence: record.sequence,
+            renewed: offset,
+        };
+        self.remove_member(&record.author, changes);
+        self.members.insert(record.author.clone(), member.clone());
+        changes.push(Change::Member(record.author.clone(), Some(member)));
+    }
+
     pub(super) fn remove_member(&mut self, instance: &ids::Instance, changes: &mut Vec<Change>) {
         if self.members.remove(instance).is_none() {
             return;
--- a/crates/core/tests/fleet/bench.rs
+++ b/crates/core/tests/fleet/bench.rs
@@ -112,7 +112,7 @@
         bench.append("e", Body::Enroll { hosts: facts });
         bench.sheet(promised, Vec::new());
         bench.run(5);
-        assert_eq!(bench.state.serving(&"finder".into()), 8);
+        assert_eq!(bench.state.serving_hosts(&"finder".into()), 8);
         bench
     }
 
--- a/crates/core/tests/fleet/drains.rs
+++ b/crates/core/tests/fleet/drains.rs
@@ -124,7 +124,7 @@
     assert!(reason.contains("still ran work"), "{reason}");
     bench.run(2);
     assert_eq!(bench.draining(), None);
-    assert_eq!(bench.state.serving(&"finder".into()), 8);
+    assert_eq!(bench.state.serving_hosts(&"finder".into()), 8);
     assert!(bench.reboots.is_empty());
 }
 
--- a/crates/core/tests/fleet/failures.rs
+++ b/crates/core/tests/fleet/failures.rs
@@ -35,7 +35,7 @@
         bench.run(1);
     }
     assert_eq!(bench.state.hosts[&host].stage, Stage::Lost);
-    assert_eq!(bench.state.serving(&"finder".into()), 8);
+    assert_eq!(bench.state.serving_hosts(&"finder".into()), 8);
     let back = bench.platform.get_mut(&host).unwrap();
     (back.generation, back.health) = (2, Health::Serving);
     bench.run(3);
--- a/crates/core/tests/fleet/waves.rs
+++ b/crates/core/tests/fleet/waves.rs
@@ -23,7 +23,7 @@
     while phase == Phase::Running {
         bench.run(1);
         assert!(out(&bench) <= 2);
-        assert!(bench.state.serving(&"finder".into()) > promised);
+        assert!(bench.state.serving_hosts(&"finder".into()) > promised);
         phase = bench.state.waves["w"].phase;
     }
     assert_eq!(phase, Phase::Done);
