--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -3,10 +3,14 @@
 mod capacity;
 mod flood;
 mod log;
+mod moves;
 mod routing;
 mod sim;
 mod soak;
 mod table;
+mod takeover;
+mod testbed;
+mod wave;
 mod world;
 
 use std::process::ExitCode;
@@ -33,8 +37,11 @@
     Capacity,
     Flood,
     Log,
+    Moves,
     Routing,
     Soak,
+    Takeover,
+    Wave,
 }
 
 /// `Options` is what every measurement gets.
@@ -51,8 +58,11 @@
         Self::Capacity,
         Self::Flood,
         Self::Log,
+        Self::Moves,
         Self::Routing,
         Self::Soak,
+        Self::Takeover,
+        Self::Wave,
     ];
 
     fn name(self) -> &'static str {
@@ -62,6 +72,9 @@
             Self::Log => "log",
             Self::Routing => "routing",
             Self::Soak => "soak",
+            Self::Moves => "moves",
+            Self::Takeover => "takeover",
+            Self::Wave => "wave",
         }
     }
 
@@ -79,6 +92,9 @@
             Self::Log => log::run(),
             Self::Routing => routing::run(options.seed),
             Self::Soak => soak::run(options.seed, options.steps),
+            Self::Moves => moves::run(options.seed),
+            Self::Takeover => takeover::run(options.seed),
+            Self::Wave => wave::run(options.seed),
         }
     }
 }
--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -10,7 +10,11 @@
 impl Gate {
     pub(super) fn change(&mut self, now: Instant, change: Change, actions: &mut Vec<Action>) {
         match change {
-            Change::Budget(..) | Change::Keys(..) | Change::Renewed(_) | Change::Wave(..) => {}
+            Change::Budget(..)
+            | Change::Keys(..)
+            | Change::Pin(..)
+            | Change::Renewed(_)
+            | Change::Wave(..) => {}
             Change::Host(name, host) => self.change_host(now, &name, host, actions),
             Change::Member(name, member) => self.change_member(now, name, member),
             Change::Pool(name, pool) => {
--- a/crates/core/src/report/explain/service.rs
+++ b/crates/core/src/report/explain/service.rs
@@ -54,6 +54,7 @@
             Stage::Draining { wave, .. } => format!("{host} (drained by wave {wave})"),
             Stage::Lost => format!("{host} (lost)"),
             Stage::Serving => host.to_string(),
+            Stage::Stopping { .. } => format!("{host} (restarting)"),
         })
         .collect();
     out.sort();
