--- a/crates/core/examples/measure/log.rs
+++ b/crates/core/examples/measure/log.rs
@@ -55,6 +55,7 @@
     let reason = "asked for by the sheet".to_owned();
     let mut bodies = key_bodies();
     bodies.extend(sheet_bodies());
+    bodies.extend(host_bodies());
     bodies.extend([
         ("claim", Body::Claim { pool: pool(), term }),
         (
@@ -65,15 +66,6 @@
                 operator: "operator".into(),
             },
         ),
-        (
-            "drain",
-            Body::Drain {
-                host: host(),
-                generation: 100,
-                wave: wave(),
-                term,
-            },
-        ),
         ("enroll, one host", Body::Enroll { hosts: vec![fact] }),
         (
             "expire",
@@ -84,23 +76,6 @@
         ),
         ("join", Body::Join(about)),
         ("leave", Body::Leave),
-        (
-            "lost",
-            Body::Lost {
-                host: host(),
-                generation: 100,
-            },
-        ),
-        (
-            "move",
-            Body::Move {
-                host: host(),
-                from: "spare".into(),
-                to: pool(),
-                revision: 1 << 32,
-                term,
-            },
-        ),
         (
             "progress",
             Body::Progress {
@@ -111,14 +86,6 @@
             },
         ),
         ("renew", Body::Renew),
-        (
-            "return",
-            Body::Return {
-                host: host(),
-                generation: 101,
-                term,
-            },
-        ),
     ]);
     bodies
 }
@@ -173,3 +140,54 @@
         ("snapshot", Body::Snapshot { next: base }),
     ]
 }
+
+fn host_bodies() -> Vec<(&'static str, Body)> {
+    let host = || "host-000123".into();
+    let (wave, pool, term) = (|| "finder-december".into(), || "finder".into(), 1000);
+    vec![
+        (
+            "drain",
+            Body::Drain {
+                host: host(),
+                generation: 100,
+                wave: wave(),
+                term,
+            },
+        ),
+        (
+            "lost",
+            Body::Lost {
+                host: host(),
+                generation: 100,
+                revision: 1 << 32,
+                term,
+            },
+        ),
+        (
+            "move",
+            Body::Move {
+                host: host(),
+                from: "spare".into(),
+                to: pool(),
+                revision: 1 << 32,
+                term,
+            },
+        ),
+        (
+            "return",
+            Body::Return {
+                host: host(),
+                generation: 101,
+                term,
+            },
+        ),
+        (
+            "stop",
+            Body::Stop {
+                host: host(),
+                generation: 100,
+                term,
+            },
+        ),
+    ]
+}
--- a/crates/core/examples/measure/world/fleet.rs
+++ b/crates/core/examples/measure/world/fleet.rs
@@ -97,12 +97,14 @@
             match action {
                 Action::Append { token, body } => fleet.follower.push(body, Some(token)),
                 Action::Call {
+                    token,
                     host,
                     generation,
                     call,
                 } => {
                     let message = Message::Call {
                         fleet: place,
+                        token,
                         host,
                         generation,
                         call,
@@ -118,15 +120,15 @@
     /// Brings a call to the platform, also when its sender was frozen or replaced since.
     pub(crate) fn call(
         &mut self,
-        fleet: Place,
-        host: ids::Host,
+        (fleet, token): (Place, u64),
+        host: &ids::Host,
         generation: ids::Generation,
         call: Call,
     ) {
         if self.step < self.fleets[fleet.index].cut_until {
             return;
         }
-        let Some((status, cut)) = self.platform.call(self.step, &host, generation, call) else {
+        let Some((status, cut)) = self.platform.call(self.step, host, generation, call) else {
             return;
         };
         if call == Call::Reboot {
@@ -137,7 +139,8 @@
             self.breaches.push(Check::Stop.breach(detail));
         }
         if self.step >= self.until.lost_calls {
-            let event = Event::Status(host, status);
+            let status = Some(status);
+            let event = Event::Answer { token, status };
             self.network
                 .send(self.step + 1, Message::Fleet(fleet, event));
         }
--- a/crates/core/examples/measure/world/message.rs
+++ b/crates/core/examples/measure/world/message.rs
@@ -13,6 +13,7 @@
     /// A call of a fleet instance to the platform.
     Call {
         fleet: Place,
+        token: u64,
         host: ids::Host,
         generation: ids::Generation,
         call: Call,
--- a/crates/core/src/invariant/fleet.rs
+++ b/crates/core/src/invariant/fleet.rs
@@ -11,6 +11,8 @@
 pub struct Fleet {
     hosts: Map<ids::Host, Watched>,
     terms: Map<ids::Pool, ids::Term>,
+    /// Host of each call that is not answered.
+    calls: Map<u64, ids::Host>,
 }
 
 /// `Watched` is a host with what was told of it since its latest drain.
@@ -53,21 +55,26 @@
                     watched.reports.insert(instance.clone(), *in_flight);
                 }
             }
-            Event::Status(host, status) => {
-                if let Some(watched) = self.hosts.get_mut(host) {
-                    watched.status = Some(*status);
+            Event::Answer { token, status } => {
+                let host = self.calls.remove(token);
+                if let Some(watched) = host.and_then(|host| self.hosts.get_mut(&host)) {
+                    watched.status = status.or(watched.status);
                 }
             }
             _ => {}
         }
         for action in actions {
             if let Action::Call {
+                token,
                 host,
                 generation,
-                call: Call::Reboot,
+                call,
             } = action
             {
-                breaches.extend(self.stop(view, host, *generation));
+                self.calls.insert(*token, host.clone());
+                if *call == Call::Reboot {
+                    breaches.extend(self.stop(view, host, *generation));
+                }
             }
         }
     }
@@ -78,6 +85,8 @@
         watched.revision = host.revision;
         let since = match host.stage {
             Stage::Draining { since, .. } => Some(since),
+            // The reports of the drain still count when the host is stopped.
+            Stage::Stopping { .. } => watched.since,
             _ => None,
         };
         if watched.since != since {
--- a/crates/core/src/invariant/promise.rs
+++ b/crates/core/src/invariant/promise.rs
@@ -102,7 +102,7 @@
     let named = view
         .by_pool
         .iter()
-        .filter(|(_, hosts)| hosts.contains(host));
+        .filter(|(_, hosts)| hosts.names.contains(host));
     let mut named = named.map(|(pool, _)| pool);
     let own = view.hosts.get(host).map(|entry| &entry.pool);
     if named.next() == own && named.next().is_none() {
