--- a/crates/ctl/src/client/mod.rs
+++ b/crates/ctl/src/client/mod.rs
@@ -16,6 +16,8 @@
 const NOT_READY: u16 = 503;
 /// Status of a process that could not learn what became of a change.
 const UNSETTLED: u16 = 504;
+/// What a process tells with that status.
+const LOG_SILENT: &str = "the platform's log can't be reached or is slow";
 
 /// `Failure` tells why a call brought no result.
 #[derive(Debug)]
@@ -130,7 +132,7 @@
             "{address}: {}",
             error_of(&value)
         ))),
-        UNSETTLED => Err(Failure::Lost(format!("{address}: {}", error_of(&value)))),
+        UNSETTLED => Err(lost(LOG_SILENT.to_owned())),
         _ => Err(Failure::Refused(value)),
     }
 }
