--- a/crates/ctl/src/args/mod.rs
+++ b/crates/ctl/src/args/mod.rs
@@ -62,6 +62,7 @@
 #[argh(
     subcommand,
     name = "apply",
+    note = "Options of all commands: --fleet, --operator, --settings and --json; see persimmonctl --help.",
     example = "{command_name} examples/kuiseb/sheet.csv"
 )]
 pub(crate) struct Apply {
@@ -78,7 +79,11 @@
 
 /// Checks a sheet without a fleet.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "check")]
+#[argh(
+    subcommand,
+    name = "check",
+    note = "Options of all commands: --fleet, --operator, --settings and --json; see persimmonctl --help."
+)]
 pub(crate) struct Check {
     /// sheet to check
     #[argh(positional)]
@@ -87,7 +92,11 @@
 
 /// Prints the whole state of a process, or of all members.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "dump")]
+#[argh(
+    subcommand,
+    name = "dump",
+    note = "Options of all commands: --fleet, --operator, --settings and --json; see persimmonctl --help."
+)]
 pub(crate) struct Dump {
     /// address of the process's HTTP interface; by default all members
     #[argh(positional)]
@@ -99,6 +108,7 @@
 #[argh(
     subcommand,
     name = "explain",
+    note = "Options of all commands: --fleet, --operator, --settings and --json; see persimmonctl --help.",
     example = "{command_name} wave finder-december"
 )]
 pub(crate) struct Explain {
@@ -112,7 +122,11 @@
 
 /// Shows what a sheet would change, and what of it can't be met today.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "plan")]
+#[argh(
+    subcommand,
+    name = "plan",
+    note = "Options of all commands: --fleet, --operator, --settings and --json; see persimmonctl --help."
+)]
 pub(crate) struct Plan {
     /// sheet to plan
     #[argh(positional)]
@@ -121,7 +135,11 @@
 
 /// Shows pools, services, waves and processes.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "status")]
+#[argh(
+    subcommand,
+    name = "status",
+    note = "Options of all commands: --fleet, --operator, --settings and --json; see persimmonctl --help."
+)]
 pub(crate) struct Status {}
 
 /// Steers a wave.
@@ -129,6 +147,7 @@
 #[argh(
     subcommand,
     name = "wave",
+    note = "Options of all commands: --fleet, --operator, --settings and --json; see persimmonctl --help.",
     example = "{command_name} pause finder-december"
 )]
 pub(crate) struct Wave {
