--- a/crates/core/examples/measure/world/run.rs
+++ b/crates/core/examples/measure/world/run.rs
@@ -240,10 +240,11 @@
         match message {
             Message::Call {
                 fleet,
+                token,
                 host,
                 generation,
                 call,
-            } => self.call(fleet, host, generation, call),
+            } => self.call((fleet, token), &host, generation, call),
             Message::Exchange {
                 entry: place,
                 exchange,
--- a/crates/core/src/report/plan.rs
+++ b/crates/core/src/report/plan.rs
@@ -186,6 +186,12 @@
             }
             Stage::Lost => self.refuse(row, "the host is lost".to_owned()),
             Stage::Serving => {}
+            Stage::Stopping { .. } => {
+                self.refuse(
+                    row,
+                    "the host restarts; it can move when it is back".to_owned(),
+                );
+            }
         }
     }
 
--- a/crates/core/src/state/changes.rs
+++ b/crates/core/src/state/changes.rs
@@ -20,6 +20,8 @@
         }
         let hosts = self.hosts.iter();
         changes.extend(hosts.map(|(id, host)| Change::Host(id.clone(), host.clone())));
+        let pins = self.pins.iter();
+        changes.extend(pins.map(|(id, pool)| Change::Pin(id.clone(), Some(pool.clone()))));
         let waves = self.waves.iter();
         changes.extend(waves.map(|(id, wave)| Change::Wave(id.clone(), wave.clone())));
         let member = |(id, member): (&ids::Instance, &Member)| {
@@ -40,6 +42,8 @@
             .keys()
             .filter(|id| !self.members.contains_key(*id));
         changes.extend(members.map(|id| Change::Member(id.clone(), None)));
+        let pins = old.pins.keys().filter(|id| !self.pins.contains_key(*id));
+        changes.extend(pins.map(|id| Change::Pin(id.clone(), None)));
         let budgets = old
             .budgets
             .keys()
--- a/crates/core/src/state/entry.rs
+++ b/crates/core/src/state/entry.rs
@@ -84,6 +84,11 @@
     Lost,
     /// Gets work.
     Serving,
+    /// Is being stopped; only a newer generation returns.
+    Stopping {
+        /// Wave the stop belongs to, none for a repair or a host that exceeded its time.
+        wave: Option<ids::Wave>,
+    },
 }
 
 /// `Host` is a host of the fleet.
@@ -135,6 +140,8 @@
     pub since: ids::Offset,
     /// Where the wave stands.
     pub phase: Phase,
+    /// Hosts that did not return since it last started or resumed.
+    pub failed: u32,
     /// Why it stands there, in words for the operator.
     pub reason: String,
 }
@@ -169,6 +176,16 @@
     pub fn is_serving(&self) -> bool {
         self.stage == Stage::Serving
     }
+
+    /// Gets the wave that keeps the host out of service.
+    #[must_use]
+    pub fn wave(&self) -> Option<&ids::Wave> {
+        match &self.stage {
+            Stage::Draining { wave, .. } => Some(wave),
+            Stage::Stopping { wave } => wave.as_ref(),
+            Stage::Lost | Stage::Serving => None,
+        }
+    }
 }
 
 impl State {
