Keep a wave over a pool that is being filled from ending at once

A wave now ends only when its pool has its hosts or the spare pool has none to give. Waiting for the full size in any case was ruled out, as a pool that can't be filled would keep its wave open for ever. status counts for each wave only the hosts that it has taken out itself.

--- a/crates/core/src/fleet/moves.rs
+++ b/crates/core/src/fleet/moves.rs
@@ -118,6 +118,14 @@
                 .any(|name| &**name != SPARE && lacks(name))
     }
 
+    /// Gets whether a pool lacks hosts that are on the way to it or that the spare pool can give.
+    pub(crate) fn is_filling(&self, pool: &ids::Pool) -> bool {
+        let target = self.view.pools.get(pool).map_or(0, |entry| entry.target);
+        let present = u32::try_from(self.view.hosts_of(pool).count()).unwrap_or(u32::MAX);
+        let coming = self.coming.values().any(|to| to == pool);
+        present < target && (coming || self.view.serving_in(&SPARE.into()) > 0)
+    }
+
     /// Gets the hosts that a pool has above those that the sheet asks for.
     pub(crate) fn surplus(&self, pool: &ids::Pool) -> usize {
         let target = self.view.pools.get(pool).map_or(0, |entry| entry.target);
--- a/crates/core/src/fleet/wave.rs
+++ b/crates/core/src/fleet/wave.rs
@@ -62,7 +62,7 @@
         let lent = due.iter().filter(|(_, host)| host.revision > wave.since);
         let lent = lent.count().min(self.surplus(&wave.pool));
         if due.len() <= lent {
-            if out == 0 {
+            if out == 0 && !self.is_filling(&wave.pool) {
                 self.finish(name, wave, term, actions);
             }
             return;
--- a/crates/core/src/report/status.rs
+++ b/crates/core/src/report/status.rs
@@ -158,7 +158,7 @@
 fn wave(state: &State, name: &ids::Wave) -> Option<Wave> {
     let entry = state.waves.get(name)?;
     let hosts = || state.hosts.values().filter(|host| host.pool == entry.pool);
-    let out = |host: &&crate::state::Host| host.wave().is_some();
+    let out = |host: &&crate::state::Host| host.wave() == Some(name);
     Some(Wave {
         name: name.clone(),
         pool: entry.pool.clone(),
--- a/crates/core/tests/fleet/waves.rs
+++ b/crates/core/tests/fleet/waves.rs
@@ -173,3 +173,24 @@
             .all(|host| host.stage == Stage::Serving)
     );
 }
+
+#[test]
+fn verify_wave_over_an_empty_pool_maintains_the_hosts_that_it_gets() {
+    let mut bench = Bench::new(4);
+    let pool = Intent::Pool {
+        name: "other".into(),
+        service: None,
+        hosts: 2,
+    };
+    let wave = Intent::Wave {
+        name: "w".into(),
+        pool: "other".into(),
+        batch: 1,
+    };
+    bench.sheet(4, vec![pool, wave]);
+    assert_eq!(bench.finish("w"), Phase::Done);
+    let hosts = bench.pooled("other");
+    assert_eq!(hosts.len(), 2);
+    let maintained = |host| bench.state.hosts[host].maintained > 0;
+    assert!(hosts.iter().all(maintained));
+}
