Measure routing, retries and at-most-once, and bound ejection by a floor

Kept: at most three quarters.

A start balance of the retry budget above its limit is no longer cut by the first success.

--- a/crates/core/examples/measure/flood.rs
+++ b/crates/core/examples/measure/flood.rs
@@ -26,14 +26,28 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Way {
     Gate,
+    /// The gate on six entry hosts.
+    SixGates,
+    /// The gate without loans of idle slots.
+    NoLoans,
     Fifo,
     RoundRobin,
 }
 
 impl Way {
+    const ALL: [Self; 5] = [
+        Self::Gate,
+        Self::SixGates,
+        Self::NoLoans,
+        Self::Fifo,
+        Self::RoundRobin,
+    ];
+
     fn name(self) -> &'static str {
         match self {
             Self::Gate => "gate",
+            Self::SixGates => "gate, 6 entries",
+            Self::NoLoans => "gate, no loans",
             Self::Fifo => "fifo",
             Self::RoundRobin => "round robin",
         }
@@ -41,7 +55,14 @@
 
     fn door(self, options: Options, seed: u64) -> Door {
         match self {
-            Self::Gate => Door::Gate(Box::new(Gate::new(options, seed))),
+            Self::Gate | Self::SixGates => Door::Gate(Box::new(Gate::new(options, seed))),
+            Self::NoLoans => {
+                let options = Options {
+                    lend_slots: 0,
+                    ..options
+                };
+                Door::Gate(Box::new(Gate::new(options, seed)))
+            }
             Self::Fifo => Door::Plain(Plain::new(true, SHARE)),
             Self::RoundRobin => Door::Plain(Plain::new(false, SHARE)),
         }
@@ -64,7 +85,7 @@
     ]);
     let mut met = true;
     for deployment in [&KUISEB, &ANDAMAN] {
-        for way in [Way::Gate, Way::Fifo, Way::RoundRobin] {
+        for way in Way::ALL {
             let calm = world(deployment, None, seed, way);
             for service in 0..deployment.services.len() {
                 let flooded = world(deployment, Some(service), seed, way);
@@ -78,6 +99,9 @@
 
 fn world(deployment: &'static Deployment, service: Option<usize>, seed: u64, way: Way) -> World {
     let mut plan = Plan::new(deployment, LOAD, RUN_S);
+    if way == Way::SixGates {
+        plan.entries = 6;
+    }
     plan.floods.extend(service.map(|service| Flood {
         service,
         factor: FACTOR,
@@ -121,5 +145,5 @@
     ]);
     let sound = flooded.false_not_run + flooded.second_runs + flooded.doubled == 0;
     let meets = least >= KEPT_MIN && goodput >= GOODPUT_MIN && sound;
-    way != Way::Gate || meets
+    !matches!(way, Way::Gate | Way::SixGates) || meets
 }
--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -3,6 +3,8 @@
 mod capacity;
 mod flood;
 mod log;
+mod once;
+mod retries;
 mod routing;
 mod sim;
 mod table;
@@ -31,6 +33,8 @@
     Capacity,
     Flood,
     Log,
+    Once,
+    Retries,
     Routing,
 }
 
@@ -44,13 +48,22 @@
 }
 
 impl Measure {
-    const ALL: &[Self] = &[Self::Capacity, Self::Flood, Self::Log, Self::Routing];
+    const ALL: &[Self] = &[
+        Self::Capacity,
+        Self::Flood,
+        Self::Log,
+        Self::Once,
+        Self::Retries,
+        Self::Routing,
+    ];
 
     fn name(self) -> &'static str {
         match self {
             Self::Capacity => "capacity",
             Self::Flood => "flood",
             Self::Log => "log",
+            Self::Once => "once",
+            Self::Retries => "retries",
             Self::Routing => "routing",
         }
     }
@@ -67,6 +80,8 @@
             Self::Capacity => capacity::run(),
             Self::Flood => flood::run(options.seed),
             Self::Log => log::run(),
+            Self::Once => once::run(options.seed),
+            Self::Retries => retries::run(options.seed),
             Self::Routing => routing::run(options.seed),
         }
     }
--- /dev/null
+++ b/crates/core/examples/measure/once/mod.rs
@@ -0,0 +1,78 @@
+//! Non-idempotent work: a long randomised run, and three ways to run it at most once.
+
+mod ways;
+
+use std::time::Duration;
+
+use persimmongate_core::gate::Gate;
+
+use crate::sim::{ANDAMAN, Chaos, Deployment, Door, KUISEB, Plan, World};
+use crate::table::Table;
+
+/// Requests of the long runs together, at least.
+const REQUESTS_MIN: u64 = 1_000_000;
+/// Length of each long run, in seconds.
+const RUN_S: u64 = 420;
+/// Mean load of each service as a share of its slots.
+const LOAD: f64 = 0.5;
+/// Faults of the long runs.
+const CHAOS: Chaos = Chaos {
+    breaks: 0.002,
+    losses: 0.002,
+    doubles: 0.01,
+    unsettled: 0.01,
+    resends: 0.7,
+    crash: Duration::from_secs(7),
+    outage: Duration::from_mins(1),
+    outage_length: Duration::from_secs(5),
+};
+
+/// Prints both tables; returns whether nothing ran twice and nothing was told wrongly.
+pub(crate) fn run(seed: u64) -> bool {
+    let mut table = Table::new(&[
+        "run",
+        "requests",
+        "answered",
+        "not run",
+        "unknown",
+        "wrong answers",
+        "second runs",
+        "false not run",
+        "second outcomes",
+    ]);
+    let mut total = 0;
+    let mut sound = true;
+    for deployment in [&KUISEB, &ANDAMAN] {
+        let world = world(deployment, seed);
+        let sum = |pick: fn(&crate::sim::Tally) -> u64| world.tallies.iter().map(pick).sum::<u64>();
+        let requests = sum(|tally| tally.offered);
+        total += requests;
+        sound &= world.wrong + world.second_runs + world.false_not_run + world.doubled == 0;
+        table.add(vec![
+            deployment.name.to_owned(),
+            requests.to_string(),
+            sum(|tally| tally.answered).to_string(),
+            sum(|tally| tally.not_run).to_string(),
+            sum(|tally| tally.unknown).to_string(),
+            world.wrong.to_string(),
+            world.second_runs.to_string(),
+            world.false_not_run.to_string(),
+            world.doubled.to_string(),
+        ]);
+    }
+    table.print();
+    ways::print(seed);
+    sound && total >= REQUESTS_MIN
+}
+
+fn world(deployment: &'static Deployment, seed: u64) -> World {
+    let mut plan = Plan::new(deployment, LOAD, RUN_S);
+    plan.chaos = Some(CHAOS);
+    plan.cancels = 0.05;
+    plan.poison = 0.001;
+    let mut world = World::new(plan, seed, |options, seed| {
+        Door::Gate(Box::new(Gate::new(options, seed)))
+    });
+    world.run();
+    world
+}
--- a/crates/core/examples/measure/routing.rs
+++ b/crates/core/examples/measure/routing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use persimmongate_core::gate::{Ejection, Gate, Options};
+use persimmongate_core::gate::{Gate, Options};
 
 use crate::sim::{
     ANDAMAN, Deployment, Door, Fault, KUISEB, Mode, Plain, Plan, SLOTS, Tally, World,
@@ -22,8 +22,8 @@
 /// `Way` is the decision code of a run.
 #[derive(Clone, Copy, Debug)]
 enum Way {
-    /// The gate under a rule of ejection.
-    Gate(Ejection),
+    /// The gate, which ejects at most a share of the workers.
+    Gate(f64),
     /// The gate with no zone of its own.
     Zoneless,
     RoundRobin,
@@ -41,11 +41,10 @@
     Poison,
 }
 
-const WAYS: [(&str, Way); 6] = [
-    ("gate, at most 3/4", Way::Gate(Ejection::Capped(0.75))),
-    ("gate, at most half", Way::Gate(Ejection::Capped(0.5))),
-    ("gate, no floor", Way::Gate(Ejection::Capped(1.0))),
-    ("gate, up_thresh 0.5", Way::Gate(Ejection::Threshold(0.5))),
+const WAYS: [(&str, Way); 5] = [
+    ("gate, at most 3/4", Way::Gate(0.75)),
+    ("gate, at most half", Way::Gate(0.5)),
+    ("gate, no floor", Way::Gate(1.0)),
     ("gate, no zones", Way::Zoneless),
     ("round robin", Way::RoundRobin),
 ];
@@ -131,9 +130,9 @@
 
 fn world(plan: Plan, seed: u64, way: Way) -> World {
     let door = |options: Options, seed| match way {
-        Way::Gate(ejection) => gate(
+        Way::Gate(eject_share) => gate(
             Options {
-                ejection,
+                eject_share,
                 ..options
             },
             seed,
--- a/crates/core/examples/measure/sim/mod.rs
+++ b/crates/core/examples/measure/sim/mod.rs
@@ -1,5 +1,7 @@
 //! Small fakes around the decision code: entry hosts, workers and callers on a simulated clock.
 
+mod carry;
+mod log;
 mod plain;
 mod plan;
 mod setup;
@@ -7,7 +9,9 @@
 mod world;
 
 pub(crate) use plain::Plain;
-pub(crate) use plan::{ANDAMAN, CONNECTIONS, Deployment, Fault, Flood, KUISEB, Mode, Plan, SLOTS};
+pub(crate) use plan::{
+    ANDAMAN, CONNECTIONS, Chaos, Deployment, Fault, Flood, KUISEB, Mode, Plan, SLOTS,
+};
 pub(crate) use tally::Tally;
 pub(crate) use world::{Door, World};
 
--- a/crates/core/examples/measure/sim/plain.rs
+++ b/crates/core/examples/measure/sim/plain.rs
@@ -11,7 +11,7 @@
 use persimmongate_core::state::Change;
 
 /// `Plain` sends to the next worker in turn.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Plain {
     /// Whether requests wait in order of arrival; else they try each worker once.
     pub(crate) queues: bool,
@@ -22,7 +22,7 @@
     in_flight: Map<ids::Host, u32>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Service {
     workers: Vec<(ids::Host, std::net::SocketAddr)>,
     next: usize,
--- a/crates/core/examples/measure/sim/plan.rs
+++ b/crates/core/examples/measure/sim/plan.rs
@@ -109,6 +109,27 @@
     pub(crate) mode: Mode,
 }
 
+/// `Chaos` gives the chances of faults at random.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Chaos {
+    /// An exchange breaks off before the worker runs the request.
+    pub(crate) breaks: f64,
+    /// The answer is lost, or crossed with another's, after the request ran.
+    pub(crate) losses: f64,
+    /// The end of an exchange is told twice.
+    pub(crate) doubles: f64,
+    /// A verdict on a claim comes too late to be read.
+    pub(crate) unsettled: f64,
+    /// A caller sends an unanswered key again, through any entry host.
+    pub(crate) resends: f64,
+    /// Time between two crashes of an entry host.
+    pub(crate) crash: Duration,
+    /// Time between the starts of two outages of the log.
+    pub(crate) outage: Duration,
+    /// Length of an outage of the log.
+    pub(crate) outage_length: Duration,
+}
+
 /// `Plan` is what a run does.
 #[derive(Clone, Debug)]
 pub(crate) struct Plan {
@@ -123,6 +144,8 @@
     pub(crate) poison: f64,
     /// Share of the callers that go away before the answer.
     pub(crate) cancels: f64,
+    /// Chances of faults at random, none in most runs.
+    pub(crate) chaos: Option<Chaos>,
     /// First arrival; before, workers are in their slow start.
     pub(crate) from: Duration,
     /// Last arrival.
@@ -141,6 +164,7 @@
             faults: Vec::new(),
             poison: 0.0,
             cancels: 0.0,
+            chaos: None,
             from,
             until: from + Duration::from_secs(seconds),
         }
--- a/crates/core/examples/measure/sim/setup.rs
+++ b/crates/core/examples/measure/sim/setup.rs
@@ -51,14 +51,19 @@
     ([127, 0, 0, 1], 1).into()
 }
 
+/// Gets what an entry host announces of itself.
+pub(super) fn about(entry: usize) -> record::Member {
+    record::Member {
+        role: Role::Entry,
+        peer: address(),
+        http: address(),
+        zone: zone_name(entry % ZONES),
+    }
+}
+
 fn join(entry: usize) -> Change {
     let member = Member {
-        about: record::Member {
-            role: Role::Entry,
-            peer: address(),
-            http: address(),
-            zone: zone_name(entry % ZONES),
-        },
+        about: about(entry),
         incarnation: 1,
         sequence: 1,
         renewed: 0,
--- a/crates/core/src/gate/budget.rs
+++ b/crates/core/src/gate/budget.rs
@@ -22,7 +22,8 @@
 
     /// Pays in for a success.
     pub fn deposit(&mut self) {
-        self.balance = (self.balance + self.share).min(SAVED_MAX);
+        // A start balance above the limit is not cut by a success.
+        self.balance = (self.balance + self.share).min(SAVED_MAX.max(self.balance));
     }
 
     /// Takes one retry if there is one.
--- a/crates/core/src/gate/mod.rs
+++ b/crates/core/src/gate/mod.rs
@@ -22,7 +22,7 @@
 
 pub use budget::Budget;
 pub use event::{Action, Claim, Event, Exchange};
-pub use options::{Ejection, Options};
+pub use options::Options;
 pub use queue::Queue;
 pub use step::Gate;
 pub use table::Table;
--- a/crates/core/src/gate/options.rs
+++ b/crates/core/src/gate/options.rs
@@ -23,8 +23,8 @@
     pub eject_after: u32,
     /// Time after which an ejected host gets a probe.
     pub probe_after: Duration,
-    /// Rule that bounds the ejections of one service.
-    pub ejection: Ejection,
+    /// Share of a service's hosts that may be ejected at once.
+    pub eject_share: f64,
     /// Period over which a returned host is brought to its full share of requests.
     pub slow_start: Duration,
     /// Slots of each host that requests of other services may use while they are idle.
@@ -37,15 +37,6 @@
     pub instance: ids::Instance,
 }
 
-/// `Ejection` bounds how many hosts of a service are out because of failures.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Ejection {
-    /// No more than this share of the hosts is ejected.
-    Capped(f64),
-    /// All hosts are used while fewer than this share are in.
-    Threshold(f64),
-}
-
 impl Default for Options {
     fn default() -> Self {
         Self {
@@ -57,7 +48,7 @@
             backoff: Duration::from_millis(50),
             eject_after: 5,
             probe_after: Duration::from_secs(2),
-            ejection: Ejection::Capped(0.5),
+            eject_share: 0.75,
             slow_start: Duration::from_secs(2),
             lend_slots: 2,
             lend_time: Duration::from_secs(1),
--- a/crates/core/src/gate/table.rs
+++ b/crates/core/src/gate/table.rs
@@ -5,9 +5,9 @@
 
 use rand::{Rng, RngExt};
 
+use super::Options;
 use super::estimate::Span;
 use super::worker::{Seat, Side, Worker};
-use super::{Ejection, Options};
 use crate::ids;
 use crate::map::Map;
 use crate::state;
@@ -251,23 +251,18 @@
         self.refresh(now, options, name);
     }
 
-    /// Ejects a worker when the rule allows one more.
+    /// Ejects a worker unless too few would stay in.
     fn eject(&mut self, now: Instant, options: &Options, name: &ids::Host) {
         let total = self.workers.len();
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
         let out = self.ejected + usize::from(!worker.ejected);
-        if is_allowed(options.ejection, out, total) {
+        let kept = ceil(1.0 - options.eject_share, total);
+        if out + kept <= total {
             self.ejected = out;
             worker.eject(now, options);
         }
-        if self.ignores_health(options) {
-            let names: Vec<ids::Host> = self.workers.keys().cloned().collect();
-            for name in &names {
-                self.refresh(now, options, name);
-            }
-        }
     }
 
     /// Lists workers again whose time has come.
@@ -281,16 +276,10 @@
     /// Puts a worker into the list where it belongs.
     fn refresh(&mut self, now: Instant, options: &Options, name: &ids::Host) {
         self.unseat(name);
-        let ignored = self.ignores_health(options);
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        let opens = if ignored {
-            (worker.in_flight < worker.limit(self.entries)).then_some(now)
-        } else {
-            worker.opens(now, options, self.entries)
-        };
-        let seat = match opens {
+        let seat = match worker.opens(now, options, self.entries) {
             None => return,
             Some(at) if at > now => {
                 self.waiting.insert((at, name.clone()));
@@ -308,16 +297,6 @@
         worker.seat = Some(seat);
     }
 
-    fn ignores_health(&self, options: &Options) -> bool {
-        match options.ejection {
-            Ejection::Capped(_) => false,
-            Ejection::Threshold(share) => {
-                let up = self.workers.len() - self.ejected;
-                up < ceil(share, self.workers.len())
-            }
-        }
-    }
-
     fn unseat(&mut self, name: &ids::Host) {
         let seat = self
             .workers
@@ -343,13 +322,6 @@
     }
 }
 
-fn is_allowed(ejection: Ejection, out: usize, total: usize) -> bool {
-    match ejection {
-        Ejection::Capped(share) => out + ceil(1.0 - share, total) <= total,
-        Ejection::Threshold(_) => true,
-    }
-}
-
 /// Gets a share of a count, rounded up.
 #[expect(
     clippy::cast_possible_truncation,
