Spill to other zones before near workers fill up

With a rack gone, requests went to its four near workers until each entry host had its seven in flight there, and the retry budget was empty before the first connect timeout told. A near worker is now preferred only up to one request above the better far one.

--- a/crates/core/examples/measure/flood.rs
+++ b/crates/core/examples/measure/flood.rs
@@ -7,8 +7,8 @@
 use crate::sim::{ANDAMAN, Deployment, Door, Flood, KUISEB, Plain, Plan, SLOTS, World, percent};
 use crate::table::Table;
 
-/// Mean load of each service as a share of its slots.
-const LOAD: f64 = 0.5;
+/// Mean loads of each service as shares of its slots.
+const LOADS: [f64; 2] = [0.5, 0.8];
 /// Demand during a flood as a multiple of the mean.
 const FACTOR: f64 = 5.0;
 /// Length of a run, in seconds.
@@ -85,11 +85,21 @@
     ]);
     let mut met = true;
     for deployment in [&KUISEB, &ANDAMAN] {
-        for way in Way::ALL {
-            let calm = world(deployment, None, seed, way);
+        for (load, way) in LOADS
+            .iter()
+            .flat_map(|load| Way::ALL.map(|way| (*load, way)))
+        {
+            let calm = world(deployment, None, (seed, load), way);
             for service in 0..deployment.services.len() {
-                let flooded = world(deployment, Some(service), seed, way);
-                met &= add(&mut table, way, &calm, &flooded, deployment, service);
+                let flooded = world(deployment, Some(service), (seed, load), way);
+                met &= add(
+                    &mut table,
+                    (load, way),
+                    &calm,
+                    &flooded,
+                    deployment,
+                    service,
+                );
             }
         }
     }
@@ -97,8 +107,13 @@
     met
 }
 
-fn world(deployment: &'static Deployment, service: Option<usize>, seed: u64, way: Way) -> World {
-    let mut plan = Plan::new(deployment, LOAD, RUN_S);
+fn world(
+    deployment: &'static Deployment,
+    service: Option<usize>,
+    (seed, load): (u64, f64),
+    way: Way,
+) -> World {
+    let mut plan = Plan::new(deployment, load, RUN_S);
     if way == Way::SixGates {
         plan.entries = 6;
     }
@@ -115,7 +130,7 @@
 
 fn add(
     table: &mut Table,
-    way: Way,
+    (load, way): (f64, Way),
     calm: &World,
     flooded: &World,
     deployment: &'static Deployment,
@@ -132,7 +147,7 @@
     let slots = about.workers as f64 * f64::from(SLOTS);
     let goodput = tally.work / (slots * FLOOD_UNTIL.saturating_sub(FLOOD_FROM).as_secs_f64());
     table.add(vec![
-        format!("{} {}", deployment.name, about.name),
+        format!("{} {} at {load}", deployment.name, about.name),
         way.name().to_owned(),
         percent(least, 10_000),
         format!("{:.1}%", 100.0 * goodput),
--- a/crates/core/src/gate/table.rs
+++ b/crates/core/src/gate/table.rs
@@ -16,6 +16,8 @@
 const CHOICES: usize = 2;
 /// Tries to find a host by random choice before the list is searched.
 const RANDOM_TRIES: usize = 8;
+/// Requests that a worker of the own zone may have in flight above one of another zone.
+const NEAR_LEAD: u32 = 1;
 /// Answers before a worker's time is compared with that of its pool.
 const SLOW_ANSWERS: u32 = 5;
 /// Times the pool's mean time at which a worker is slow.
@@ -136,7 +138,8 @@
         !(self.near.is_empty() && self.far.is_empty())
     }
 
-    /// Chooses the better of two random workers that take a request, first in the own zone.
+    /// Chooses the better of two random workers that take a request, in the own zone unless those
+    /// there are busier.
     pub fn choose<R: Rng>(
         &mut self,
         now: Instant,
@@ -146,7 +149,16 @@
     ) -> Option<ids::Host> {
         self.wake(now, options);
         let near = self.choose_of(&self.near, avoid, rng);
-        near.or_else(|| self.choose_of(&self.far, avoid, rng))
+        let far = self.choose_of(&self.far, avoid, rng);
+        // A near worker that answers no more would fill up before the first failure tells.
+        match (near, far) {
+            (Some(near), Some(far)) if self.load(&near) > self.load(&far) + NEAR_LEAD => Some(far),
+            (near, far) => near.or(far),
+        }
+    }
+
+    fn load(&self, name: &ids::Host) -> u32 {
+        self.workers.get(name).map_or(0, |worker| worker.in_flight)
     }
 
     fn choose_of<R: Rng>(
@@ -158,7 +170,6 @@
         if names.is_empty() {
             return None;
         }
-        let load = |name| self.workers.get(name).map_or(0, |worker| worker.in_flight);
         let mut best: Option<(u32, &ids::Host)> = None;
         let mut found = 0;
         for _ in 0..RANDOM_TRIES {
@@ -166,8 +177,8 @@
             if avoid.contains(name) {
                 continue;
             }
-            if best.is_none_or(|(least, _)| load(name) < least) {
-                best = Some((load(name), name));
+            if best.is_none_or(|(least, _)| self.load(name) < least) {
+                best = Some((self.load(name), name));
             }
             found += 1;
             if found == CHOICES {
