--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -4,6 +4,8 @@
 mod flood;
 mod log;
 mod moves;
+mod once;
+mod retries;
 mod routing;
 mod sim;
 mod soak;
@@ -38,6 +40,8 @@
     Flood,
     Log,
     Moves,
+    Once,
+    Retries,
     Routing,
     Soak,
     Takeover,
@@ -59,6 +63,8 @@
         Self::Flood,
         Self::Log,
         Self::Moves,
+        Self::Once,
+        Self::Retries,
         Self::Routing,
         Self::Soak,
         Self::Takeover,
@@ -70,6 +76,8 @@
             Self::Capacity => "capacity",
             Self::Flood => "flood",
             Self::Log => "log",
+            Self::Once => "once",
+            Self::Retries => "retries",
             Self::Routing => "routing",
             Self::Soak => "soak",
             Self::Moves => "moves",
@@ -90,6 +98,8 @@
             Self::Capacity => capacity::run(),
             Self::Flood => flood::run(options.seed),
             Self::Log => log::run(),
+            Self::Once => once::run(options.seed),
+            Self::Retries => retries::run(options.seed),
             Self::Routing => routing::run(options.seed),
             Self::Soak => soak::run(options.seed, options.steps),
             Self::Moves => moves::run(options.seed),
--- a/crates/core/src/gate/table.rs
+++ b/crates/core/src/gate/table.rs
@@ -5,9 +5,9 @@
 
 use rand::{Rng, RngExt};
 
+use super::Options;
 use super::estimate::Span;
 use super::worker::{Seat, Side, Worker};
-use super::{Ejection, Options};
 use crate::ids;
 use crate::map::Map;
 use crate::state;
@@ -16,6 +16,8 @@
 const CHOICES: usize = 2;
 /// Tries to find a host by random choice before the list is searched.
 const RANDOM_TRIES: usize = 8;
+/// Requests that a worker of the own zone may have in flight above one of another zone.
+const NEAR_LEAD: u32 = 1;
 /// Answers before a worker's time is compared with that of its pool.
 const SLOW_ANSWERS: u32 = 5;
 /// Times the pool's mean time at which a worker is slow.
@@ -136,7 +138,8 @@
         !(self.near.is_empty() && self.far.is_empty())
     }
 
-    /// Chooses the better of two random workers that take a request, first in the own zone.
+    /// Chooses the better of two random workers that take a request, in the own zone unless those
+    /// there are busier.
     pub fn choose<R: Rng>(
         &mut self,
         now: Instant,
@@ -146,7 +149,16 @@
     ) -> Option<ids::Host> {
         self.wake(now, options);
         let near = self.choose_of(&self.near, avoid, rng);
-        near.or_else(|| self.choose_of(&self.far, avoid, rng))
+        let far = self.choose_of(&self.far, avoid, rng);
+        // A near worker that answers no more would fill up before the first failure tells.
+        match (near, far) {
+            (Some(near), Some(far)) if self.load(&near) > self.load(&far) + NEAR_LEAD => Some(far),
+            (near, far) => near.or(far),
+        }
+    }
+
+    fn load(&self, name: &ids::Host) -> u32 {
+        self.workers.get(name).map_or(0, |worker| worker.in_flight)
     }
 
     fn choose_of<R: Rng>(
@@ -158,7 +170,6 @@
         if names.is_empty() {
             return None;
         }
-        let load = |name| self.workers.get(name).map_or(0, |worker| worker.in_flight);
         let mut best: Option<(u32, &ids::Host)> = None;
         let mut found = 0;
         for _ in 0..RANDOM_TRIES {
@@ -166,8 +177,8 @@
             if avoid.contains(name) {
                 continue;
             }
-            if best.is_none_or(|(least, _)| load(name) < least) {
-                best = Some((load(name), name));
+            if best.is_none_or(|(least, _)| self.load(name) < least) {
+                best = Some((self.load(name), name));
             }
             found += 1;
             if found == CHOICES {
@@ -251,23 +262,18 @@
         self.refresh(now, options, name);
     }
 
-    /// Ejects a worker when the rule allows one more.
+    /// Ejects a worker unless too few would stay in.
     fn eject(&mut self, now: Instant, options: &Options, name: &ids::Host) {
         let total = self.workers.len();
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
         let out = self.ejected + usize::from(!worker.ejected);
-        if is_allowed(options.ejection, out, total) {
+        let kept = ceil(1.0 - options.eject_share, total);
+        if out + kept <= total {
             self.ejected = out;
             worker.eject(now, options);
         }
-        if self.ignores_health(options) {
-            let names: Vec<ids::Host> = self.workers.keys().cloned().collect();
-            for name in &names {
-                self.refresh(now, options, name);
-            }
-        }
     }
 
     /// Lists workers again whose time has come.
@@ -281,16 +287,10 @@
     /// Puts a worker into the list where it belongs.
     fn refresh(&mut self, now: Instant, options: &Options, name: &ids::Host) {
         self.unseat(name);
-        let ignored = self.ignores_health(options);
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        let opens = if ignored {
-            (worker.in_flight < worker.limit(self.entries)).then_some(now)
-        } else {
-            worker.opens(now, options, self.entries)
-        };
-        let seat = match opens {
+        let seat = match worker.opens(now, options, self.entries) {
             None => return,
             Some(at) if at > now => {
                 self.waiting.insert((at, name.clone()));
@@ -308,16 +308,6 @@
         worker.seat = Some(seat);
     }
 
-    fn ignores_health(&self, options: &Options) -> bool {
-        match options.ejection {
-            Ejection::Capped(_) => false,
-            Ejection::Threshold(share) => {
-                let up = self.workers.len() - self.ejected;
-                up < ceil(share, self.workers.len())
-            }
-        }
-    }
-
     fn unseat(&mut self, name: &ids::Host) {
         let seat = self
             .workers
@@ -343,13 +333,6 @@
     }
 }
 
-fn is_allowed(ejection: Ejection, out: usize, total: usize) -> bool {
-    match ejection {
-        Ejection::Capped(share) => out + ceil(1.0 - share, total) <= total,
-        Ejection::Threshold(_) => true,
-    }
-}
-
 /// Gets a share of a count, rounded up.
 #[expect(
     clippy::cast_possible_truncation,
