--- /dev/null
+++ b/crates/wire/tests/fuzz/main.rs
@@ -0,0 +1,150 @@
+//! Random and mutated messages: decoded, or refused with an error.
+
+use std::fmt::Debug;
+
+use bytes::Bytes;
+use persimmongate_core::record::{Body, Member, Record, Role};
+use persimmongate_core::state::State;
+use persimmongate_core::trace::{Event, Header, Source, Step, VERSION};
+use persimmongate_core::{fleet, gate};
+use persimmongate_wire::errors::Result;
+use persimmongate_wire::frame::{self, Drain, Frame, Report};
+use persimmongate_wire::{log, trace};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use test_case::test_case;
+
+/// Inputs that each test tries.
+const CASES: u32 = 2000;
+
+/// `Kind` is a kind of message.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    Batch,
+    Frame,
+    Page,
+    Record,
+    State,
+    Trace,
+}
+
+fn decode(kind: Kind, bytes: &[u8]) -> Result<()> {
+    match kind {
+        Kind::Batch => log::decode_batch(bytes).map(drop),
+        Kind::Frame => frame::decode(bytes).map(drop),
+        Kind::Page => log::decode_page(bytes).map(drop),
+        Kind::Record => log::decode_record(bytes).map(drop),
+        Kind::State => log::decode_state(bytes).map(drop),
+        Kind::Trace => trace::decode(bytes).map(drop),
+    }
+}
+
+fn record() -> Record {
+    let address = ([127, 0, 0, 1], 1).into();
+    Record {
+        author: "entry-0".into(),
+        incarnation: 1,
+        sequence: 1,
+        body: Body::Join(Member {
+            role: Role::Entry,
+            peer: address,
+            http: address,
+            zone: "z".into(),
+        }),
+    }
+}
+
+fn example(kind: Kind) -> Result<Bytes> {
+    let item = log::Item {
+        offset: 1,
+        at: 2,
+        record: log::encode_record(&record())?,
+    };
+    match kind {
+        Kind::Batch => log::encode_batch(&log::Batch {
+            records: vec![item.record; 3],
+        }),
+        Kind::Frame => frame::encode(&Frame::Report(Report {
+            instance: "entry-0".into(),
+            next: 1,
+            drains: vec![Drain {
+                host: "host".into(),
+                since: 1,
+                in_flight: 2,
+            }],
+        })),
+        Kind::Page => log::encode_page(&log::Page {
+            earliest: 0,
+            end: 9,
+            items: vec![item; 3],
+        }),
+        Kind::Record => log::encode_record(&record()),
+        Kind::State => log::encode_state(&State::default()),
+        Kind::Trace => {
+            let source = Source::Gate {
+                options: gate::Options::default(),
+                seed: 1,
+            };
+            let header = Header {
+                version: VERSION,
+                source,
+            };
+            let step = Step {
+                at: 1,
+                event: Event::Fleet(fleet::Event::Tick),
+                actions: Vec::new(),
+            };
+            let parts = [trace::encode_header(&header)?, trace::encode_step(&step)?];
+            Ok(parts.concat().into())
+        }
+    }
+}
+
+fn check<S: Strategy>(inputs: &S, test: impl Fn(S::Value) -> std::result::Result<(), TestCaseError>)
+where
+    S::Value: Debug,
+{
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let result = TestRunner::new_with_rng(config, rng).run(inputs, test);
+    assert!(result.is_ok(), "{result:?}");
+}
+
+#[test_case(Kind::Batch; "batch")]
+#[test_case(Kind::Frame; "frame")]
+#[test_case(Kind::Page; "page")]
+#[test_case(Kind::Record; "record")]
+#[test_case(Kind::State; "state")]
+#[test_case(Kind::Trace; "trace")]
+fn verify_message(kind: Kind) {
+    let example = example(kind).unwrap();
+    assert_eq!(decode(kind, &example), Ok(()));
+    check(&vec(any::<u8>(), 0..300), |bytes| {
+        // Either verdict is right for random bytes; a panic is not.
+        let _ = decode(kind, &bytes);
+        Ok(())
+    });
+    let edit = (any::<Index>(), 0..6_usize, vec(any::<u8>(), 0..6));
+    check(&vec(edit, 1..5), |edits| {
+        let mut bytes = example.to_vec();
+        for (at, length, noise) in edits {
+            let from = at.index(bytes.len() + 1);
+            let to = (from + length).min(bytes.len());
+            bytes.splice(from..to, noise);
+        }
+        let _ = decode(kind, &bytes);
+        Ok(())
+    });
+    // A trace is a sequence, so a piece of it that ends between two steps is whole.
+    if !matches!(kind, Kind::Trace) {
+        for end in 0..example.len() {
+            assert!(decode(kind, &example[..end]).is_err(), "{end}");
+        }
+    }
+}
