Record decisions to a trace and replay them

entry gate, fleet manager: with the setting trace = "path" a daemon writes a header (version, policy, seed) and each event with its actions, at most 256 KiB; hosts are diskless, so it is off by default. core::trace holds the types and the replay, wire::trace the encoding, node::trace the file. Times are offsets from the start. measure replay replays what is shipped against its stated outcome, and measure FILE.cbor prints the outcome of one trace.

Ruled out: serde for Instant, which has no meaning in another process; the arrival of a request is written as a type of its own instead.

--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod log;
+mod replay;
 mod soak;
 mod table;
 mod world;
@@ -19,7 +20,7 @@
     /// steps of a long run
     #[argh(option, default = "100000")]
     steps: u64,
-    /// measurement to run: a name, list or all
+    /// measurement to run: a name, list or all, or the file of a trace to replay
     #[argh(positional)]
     name: String,
 }
@@ -29,6 +30,7 @@
 enum Measure {
     Capacity,
     Log,
+    Replay,
     Soak,
 }
 
@@ -42,12 +44,13 @@
 }
 
 impl Measure {
-    const ALL: &[Self] = &[Self::Capacity, Self::Log, Self::Soak];
+    const ALL: &[Self] = &[Self::Capacity, Self::Log, Self::Replay, Self::Soak];
 
     fn name(self) -> &'static str {
         match self {
             Self::Capacity => "capacity",
             Self::Log => "log",
+            Self::Replay => "replay",
             Self::Soak => "soak",
         }
     }
@@ -63,6 +66,7 @@
         match self {
             Self::Capacity => capacity::run(),
             Self::Log => log::run(),
+            Self::Replay => replay::run(),
             Self::Soak => soak::run(options.seed, options.steps),
         }
     }
@@ -80,6 +84,9 @@
         }
         return ExitCode::SUCCESS;
     }
+    if args.name.ends_with(replay::SUFFIX) {
+        return replay::print(std::path::Path::new(&args.name));
+    }
     let wanted = |measure: &&Measure| args.name == "all" || measure.name() == args.name;
     let chosen: Vec<&Measure> = Measure::ALL.iter().filter(wanted).collect();
     if chosen.is_empty() {
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -7,7 +7,7 @@
 use crate::state::{Change, Verdict};
 
 /// `Event` is something that happened to the manager.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Event {
     /// The fold of the log changed.
     Change(Change),
@@ -65,7 +65,7 @@
 }
 
 /// `Action` is something that the manager wants done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Action {
     /// Append a record.
     Append {
@@ -86,7 +86,7 @@
 }
 
 /// `Call` is a call to the platform about one host.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Call {
     /// Refuse new requests and finish those in flight.
     Drain,
--- a/crates/core/src/fleet/options.rs
+++ b/crates/core/src/fleet/options.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// `Options` sets the policy of the manager.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Options {
     /// Time without a renewal after which a member is removed.
     pub member_timeout: Duration,
--- a/crates/core/src/gate/event.rs
+++ b/crates/core/src/gate/event.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids;
 use crate::outcome::{Answer, Outcome, Refusal};
 use crate::record::End;
@@ -9,9 +11,10 @@
 use crate::state::Change;
 
 /// `Event` is something that happened to the gate.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Event {
     /// A caller sent a request.
+    #[serde(skip)]
     Arrive(Request),
     /// A caller cancelled a request or went away.
     Cancel(ids::Request),
@@ -35,7 +38,7 @@
 }
 
 /// `Claim` is the end of an attempt to claim a key.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Claim {
     /// The key's time stamp lies outside the period in which keys are remembered.
     Expired,
@@ -50,7 +53,7 @@
 }
 
 /// `Exchange` is the end of an exchange with a backend server.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Exchange {
     /// The whole answer came and carried the request's identifier.
     Answered(Answer),
@@ -67,7 +70,7 @@
 }
 
 /// `Action` is something that the gate wants done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Action {
     /// Claim the key for the request.
     Claim {
--- a/crates/core/src/gate/options.rs
+++ b/crates/core/src/gate/options.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// `Options` sets the policy of the gate.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Options {
     /// Sends of one request, at most, first try included.
     pub attempts: u32,
--- a/crates/core/src/invariant/fleet.rs
+++ b/crates/core/src/invariant/fleet.rs
@@ -1,6 +1,6 @@
 //! Watch beside the manager of one fleet instance.
 
-use super::{Breach, promise};
+use super::{Breach, Check, promise};
 use crate::fleet::{Action, Call, Event, Status, View};
 use crate::ids;
 use crate::map::Map;
@@ -23,6 +23,9 @@
 }
 
 impl Fleet {
+    /// Checks that the watch makes.
+    pub const CHECKS: &[Check] = &[Check::Pool, Check::Revision, Check::Stop];
+
     /// Takes an event with the actions that followed it and appends what did not hold.
     pub fn observe(
         &mut self,
--- a/crates/core/src/invariant/gate.rs
+++ b/crates/core/src/invariant/gate.rs
@@ -1,6 +1,6 @@
 //! Watch beside the gate of one entry host.
 
-use super::{Breach, promise};
+use super::{Breach, Check, promise};
 use crate::gate::{Action, Claim, Event};
 use crate::ids;
 use crate::map::Map;
@@ -34,6 +34,15 @@
 }
 
 impl Gate {
+    /// Checks that the watch makes.
+    pub const CHECKS: &[Check] = &[
+        Check::Answer,
+        Check::Leaving,
+        Check::NotRun,
+        Check::Once,
+        Check::Revision,
+    ];
+
     /// Takes an event with the actions that followed it and appends what did not hold.
     pub fn observe(&mut self, event: &Event, actions: &[Action], breaches: &mut Vec<Breach>) {
         let mut ended = None;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`settings`]: settings of the daemons
 //! - [`sheet`]: the planners' sheet
 //! - [`state`]: the fold of the log
+//! - [`trace`]: traces of decisions and their replay
 
 pub mod errors;
 pub mod finding;
@@ -34,3 +35,4 @@
 pub mod settings;
 pub mod sheet;
 pub mod state;
+pub mod trace;
--- a/crates/core/src/outcome/mod.rs
+++ b/crates/core/src/outcome/mod.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// `Outcome` is the end of a request as its caller sees it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Outcome {
     /// A backend server ran the request and gave this whole answer.
     Answered(Answer),
@@ -15,7 +15,7 @@
 }
 
 /// `Answer` is a whole answer of a backend server.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Answer {
     /// HTTP status of the answer.
     pub status: u16,
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -31,7 +31,7 @@
 }
 
 /// `Kind` tells whether a request may safely run more than once.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Kind {
     /// The request may run again.
     Idempotent,
--- a/crates/core/src/settings/node.rs
+++ b/crates/core/src/settings/node.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use super::reader::Reader;
@@ -40,6 +41,8 @@
     pub renew: Duration,
     /// Form of its log lines.
     pub log: Format,
+    /// File that its decisions are recorded to.
+    pub trace: Option<PathBuf>,
 }
 
 impl Node {
@@ -55,6 +58,7 @@
             "log",
             &[("json", Format::Json), ("terminal", Format::Terminal)],
         );
+        let trace = reader.path("trace");
         Some(Self {
             instance: instance?,
             zone: zone?,
@@ -64,6 +68,7 @@
             seeds: seeds?,
             renew: renew?,
             log: log?,
+            trace,
         })
     }
 }
--- a/crates/core/src/settings/reader.rs
+++ b/crates/core/src/settings/reader.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use bytestring::ByteString;
@@ -150,6 +151,16 @@
         Some(address)
     }
 
+    /// Takes the path of a file that may be missing.
+    pub(crate) fn path(&mut self, key: &str) -> Option<PathBuf> {
+        let path = |value: &DeValue| {
+            let path = value.as_str().ok_or(WRONG_TYPE)?;
+            Ok((!path.is_empty()).then(|| path.into()))
+        };
+        self.take(key, Some(None), "the path of a file", path)
+            .flatten()
+    }
+
     /// Takes a list of addresses of other processes.
     pub(crate) fn addresses(&mut self, key: &str) -> Option<Vec<SocketAddr>> {
         self.known.push(key.to_owned());
--- a/crates/entry/src/gate/mod.rs
+++ b/crates/entry/src/gate/mod.rs
@@ -1,5 +1,6 @@
 //! The actor around the gate's decisions: it carries out actions and feeds events.
 
+use std::path::Path;
 use std::time::Duration;
 
 use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
@@ -12,11 +13,13 @@
 use persimmongate_core::outcome::{Outcome, Refusal};
 use persimmongate_core::request::Request;
 use persimmongate_core::state::{Change, Stage};
+use persimmongate_core::trace;
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
 use persimmongate_node::invariant::Alarm;
 use persimmongate_node::log::{Changed, Claim, Claimed, End, Follower};
 use persimmongate_node::supervisor::Guard;
+use persimmongate_node::trace::Recorder;
 use rand::RngExt;
 use serde_json::json;
 use slog::Logger;
@@ -35,6 +38,7 @@
     decisions: Decisions,
     watch: invariant::Gate,
     alarm: Alarm,
+    recorder: Option<Recorder>,
     waiting: Map<ids::Request, Caller>,
     /// Identifier of the latest request.
     latest: ids::Request,
@@ -62,9 +66,22 @@
 }
 
 impl<C: Copy + Send + Unpin + 'static> Gate<C> {
-    pub(crate) fn new(options: Options, meter: &Meter, logger: Logger, guard: Guard<C>) -> Self {
+    pub(crate) fn new(
+        options: Options,
+        trace: Option<&Path>,
+        meter: &Meter,
+        logger: Logger,
+        guard: Guard<C>,
+    ) -> Self {
+        let seed = rand::rng().random();
+        let recorder = trace.and_then(|path| {
+            let options = options.clone();
+            let source = trace::Source::Gate { options, seed };
+            Recorder::open(path, clock::now(), source, &logger)
+        });
         Self {
-            decisions: Decisions::new(options, rand::rng().random()),
+            decisions: Decisions::new(options, seed),
+            recorder,
             watch: invariant::Gate::default(),
             alarm: Alarm::new(meter, logger),
             waiting: Map::default(),
@@ -85,10 +102,16 @@
     fn step(&mut self, event: Event, ctx: &mut Context<Self>) {
         let mut actions = Vec::new();
         let watched = event.clone();
-        self.decisions.step(clock::now(), event, &mut actions);
+        let now = clock::now();
+        self.decisions.step(now, event, &mut actions);
         let mut breaches = Vec::new();
         self.watch.observe(&watched, &actions, &mut breaches);
         self.alarm.raise(&breaches);
+        if let Some(recorder) = &mut self.recorder {
+            let event = trace::Event::from_gate(recorder.start(), &watched);
+            let actions = actions.iter().cloned().map(trace::Action::Gate);
+            recorder.record(now, event, actions.collect());
+        }
         for action in actions {
             self.carry_out(action, ctx);
         }
--- a/crates/entry/src/tree/mod.rs
+++ b/crates/entry/src/tree/mod.rs
@@ -164,7 +164,9 @@
 
     fn start_gate(&mut self, guard: Guard<Child>) {
         let options = self.settings.gate.clone();
-        let gate = Gate::new(options, &self.metrics.meter(), self.logger.clone(), guard).start();
+        let (meter, logger) = (self.metrics.meter(), self.logger.clone());
+        let trace = self.settings.node.trace.as_deref();
+        let gate = Gate::new(options, trace, &meter, logger, guard).start();
         self.gate_seen.send_replace(Some(gate.clone()));
         self.gate = Some(gate);
     }
--- a/crates/fleet/src/manager/mod.rs
+++ b/crates/fleet/src/manager/mod.rs
@@ -1,5 +1,6 @@
 //! The actor around the manager's decisions: it carries out actions and feeds events.
 
+use std::path::Path;
 use std::time::Duration;
 
 use actix::{
@@ -9,6 +10,7 @@
 use persimmongate_core::fleet::{Action, Call, Event, Manager as Decisions, Options};
 use persimmongate_core::ids;
 use persimmongate_core::invariant;
+use persimmongate_core::trace;
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
 use persimmongate_node::invariant::Alarm;
@@ -16,6 +18,7 @@
 use persimmongate_node::peer::Received;
 use persimmongate_node::platform::Client;
 use persimmongate_node::supervisor::Guard;
+use persimmongate_node::trace::Recorder;
 use serde_json::json;
 use slog::Logger;
 
@@ -31,6 +34,7 @@
     decisions: Decisions,
     watch: invariant::Fleet,
     alarm: Alarm,
+    recorder: Option<Recorder>,
     /// Offset up to which the fold is known; older changes are dropped.
     next: ids::Offset,
     platform: Client,
@@ -44,15 +48,22 @@
     pub(crate) fn new(
         instance: ids::Instance,
         options: Options,
+        trace: Option<&Path>,
         platform: Client,
         meter: &Meter,
         logger: Logger,
         guard: Guard<C>,
     ) -> Self {
+        let recorder = trace.and_then(|path| {
+            let (instance, options) = (instance.clone(), options.clone());
+            let source = trace::Source::Fleet { instance, options };
+            Recorder::open(path, clock::now(), source, &logger)
+        });
         Self {
             decisions: Decisions::new(instance, options),
             watch: invariant::Fleet::default(),
             alarm: Alarm::new(meter, logger),
+            recorder,
             next: 0,
             platform,
             follower: None,
@@ -65,11 +76,16 @@
     fn step(&mut self, event: Event, ctx: &mut Context<Self>) {
         let mut actions = Vec::new();
         let watched = event.clone();
-        self.decisions.step(clock::now(), event, &mut actions);
+        let now = clock::now();
+        self.decisions.step(now, event, &mut actions);
         let mut breaches = Vec::new();
         self.watch
             .observe(self.decisions.view(), &watched, &actions, &mut breaches);
         self.alarm.raise(&breaches);
+        if let Some(recorder) = &mut self.recorder {
+            let actions = actions.iter().cloned().map(trace::Action::Fleet);
+            recorder.record(now, trace::Event::Fleet(watched), actions.collect());
+        }
         for action in actions {
             match action {
                 Action::Append { token, body } => self.append(token, body, ctx),
--- a/crates/fleet/src/tree/mod.rs
+++ b/crates/fleet/src/tree/mod.rs
@@ -86,7 +86,8 @@
         let platform = Client::new(node.platform);
         let meter = self.metrics.meter();
         let (instance, logger) = (node.instance.clone(), self.logger.clone());
-        let manager = Manager::new(instance, options, platform, &meter, logger, guard);
+        let trace = node.trace.as_deref();
+        let manager = Manager::new(instance, options, trace, platform, &meter, logger, guard);
         self.manager = Some(manager.start());
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`peer`]: links to other processes
 //! - [`platform`]: calls to the platform about hosts
 //! - [`supervisor`]: restarts of failed children
+//! - [`trace`]: recording of decisions to a file
 
 pub mod admin;
 pub mod boot;
@@ -25,3 +26,4 @@
 pub mod peer;
 pub mod platform;
 pub mod supervisor;
+pub mod trace;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,8 +4,10 @@
 //! - [`frame`]: frames on peer links
 //! - [`log`]: records and pages of the platform's log
 //! - [`platform`]: the platform's interface for hosts
+//! - [`trace`]: traces of decisions
 
 pub mod errors;
 pub mod frame;
 pub mod log;
 pub mod platform;
+pub mod trace;
--- /dev/null
+++ b/crates/wire/src/trace/mod.rs
@@ -0,0 +1,53 @@
+//! Encoding of traces: a header and steps, one after the other.
+
+use std::io::Cursor;
+
+use bytes::Bytes;
+use persimmongate_core::trace::{Header, Step};
+
+use crate::errors::{Result, malformed_error, oversized_error};
+use crate::log::encode;
+
+/// Longest trace accepted, in bytes.
+pub const TRACE_MAX: usize = 256 * 1024;
+
+/// Encodes the header of a trace.
+///
+/// # Errors
+///
+/// Returns an error when the header is too long.
+pub fn encode_header(header: &Header) -> Result<Bytes> {
+    encode("trace header", header, TRACE_MAX)
+}
+
+/// Encodes one step of a trace.
+///
+/// # Errors
+///
+/// Returns an error when the step is too long.
+pub fn encode_step(step: &Step) -> Result<Bytes> {
+    encode("trace step", step, TRACE_MAX)
+}
+
+/// Decodes a whole trace; the error names the byte at which it stops.
+///
+/// # Errors
+///
+/// Returns an error for bytes that are too long or no trace.
+pub fn decode(bytes: &[u8]) -> Result<(Header, Vec<Step>)> {
+    if bytes.len() > TRACE_MAX {
+        return Err(oversized_error("trace", bytes.len(), TRACE_MAX));
+    }
+    let mut reader = Cursor::new(bytes);
+    let header = ciborium::from_reader(&mut reader)
+        .map_err(|error| malformed_error("trace header", &error))?;
+    let mut steps = Vec::new();
+    let end = bytes.len() as u64;
+    while reader.position() < end {
+        let at = reader.position();
+        let step = ciborium::from_reader(&mut reader)
+            .map_err(|error| malformed_error("trace", &format!("byte {at}: {error}")))?;
+        steps.push(step);
+    }
+    Ok((header, steps))
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -38,6 +38,10 @@
 settings() { # instance zone http peer
     printf 'instance = "%s"\nzone = "%s"\nhttp = "%s"\npeer = "%s"\nplatform = "%s"\n' \
         "$1" "$2" "$3" "$4" "$platform"
+    # With TRACES set, one process of each kind records its decisions there.
+    case "${TRACES:+$1}" in
+    entry-0 | fleet-0) printf 'trace = "%s/%s.cbor"\n' "$TRACES" "${1%-0}" ;;
+    esac
 }
 
 start platform.log "$bin/persimmongate-standin" platform --address "$platform" \
