--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -1,8 +1,11 @@
 //! Measurements of the decision code, each printed as a table with its baselines.
 
 mod capacity;
+mod flood;
 mod log;
 mod replay;
+mod routing;
+mod sim;
 mod soak;
 mod table;
 mod world;
@@ -29,8 +32,10 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Measure {
     Capacity,
+    Flood,
     Log,
     Replay,
+    Routing,
     Soak,
 }
 
@@ -44,13 +49,22 @@
 }
 
 impl Measure {
-    const ALL: &[Self] = &[Self::Capacity, Self::Log, Self::Replay, Self::Soak];
+    const ALL: &[Self] = &[
+        Self::Capacity,
+        Self::Flood,
+        Self::Log,
+        Self::Replay,
+        Self::Routing,
+        Self::Soak,
+    ];
 
     fn name(self) -> &'static str {
         match self {
             Self::Capacity => "capacity",
+            Self::Flood => "flood",
             Self::Log => "log",
             Self::Replay => "replay",
+            Self::Routing => "routing",
             Self::Soak => "soak",
         }
     }
@@ -65,8 +79,10 @@
         );
         match self {
             Self::Capacity => capacity::run(),
+            Self::Flood => flood::run(options.seed),
             Self::Log => log::run(),
             Self::Replay => replay::run(),
+            Self::Routing => routing::run(options.seed),
             Self::Soak => soak::run(options.seed, options.steps),
         }
     }
--- a/crates/core/examples/measure/world/entry.rs
+++ b/crates/core/examples/measure/world/entry.rs
@@ -132,6 +132,8 @@
         let step = self.step;
         let entry = &mut self.entries[index];
         match action {
+            // No exchange of the fakes shares a connection, so there is none to give up.
+            Action::Abandon { .. } => {}
             Action::Claim { request, key } => {
                 let notice = entry.follower.claim(step, request, key);
                 entry.notice(notice.into_iter().collect());
--- a/crates/core/tests/soak/retry.rs
+++ b/crates/core/tests/soak/retry.rs
@@ -68,7 +68,10 @@
             // Past the backoff the only worker gets the request again.
             let again = start + Duration::from_millis(500);
             step(again, Event::Tick);
-            step(again, done(exchange))
+            let mut told = step(again, done(exchange));
+            // A request that a full worker refused waits in the queue until its deadline.
+            told.extend(step(late, Event::Tick));
+            told
         }
         None => step(late, Event::Tick),
     };
