--- a/crates/core/src/gate/options.rs
+++ b/crates/core/src/gate/options.rs
@@ -40,7 +40,7 @@
 }
 
 /// `Ejection` bounds how many hosts of a service are out because of failures.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Ejection {
     /// No more than this share of the hosts is ejected.
     Capped(f64),
