--- a/crates/core/examples/measure/world/fault.rs
+++ b/crates/core/examples/measure/world/fault.rs
@@ -39,7 +39,7 @@
     KillEntry,
     /// A fleet instance is replaced.
     KillFleet,
-    /// Bytes to workers take seconds.
+    /// Bytes to workers and to the platform take seconds.
     LateWrite,
     /// The host list is not refreshed.
     ListStale,
--- a/crates/core/examples/measure/world/fleet.rs
+++ b/crates/core/examples/measure/world/fleet.rs
@@ -7,6 +7,7 @@
 use persimmongate_core::ids;
 use persimmongate_core::invariant::{self, Breach, Check};
 use persimmongate_core::record::Role;
+use rand::RngExt;
 
 use super::SECOND;
 use super::follower::{Follower, Notice};
@@ -15,6 +16,8 @@
 
 /// Steps between two comparisons of the fold with what it should be.
 const TICK_STEPS: u64 = 10;
+/// Steps that a late call may take.
+const LATE_STEPS_MAX: u64 = 6 * SECOND;
 /// Steps between two reads of the host list.
 const LIST_STEPS: u64 = SECOND;
 
@@ -107,7 +110,12 @@
                         generation,
                         call,
                     };
-                    self.network.send(step + 1, message);
+                    let late = if step < self.until.late_writes {
+                        self.rng.random_range(0..LATE_STEPS_MAX)
+                    } else {
+                        0
+                    };
+                    self.network.send(step + 1 + late, message);
                 }
             }
         }
