--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -5,6 +5,7 @@
 mod log;
 mod moves;
 mod once;
+mod replay;
 mod retries;
 mod routing;
 mod sim;
@@ -28,7 +29,7 @@
     /// steps of a long run
     #[argh(option, default = "100000")]
     steps: u64,
-    /// measurement to run: a name, list or all
+    /// measurement to run: a name, list or all, or the file of a trace to replay
     #[argh(positional)]
     name: String,
 }
@@ -41,6 +42,7 @@
     Log,
     Moves,
     Once,
+    Replay,
     Retries,
     Routing,
     Soak,
@@ -64,6 +66,7 @@
         Self::Log,
         Self::Moves,
         Self::Once,
+        Self::Replay,
         Self::Retries,
         Self::Routing,
         Self::Soak,
@@ -78,6 +81,7 @@
             Self::Log => "log",
             Self::Once => "once",
             Self::Retries => "retries",
+            Self::Replay => "replay",
             Self::Routing => "routing",
             Self::Soak => "soak",
             Self::Moves => "moves",
@@ -100,6 +104,7 @@
             Self::Log => log::run(),
             Self::Once => once::run(options.seed),
             Self::Retries => retries::run(options.seed),
+            Self::Replay => replay::run(),
             Self::Routing => routing::run(options.seed),
             Self::Soak => soak::run(options.seed, options.steps),
             Self::Moves => moves::run(options.seed),
@@ -121,6 +126,9 @@
         }
         return ExitCode::SUCCESS;
     }
+    if args.name.ends_with(replay::SUFFIX) {
+        return replay::print(std::path::Path::new(&args.name));
+    }
     let wanted = |measure: &&Measure| args.name == "all" || measure.name() == args.name;
     let chosen: Vec<&Measure> = Measure::ALL.iter().filter(wanted).collect();
     if chosen.is_empty() {
