--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -1,10 +1,15 @@
 //! Measurements of the decision code, each printed as a table with its baselines.
 
 mod capacity;
+mod flood;
 mod log;
 mod moves;
+mod routing;
+mod sim;
+mod soak;
 mod table;
 mod takeover;
+mod testbed;
 mod wave;
 mod world;
 
@@ -30,8 +35,11 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Measure {
     Capacity,
+    Flood,
     Log,
     Moves,
+    Routing,
+    Soak,
     Takeover,
     Wave,
 }
@@ -48,8 +56,11 @@
 impl Measure {
     const ALL: &[Self] = &[
         Self::Capacity,
+        Self::Flood,
         Self::Log,
         Self::Moves,
+        Self::Routing,
+        Self::Soak,
         Self::Takeover,
         Self::Wave,
     ];
@@ -57,7 +68,10 @@
     fn name(self) -> &'static str {
         match self {
             Self::Capacity => "capacity",
+            Self::Flood => "flood",
             Self::Log => "log",
+            Self::Routing => "routing",
+            Self::Soak => "soak",
             Self::Moves => "moves",
             Self::Takeover => "takeover",
             Self::Wave => "wave",
@@ -74,7 +88,10 @@
         );
         match self {
             Self::Capacity => capacity::run(),
+            Self::Flood => flood::run(options.seed),
             Self::Log => log::run(),
+            Self::Routing => routing::run(options.seed),
+            Self::Soak => soak::run(options.seed, options.steps),
             Self::Moves => moves::run(options.seed),
             Self::Takeover => takeover::run(options.seed),
             Self::Wave => wave::run(options.seed),
--- a/crates/core/examples/measure/moves.rs
+++ b/crates/core/examples/measure/moves.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::table::Table;
-use crate::world::{self, ANDAMAN, Faults, KUISEB, Outcome, Plan, Policy, Service};
+use crate::testbed::{self, ANDAMAN, Faults, KUISEB, Outcome, Plan, Policy, Service};
 
 /// Runs of each row.
 const SEEDS: u64 = 5;
@@ -62,7 +62,7 @@
     for (name, services) in [("kuiseb", &KUISEB), ("andaman", &ANDAMAN)] {
         let mut probe = plan(services, PROBE_SPARE, Policy::Manager, seed);
         probe.limit = Duration::from_secs(1);
-        let buffer = world::run(probe).buffer;
+        let buffer = testbed::run(probe).buffer;
         let mut row = |way: Way| {
             let (policy, hosts) = match way {
                 Way::Shared => (Policy::Manager, buffer.0),
@@ -78,7 +78,7 @@
                 }
                 plan
             });
-            let outcomes: Vec<Outcome> = plans.map(world::run).collect();
+            let outcomes: Vec<Outcome> = plans.map(testbed::run).collect();
             add(&mut table, format!("{name}, {way:?}"), hosts, &outcomes)
         };
         let shared = row(Way::Shared);
--- a/crates/core/examples/measure/takeover.rs
+++ b/crates/core/examples/measure/takeover.rs
@@ -5,7 +5,7 @@
 use hdrhistogram::Histogram;
 
 use crate::table::Table;
-use crate::world::{self, KUISEB, Loss, Plan};
+use crate::testbed::{self, KUISEB, Loss, Plan};
 
 /// Runs of each row.
 const SEEDS: u64 = 20;
@@ -45,7 +45,7 @@
         plan.waves = vec![("renderer", 2)];
         plan.loss = Some(loss);
         plan.limit = LIMIT;
-        let outcome = world::run(plan);
+        let outcome = testbed::run(plan);
         cut += outcome.cut;
         if let Some((claim, act)) = outcome.takeover {
             runs += 1;
--- a/crates/core/examples/measure/wave.rs
+++ b/crates/core/examples/measure/wave.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::table::Table;
-use crate::world::{self, ANDAMAN, Faults, KUISEB, Outcome, Plan, Policy, Service};
+use crate::testbed::{self, ANDAMAN, Faults, KUISEB, Outcome, Plan, Policy, Service};
 
 /// Hosts in the spare pool.
 const SPARE: usize = 3;
@@ -55,7 +55,7 @@
             for (weather, faults) in [("calm", Faults::default()), ("faults", FAULTS)] {
                 for way in [Way::Manager, Way::Fixed, Way::Single] {
                     let plans = plans(services, pools, faults, way, seed);
-                    let outcomes: Vec<Outcome> = plans.into_iter().map(world::run).collect();
+                    let outcomes: Vec<Outcome> = plans.into_iter().map(testbed::run).collect();
                     let title = format!("{name}, {kind}, {weather}, {way:?}");
                     let good = add(
                         &mut table,
--- a/crates/core/examples/measure/world/platform.rs
+++ b/crates/core/examples/measure/world/platform.rs
@@ -1,198 +1,129 @@
-//! Machines that drain and reboot, with a host list that lags.
+//! Workers and the platform's interface for hosts.
 
-use std::time::{Duration, Instant};
+use std::collections::BTreeMap;
 
 use persimmongate_core::fleet::{Call, Health, Status};
 use persimmongate_core::ids;
-use persimmongate_core::map::Map;
 use persimmongate_core::record::Fact;
-use rand::RngExt;
-use rand_chacha::ChaCha8Rng;
+use rand::{Rng, RngExt};
 
-/// Time between two host lists, and the age of the older one when the next appears.
-const LIST_LAG: Duration = Duration::from_secs(10);
-/// Seconds that a reboot takes.
-const REBOOT_S: std::ops::Range<u64> = 60..180;
-/// Seconds that the repair of a failed machine takes.
-const REPAIR_S: std::ops::Range<u64> = 300..1200;
+use super::SECOND;
+use super::message::Place;
 
-/// `Job` is a request that runs on a machine.
+/// Hosts of the fleet.
+const HOSTS: usize = 24;
+/// Hosts in a rack.
+const RACK_HOSTS: usize = 4;
+/// Racks in an availability zone.
+const ZONE_RACKS: usize = 2;
+/// Steps that a reboot takes.
+const REBOOT_STEPS: u64 = SECOND;
+/// Longest run of a request, in steps.
+const WORK_STEPS_MAX: u64 = 30;
+/// Factor by which a slow worker takes longer.
+const SLOWNESS: u64 = 20;
+
+/// `Job` is a request on its way to a worker, or running there.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
-    /// Entry host that waits for the answer.
-    pub(crate) entry: usize,
-    /// Time at which it ends.
-    pub(crate) ends: Instant,
+    pub(crate) entry: Place,
+    pub(crate) exchange: u64,
+    pub(crate) request: ids::Request,
+    pub(crate) nonce: u64,
+    pub(crate) key: Option<ids::Key>,
 }
 
-/// `Machine` is one worker with its host.
-#[derive(Clone, Debug)]
-pub(crate) struct Machine {
+/// `End` is what became of a job.
+#[derive(Debug)]
+pub(crate) enum End {
+    /// The worker answered, and named the entry host and request of its answer.
+    Answered {
+        nonce: u64,
+        echo: (Place, ids::Request),
+    },
+    Broken,
+}
+
+/// `Worker` is one backend server on its host.
+#[derive(Debug)]
+pub(crate) struct Worker {
     pub(crate) fact: Fact,
-    pub(crate) health: Health,
-    pub(crate) jobs: Vec<Job>,
-    /// Time at which it serves again.
-    back: Option<Instant>,
-    /// Time at which its latest drain began.
-    drained: Option<Instant>,
-    /// Time of its own that its latest drain and reboot took.
-    pub(crate) own: Option<Duration>,
+    health: Health,
+    running: Vec<(u64, Job)>,
+    back_at: u64,
+    /// Steps before which it is slow, fails what it starts, or mixes answers up.
+    pub(crate) slow_until: u64,
+    pub(crate) failing_until: u64,
+    pub(crate) crossed_until: u64,
 }
 
-/// `Platform` holds all machines.
+/// `Platform` knows the workers, and lists them late.
 #[derive(Debug)]
 pub(crate) struct Platform {
-    pub(crate) machines: Map<ids::Host, Machine>,
-    pub(crate) names: Vec<ids::Host>,
-    /// Percentage of reboots after which a machine does not serve again.
-    pub(crate) broken_percent: u32,
-    /// Requests that a reboot ended.
-    pub(crate) cut: usize,
-    listed: Vec<Fact>,
-    next_list: Instant,
-    next_listed: Vec<Fact>,
+    pub(crate) workers: BTreeMap<ids::Host, Worker>,
+    pub(crate) listed: Vec<Fact>,
 }
 
 impl Platform {
-    pub(crate) fn new(facts: Vec<Fact>, broken_percent: u32, now: Instant) -> Self {
-        let machine = |fact: Fact| Machine {
-            fact,
-            health: Health::Serving,
-            jobs: Vec::new(),
-            back: None,
-            drained: None,
-            own: None,
-        };
+    pub(crate) fn new() -> Self {
+        let workers = (0..HOSTS).map(|index| {
+            let fact = fact(index);
+            (fact.host.clone(), Worker::new(fact))
+        });
         Self {
-            names: facts.iter().map(|fact| fact.host.clone()).collect(),
-            listed: facts.clone(),
-            next_listed: facts.clone(),
-            machines: facts
-                .into_iter()
-                .map(|fact| (fact.host.clone(), machine(fact)))
-                .collect(),
-            broken_percent,
-            cut: 0,
-            next_list: now,
-        }
-    }
-
-    /// Gets the list as it was one or two periods ago.
-    pub(crate) fn list(&self) -> Vec<Fact> {
-        self.listed.clone()
-    }
-
-    /// Ends jobs, reboots and repairs; returns the entry hosts that get an answer, with the host.
-    pub(crate) fn step(&mut self, now: Instant) -> Vec<(usize, ids::Host)> {
-        let mut answers = Vec::new();
-        for name in &self.names {
-            let Some(machine) = self.machines.get_mut(name) else {
-                continue;
-            };
-            machine.jobs.retain(|job| {
-                let ended = job.ends <= now;
-                if ended {
-                    answers.push((job.entry, name.clone()));
-                }
-                !ended
-            });
-            if machine.back.is_some_and(|at| at <= now) {
-                machine.back = None;
-                machine.health = Health::Serving;
-                machine.fact.generation += 1;
-            }
-        }
-        if now >= self.next_list {
-            self.next_list = now + LIST_LAG;
-            let up = |name: &ids::Host| {
-                let machine = self.machines.get(name)?;
-                let down = matches!(machine.health, Health::Dead | Health::Rebooting);
-                (!down).then(|| machine.fact.clone())
-            };
-            let fresh = self.names.iter().filter_map(up).collect();
-            self.listed = std::mem::replace(&mut self.next_listed, fresh);
+            workers: workers.collect(),
+            listed: Vec::new(),
         }
-        answers
     }
 
-    /// Runs a job unless the machine refuses it; an old connection does not reach a new start.
-    pub(crate) fn run(&mut self, name: &ids::Host, generation: ids::Generation, job: Job) -> bool {
-        let Some(machine) = self.machines.get_mut(name) else {
-            return false;
-        };
-        let full = machine.jobs.len() >= usize::from(machine.fact.slots);
-        let same = machine.fact.generation == generation;
-        if full || !same || machine.health != Health::Serving {
-            return false;
-        }
-        machine.jobs.push(job);
-        true
+    /// Reads the workers into the host list.
+    pub(crate) fn list(&mut self) {
+        let live = self
+            .workers
+            .values()
+            .filter(|worker| !matches!(worker.health, Health::Dead | Health::Rebooting));
+        self.listed = live.map(|worker| worker.fact.clone()).collect();
     }
 
-    /// Carries out a call; a call for another generation is refused.
-    ///
-    /// A reboot is carried out also while jobs run, so that one that comes too early is seen.
+    /// Carries out a call; returns the status and the requests that it cut.
     pub(crate) fn call(
         &mut self,
-        now: Instant,
-        name: &ids::Host,
+        step: u64,
+        host: &ids::Host,
         generation: ids::Generation,
         call: Call,
-        random: &mut ChaCha8Rng,
-    ) -> Option<Status> {
-        let broken = random.random_range(0..100) < self.broken_percent;
-        let reboot = Duration::from_secs(random.random_range(REBOOT_S));
-        let repair = Duration::from_secs(random.random_range(REPAIR_S));
-        let machine = self.machines.get_mut(name)?;
-        if call != Call::Query && machine.fact.generation != generation {
-            return None;
-        }
-        match (call, machine.health) {
-            (Call::Drain, Health::Serving) => {
-                machine.health = Health::Draining;
-                machine.drained = Some(now);
-            }
-            (Call::Undrain, Health::Draining) => machine.health = Health::Serving,
-            (Call::Reboot, Health::Serving | Health::Draining) => {
-                self.cut += machine.jobs.len();
-                machine.jobs.clear();
-                machine.health = Health::Rebooting;
-                machine.back = Some(now + reboot);
-                if broken {
-                    machine.health = Health::Dead;
-                    machine.back = Some(now + repair + reboot);
-                }
-                let drain = machine.drained.take().unwrap_or(now);
-                machine.own = Some(now.saturating_duration_since(drain) + reboot);
-            }
+    ) -> Option<(Status, usize)> {
+        let worker = self.workers.get_mut(host)?;
+        let mut cut = 0;
+        let meant = worker.fact.generation == generation;
+        match call {
+            Call::Query => {}
+            _ if !meant => return None,
+            Call::Drain if worker.health == Health::Serving => worker.health = Health::Draining,
+            Call::Undrain if worker.health == Health::Draining => worker.health = Health::Serving,
+            Call::Reboot if worker.health != Health::Rebooting => cut = worker.reboot(step),
             _ => {}
         }
-        Some(machine.status())
+        Some((worker.status(), cut))
     }
+}
 
-    /// Fails a machine without a plan; its jobs are lost.
-    pub(crate) fn crash(&mut self, now: Instant, name: &ids::Host, random: &mut ChaCha8Rng) {
-        let repair = Duration::from_secs(random.random_range(REPAIR_S));
-        if let Some(machine) = self.machines.get_mut(name)
-            && !matches!(machine.health, Health::Dead | Health::Rebooting)
-        {
-            machine.jobs.clear();
-            machine.health = Health::Dead;
-            machine.back = Some(now + repair);
+impl Worker {
+    fn new(fact: Fact) -> Self {
+        Self {
+            fact,
+            health: Health::Serving,
+            running: Vec::new(),
+            back_at: 0,
+            slow_until: 0,
+            failing_until: 0,
+            crossed_until: 0,
         }
     }
 
-    /// Gets whether a machine takes requests.
-    pub(crate) fn is_serving(&self, name: &ids::Host) -> bool {
-        let machine = self.machines.get(name);
-        machine.is_some_and(|machine| machine.health == Health::Serving)
-    }
-}
-
-impl Machine {
     fn status(&self) -> Status {
         let health = match self.health {
-            Health::Draining if self.jobs.is_empty() => Health::Drained,
+            Health::Draining if self.running.is_empty() => Health::Drained,
             health => health,
         };
         Status {
@@ -200,4 +131,84 @@
             health,
         }
     }
+
+    fn reboot(&mut self, step: u64) -> usize {
+        self.health = Health::Rebooting;
+        self.back_at = step + REBOOT_STEPS;
+        std::mem::take(&mut self.running).len()
+    }
+
+    /// Fails without a plan and returns the jobs that broke off.
+    pub(crate) fn fail(&mut self) -> Vec<Job> {
+        self.health = Health::Dead;
+        let running = std::mem::take(&mut self.running);
+        running.into_iter().map(|(_, job)| job).collect()
+    }
+
+    /// Starts again after a failure.
+    pub(crate) fn revive(&mut self) {
+        if self.health == Health::Dead {
+            self.fact.generation += 1;
+            self.health = Health::Serving;
+        }
+    }
+
+    pub(crate) fn is_dead(&self) -> bool {
+        matches!(self.health, Health::Dead | Health::Rebooting)
+    }
+
+    /// Starts a job unless the worker is full or draining; returns whether it runs.
+    pub(crate) fn start<R: Rng>(&mut self, step: u64, job: Job, rng: &mut R) -> bool {
+        let full = self.running.len() >= usize::from(self.fact.slots);
+        if full || self.health != Health::Serving {
+            return false;
+        }
+        let slowness = if step < self.slow_until { SLOWNESS } else { 1 };
+        let work = rng.random_range(1..WORK_STEPS_MAX) * slowness;
+        self.running.push((step + work, job));
+        true
+    }
+
+    /// Ends the jobs whose time has come, and a reboot.
+    pub(crate) fn advance(&mut self, step: u64) -> Vec<(Job, End)> {
+        if self.health == Health::Rebooting && step >= self.back_at {
+            self.fact.generation += 1;
+            self.health = Health::Serving;
+        }
+        let due = |(at, _): &mut (u64, Job)| *at <= step;
+        let done: Vec<(u64, Job)> = self.running.extract_if(.., due).collect();
+        let mut ends = Vec::new();
+        for (index, (_, job)) in done.iter().enumerate() {
+            let mixed = if step < self.crossed_until {
+                let others = done.iter().chain(&self.running);
+                others.map(|(_, other)| other).nth(index + 1)
+            } else {
+                None
+            };
+            let source = mixed.unwrap_or(job);
+            let end = if step < self.failing_until {
+                End::Broken
+            } else {
+                End::Answered {
+                    nonce: source.nonce,
+                    echo: (source.entry, source.request),
+                }
+            };
+            ends.push((job.clone(), end));
+        }
+        ends
+    }
+}
+
+fn fact(index: usize) -> Fact {
+    let rack = index / RACK_HOSTS;
+    Fact {
+        host: format!("host-{index:02}").into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: format!("zone-{}", rack / ZONE_RACKS).into(),
+        rack: format!("rack-{rack}").into(),
+        generation: 1,
+        slots: 4,
+        connections: 16,
+    }
 }
