Show the buffer in the dump of the fleet daemon

The dump gains the need of each service, the size of the shared spare pool and of one buffer for each service, so that operators see why spare hosts are kept.

--- a/crates/core/src/fleet/buffer.rs
+++ b/crates/core/src/fleet/buffer.rs
@@ -1,11 +1,13 @@
 //! The buffer: hosts kept so that the promises hold through waves and failures.
 
+use serde::Serialize;
+
 use super::View;
 use crate::ids;
 use crate::record::Phase;
 
 /// `Need` is what one service asks of the buffer.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Need {
     /// Service that asks.
     pub service: ids::Service,
@@ -37,7 +39,7 @@
 }
 
 /// `Buffer` is the size of the spare pool with the needs that it is made of.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Buffer {
     /// Needs of the services in the order of their names.
     pub needs: Vec<Need>,
--- a/crates/fleet/src/manager/mod.rs
+++ b/crates/fleet/src/manager/mod.rs
@@ -6,7 +6,7 @@
     Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, MessageResult, WrapFuture,
 };
 use opentelemetry::metrics::{Counter, Meter};
-use persimmongate_core::fleet::{Action, Call, Event, Manager as Decisions, Options};
+use persimmongate_core::fleet::{Action, Call, Event, Manager as Decisions, Options, buffer};
 use persimmongate_core::ids;
 use persimmongate_core::invariant;
 use persimmongate_node::admin::Dump;
@@ -35,6 +35,8 @@
     next: ids::Offset,
     platform: Client,
     follower: Option<Addr<Follower<Child>>>,
+    /// Share of all hosts expected to be under repair, in percent.
+    repair_percent: u32,
     calls: Counter<u64>,
     refusals: Counter<u64>,
     _guard: Guard<C>,
@@ -50,6 +52,7 @@
         guard: Guard<C>,
     ) -> Self {
         Self {
+            repair_percent: options.repair_percent,
             decisions: Decisions::new(instance, options),
             watch: invariant::Fleet::default(),
             alarm: Alarm::new(meter, logger),
@@ -201,6 +204,7 @@
     fn handle(&mut self, _: Dump, _: &mut Self::Context) -> Self::Result {
         let view = self.decisions.view();
         MessageResult(json!({
+            "buffer": buffer(view, self.repair_percent),
             "next": self.next,
             "held": self.decisions.held(),
             "hosts": view.hosts,
