--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -3,11 +3,18 @@
 mod capacity;
 mod flood;
 mod log;
+mod moves;
 mod once;
+mod replay;
 mod retries;
 mod routing;
 mod sim;
+mod soak;
 mod table;
+mod takeover;
+mod testbed;
+mod wave;
+mod world;
 
 use std::process::ExitCode;
 
@@ -22,7 +29,7 @@
     /// steps of a long run
     #[argh(option, default = "100000")]
     steps: u64,
-    /// measurement to run: a name, list or all
+    /// measurement to run: a name, list or all, or the file of a trace to replay
     #[argh(positional)]
     name: String,
 }
@@ -33,9 +40,14 @@
     Capacity,
     Flood,
     Log,
+    Moves,
     Once,
+    Replay,
     Retries,
     Routing,
+    Soak,
+    Takeover,
+    Wave,
 }
 
 /// `Options` is what every measurement gets.
@@ -52,9 +64,14 @@
         Self::Capacity,
         Self::Flood,
         Self::Log,
+        Self::Moves,
         Self::Once,
+        Self::Replay,
         Self::Retries,
         Self::Routing,
+        Self::Soak,
+        Self::Takeover,
+        Self::Wave,
     ];
 
     fn name(self) -> &'static str {
@@ -64,7 +81,12 @@
             Self::Log => "log",
             Self::Once => "once",
             Self::Retries => "retries",
+            Self::Replay => "replay",
             Self::Routing => "routing",
+            Self::Soak => "soak",
+            Self::Moves => "moves",
+            Self::Takeover => "takeover",
+            Self::Wave => "wave",
         }
     }
 
@@ -82,7 +104,12 @@
             Self::Log => log::run(),
             Self::Once => once::run(options.seed),
             Self::Retries => retries::run(options.seed),
+            Self::Replay => replay::run(),
             Self::Routing => routing::run(options.seed),
+            Self::Soak => soak::run(options.seed, options.steps),
+            Self::Moves => moves::run(options.seed),
+            Self::Takeover => takeover::run(options.seed),
+            Self::Wave => wave::run(options.seed),
         }
     }
 }
@@ -99,6 +126,9 @@
         }
         return ExitCode::SUCCESS;
     }
+    if args.name.ends_with(replay::SUFFIX) {
+        return replay::print(std::path::Path::new(&args.name));
+    }
     let wanted = |measure: &&Measure| args.name == "all" || measure.name() == args.name;
     let chosen: Vec<&Measure> = Measure::ALL.iter().filter(wanted).collect();
     if chosen.is_empty() {
--- a/crates/core/src/gate/options.rs
+++ b/crates/core/src/gate/options.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids;
 
 /// `Options` sets the policy of the gate.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Options {
     /// Sends of one request that fail, at most; refusals by full workers do not count.
     pub attempts: u32,
--- a/crates/core/src/invariant/fleet.rs
+++ b/crates/core/src/invariant/fleet.rs
@@ -1,6 +1,6 @@
 //! Watch beside the manager of one fleet instance.
 
-use super::{Breach, promise};
+use super::{Breach, Check, promise};
 use crate::fleet::{Action, Call, Event, Status, View};
 use crate::ids;
 use crate::map::Map;
@@ -11,6 +11,8 @@
 pub struct Fleet {
     hosts: Map<ids::Host, Watched>,
     terms: Map<ids::Pool, ids::Term>,
+    /// Host of each call that is not answered.
+    calls: Map<u64, ids::Host>,
 }
 
 /// `Watched` is a host with what was told of it since its latest drain.
@@ -23,6 +25,9 @@
 }
 
 impl Fleet {
+    /// Checks that the watch makes.
+    pub const CHECKS: &[Check] = &[Check::Pool, Check::Revision, Check::Stop];
+
     /// Takes an event with the actions that followed it and appends what did not hold.
     pub fn observe(
         &mut self,
@@ -53,21 +58,26 @@
                     watched.reports.insert(instance.clone(), *in_flight);
                 }
             }
-            Event::Status(host, status) => {
-                if let Some(watched) = self.hosts.get_mut(host) {
-                    watched.status = Some(*status);
+            Event::Answer { token, status } => {
+                let host = self.calls.remove(token);
+                if let Some(watched) = host.and_then(|host| self.hosts.get_mut(&host)) {
+                    watched.status = status.or(watched.status);
                 }
             }
             _ => {}
         }
         for action in actions {
             if let Action::Call {
+                token,
                 host,
                 generation,
-                call: Call::Reboot,
+                call,
             } = action
             {
-                breaches.extend(self.stop(view, host, *generation));
+                self.calls.insert(*token, host.clone());
+                if *call == Call::Reboot {
+                    breaches.extend(self.stop(view, host, *generation));
+                }
             }
         }
     }
@@ -78,6 +88,8 @@
         watched.revision = host.revision;
         let since = match host.stage {
             Stage::Draining { since, .. } => Some(since),
+            // The reports of the drain still count when the host is stopped.
+            Stage::Stopping { .. } => watched.since,
             _ => None,
         };
         if watched.since != since {
--- a/crates/core/src/record/mod.rs
+++ b/crates/core/src/record/mod.rs
@@ -26,6 +26,17 @@
 /// `Body` is what a record says.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Body {
+    /// Changes rows of the day's intent.
+    Amend {
+        /// Revision of the intent that the operator saw.
+        base: ids::Revision,
+        /// Operator who applied the sheet.
+        operator: ids::Operator,
+        /// Rows that the sheet no longer has.
+        removed: Vec<Intent>,
+        /// Rows that the sheet did not have.
+        added: Vec<Intent>,
+    },
     /// Claims the right to decide for a pool.
     Claim {
         /// Pool claimed.
@@ -80,6 +91,10 @@
         host: ids::Host,
         /// Generation that failed.
         generation: ids::Generation,
+        /// Revision of the host the decision was made against.
+        revision: ids::Revision,
+        /// Term of the claim on the host's pool.
+        term: ids::Term,
     },
     /// Moves a host between pools.
     Move {
@@ -121,6 +136,15 @@
         /// Term of the claim on the host's pool.
         term: ids::Term,
     },
+    /// Stops a host for a start with a new generation; from here on the old one never returns.
+    Stop {
+        /// Host to stop.
+        host: ids::Host,
+        /// Generation to stop.
+        generation: ids::Generation,
+        /// Term of the claim on the host's pool.
+        term: ids::Term,
+    },
     /// Replaces the day's intent.
     Sheet {
         /// Revision of the intent that the operator saw.
--- a/crates/core/src/report/explain/host.rs
+++ b/crates/core/src/report/explain/host.rs
@@ -41,6 +41,13 @@
             "It is healthy and idle: the spare pool serves no callers.".to_owned()
         }
         Stage::Serving => "It is serving: it gets work.".to_owned(),
+        Stage::Stopping { wave: Some(wave) } => {
+            format!("It is being restarted for wave {wave} and gets no work.")
+        }
+        Stage::Stopping { wave: None } => {
+            "It is being restarted outside of any wave and does not count for its service's budget."
+                .to_owned()
+        }
     }
 }
 
@@ -69,6 +76,11 @@
                 .to_owned(),
         ),
         Stage::Serving => next.extend(next_wave(state, host)),
+        Stage::Stopping { .. } => next.push(
+            "When the platform reports its new start healthy, it returns to its pool; until then \
+             look at the host itself if it takes long."
+                .to_owned(),
+        ),
     }
     if let Some(pool) = state.pins.get(name).filter(|pool| **pool != host.pool) {
         next.push(format!(
--- a/crates/core/src/state/apply.rs
+++ b/crates/core/src/state/apply.rs
@@ -60,21 +60,26 @@
         changes: &mut Vec<Change>,
     ) -> Check {
         match &record.body {
+            Body::Amend {
+                base,
+                operator,
+                removed,
+                added,
+            } => {
+                let intents = self.amended(removed, added);
+                self.apply_sheet(offset, *base, operator, intents, changes)
+            }
             Body::Claim { pool, term } => self.apply_claim(&record.author, pool, *term, changes),
             Body::Command {
                 wave,
                 command,
                 operator,
             } => self.apply_command(wave, *command, operator, changes),
-            Body::Drain {
-                host,
-                generation,
-                wave,
-                term,
-            } => {
-                self.check_holder(&record.author, &self.pool_of(host)?, *term)?;
-                self.apply_drain(offset, host, *generation, wave, changes)
-            }
+            Body::Drain { .. }
+            | Body::Lost { .. }
+            | Body::Move { .. }
+            | Body::Return { .. }
+            | Body::Stop { .. } => self.apply_host(offset, record, changes),
             Body::Enroll { hosts } => {
                 for fact in hosts {
                     self.apply_fact(offset, fact, changes);
@@ -84,14 +89,7 @@
             Body::Expire {
                 instance,
                 incarnation,
-            } => {
-                let current = self.members.get(instance).map(|member| member.incarnation);
-                if current != Some(*incarnation) {
-                    return Err(Reason::Absent(format!("run {incarnation} of {instance}")));
-                }
-                self.remove_member(instance, changes);
-                Ok(())
-            }
+            } => self.apply_expire(instance, *incarnation, changes),
             Body::Join(about) => {
                 self.apply_join(offset, record, about, changes);
                 Ok(())
@@ -104,18 +102,6 @@
                 self.remove_member(&record.author, changes);
                 Ok(())
             }
-            Body::Lost { host, generation } => self.apply_lost(offset, host, *generation, changes),
-            Body::Move {
-                host,
-                from,
-                to,
-                revision,
-                term,
-            } => {
-                self.check_holder(&record.author, from, *term)
-                    .or_else(|_| self.check_holder(&record.author, to, *term))?;
-                self.apply_move(offset, host, from, to, *revision, changes)
-            }
             Body::Outcomes { ends } => {
                 self.apply_ends(record, ends);
                 Ok(())
@@ -134,14 +120,6 @@
                 changes.push(Change::Renewed(record.author.clone()));
                 Ok(())
             }
-            Body::Return {
-                host,
-                generation,
-                term,
-            } => {
-                self.check_holder(&record.author, &self.pool_of(host)?, *term)?;
-                self.apply_return(offset, host, *generation, changes)
-            }
             Body::Snapshot { next } => {
                 self.snapshot = self.snapshot.max(*next);
                 Ok(())
@@ -150,7 +128,7 @@
                 base,
                 operator,
                 intents,
-            } => self.apply_sheet(offset, *base, operator, intents, changes),
+            } => self.apply_sheet(offset, *base, operator, intents.clone(), changes),
         }
     }
 
@@ -172,6 +150,20 @@
         changes.push(Change::Member(record.author.clone(), Some(member)));
     }
 
+    fn apply_expire(
+        &mut self,
+        instance: &ids::Instance,
+        incarnation: ids::Incarnation,
+        changes: &mut Vec<Change>,
+    ) -> Check {
+        let current = self.members.get(instance).map(|member| member.incarnation);
+        if current != Some(incarnation) {
+            return Err(Reason::Absent(format!("run {incarnation} of {instance}")));
+        }
+        self.remove_member(instance, changes);
+        Ok(())
+    }
+
     pub(super) fn remove_member(&mut self, instance: &ids::Instance, changes: &mut Vec<Change>) {
         if self.members.remove(instance).is_none() {
             return;
--- a/crates/core/tests/state/main.rs
+++ b/crates/core/tests/state/main.rs
@@ -7,6 +7,7 @@
 use fixture::{Log, member};
 use persimmongate_core::record::{Body, End, Record};
 use persimmongate_core::request::make_key;
+use persimmongate_core::sheet::Intent;
 use persimmongate_core::state::{Change, Reason, Stage, Standing, Verdict};
 
 fn drain(host: &str) -> Body {
@@ -170,6 +171,8 @@
         Body::Lost {
             host: "h1".into(),
             generation: 1,
+            revision: log.state.hosts["h1"].revision,
+            term: 1,
         },
     );
     log.append(
@@ -189,3 +192,95 @@
     }
     assert_eq!(log.state.serving_hosts(&"finder".into()), 3);
 }
+
+#[test]
+fn verify_amended_sheet_is_the_sheet_that_was_applied() {
+    let mut log = Log::new(4, 1);
+    let mut intents = log
+        .state
+        .sheet
+        .clone()
+        .map(|sheet| sheet.intents)
+        .unwrap_or_default();
+    intents.remove(1);
+    intents.push(Intent::Budget {
+        service: "finder".into(),
+        hosts: 2,
+    });
+    let body = log
+        .state
+        .sheet_record(log.state.revision, "o".into(), intents.clone());
+    assert!(
+        matches!(&body, Body::Amend { removed, added, .. } if removed.len() == 1 && added.len() == 1)
+    );
+    assert_eq!(log.append("a", body.clone()), Verdict::Accepted);
+    assert_eq!(
+        log.state.sheet.as_ref().map(|sheet| &sheet.intents),
+        Some(&intents)
+    );
+    assert_eq!(log.state.budgets["finder"], 2);
+    assert!(matches!(
+        log.append("b", body),
+        Verdict::Rejected(Reason::Conflict { .. })
+    ));
+}
+
+fn back(generation: u64) -> Body {
+    Body::Return {
+        host: "h0".into(),
+        generation,
+        term: 1,
+    }
+}
+
+fn lost(log: &Log) -> Body {
+    Body::Lost {
+        host: "h0".into(),
+        generation: 1,
+        revision: log.state.hosts["h0"].revision,
+        term: 1,
+    }
+}
+
+#[test]
+fn verify_stopped_generation_never_returns() {
+    let mut log = Log::new(4, 1);
+    log.fill(4);
+    let stop = Body::Stop {
+        host: "h0".into(),
+        generation: 1,
+        term: 1,
+    };
+    assert_ne!(log.append("a", stop.clone()), Verdict::Accepted);
+    assert_eq!(log.append("a", drain("h0")), Verdict::Accepted);
+    assert_eq!(log.append("a", stop), Verdict::Accepted);
+    let conflict = Reason::Conflict {
+        current: 1,
+        seen: 1,
+    };
+    assert_eq!(
+        log.append("a", back(1)),
+        Verdict::Rejected(conflict.clone())
+    );
+    // A host that exceeds its time leaves the wave, and its old generation stays refused.
+    let late = lost(&log);
+    assert_eq!(log.append("a", late), Verdict::Accepted);
+    assert_eq!(log.state.waves["w"].failed, 1);
+    assert_eq!(log.append("a", back(1)), Verdict::Rejected(conflict));
+    assert_eq!(log.append("a", back(2)), Verdict::Accepted);
+    assert_eq!(log.state.hosts["h0"].stage, Stage::Serving);
+}
+
+#[test]
+fn verify_loss_decided_before_a_return_is_rejected() {
+    let mut log = Log::new(4, 1);
+    log.fill(4);
+    let stale = lost(&log);
+    log.append("a", drain("h0"));
+    assert_eq!(log.append("a", back(1)), Verdict::Accepted);
+    assert!(matches!(
+        log.append("a", stale),
+        Verdict::Rejected(Reason::Conflict { .. })
+    ));
+    assert_eq!(log.state.hosts["h0"].stage, Stage::Serving);
+}
