--- a/crates/core/src/fleet/wave.rs
+++ b/crates/core/src/fleet/wave.rs
@@ -217,7 +217,7 @@
         let lost = self.view.out_of(&wave.pool).count();
         let reason = match lost {
             0 => "every host of the pool was maintained".to_owned(),
-            lost => format!("every host in service was maintained; {lost} are lost"),
+            lost => format!("every host in service was maintained; lost hosts: {lost}"),
         };
         self.progress(name, Phase::Done, reason, term, actions);
     }
