--- a/crates/core/src/fleet/wave.rs
+++ b/crates/core/src/fleet/wave.rs
@@ -65,7 +65,7 @@
             // The wave ends when the hosts lent to it are back in the spare pool.
             let spare = ids::Pool::from_static(SPARE);
             let staying = due.is_empty() || self.candidates(&wave.pool, &spare, 1).is_empty();
-            if out == 0 && !moving && staying {
+            if out == 0 && !moving && staying && !self.is_filling(&wave.pool) {
                 self.finish(name, wave, term, actions);
             }
             return;
