--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -3,11 +3,17 @@
 mod capacity;
 mod flood;
 mod log;
+mod moves;
+mod once;
 mod replay;
+mod retries;
 mod routing;
 mod sim;
 mod soak;
 mod table;
+mod takeover;
+mod testbed;
+mod wave;
 mod world;
 
 use std::process::ExitCode;
@@ -34,9 +40,14 @@
     Capacity,
     Flood,
     Log,
+    Moves,
+    Once,
     Replay,
+    Retries,
     Routing,
     Soak,
+    Takeover,
+    Wave,
 }
 
 /// `Options` is what every measurement gets.
@@ -53,9 +64,14 @@
         Self::Capacity,
         Self::Flood,
         Self::Log,
+        Self::Moves,
+        Self::Once,
         Self::Replay,
+        Self::Retries,
         Self::Routing,
         Self::Soak,
+        Self::Takeover,
+        Self::Wave,
     ];
 
     fn name(self) -> &'static str {
@@ -63,9 +79,14 @@
             Self::Capacity => "capacity",
             Self::Flood => "flood",
             Self::Log => "log",
+            Self::Once => "once",
+            Self::Retries => "retries",
             Self::Replay => "replay",
             Self::Routing => "routing",
             Self::Soak => "soak",
+            Self::Moves => "moves",
+            Self::Takeover => "takeover",
+            Self::Wave => "wave",
         }
     }
 
@@ -81,9 +102,14 @@
             Self::Capacity => capacity::run(),
             Self::Flood => flood::run(options.seed),
             Self::Log => log::run(),
+            Self::Once => once::run(options.seed),
+            Self::Retries => retries::run(options.seed),
             Self::Replay => replay::run(),
             Self::Routing => routing::run(options.seed),
             Self::Soak => soak::run(options.seed, options.steps),
+            Self::Moves => moves::run(options.seed),
+            Self::Takeover => takeover::run(options.seed),
+            Self::Wave => wave::run(options.seed),
         }
     }
 }
--- a/crates/core/tests/invariant/main.rs
+++ b/crates/core/tests/invariant/main.rs
@@ -153,6 +153,7 @@
         batch: 1,
         since: 1,
         phase: Phase::Running,
+        failed: 0,
         reason: String::new(),
     };
     state.waves.insert("w".into(), wave);
@@ -173,6 +174,7 @@
     view.by_pool
         .entry("spare".into())
         .or_default()
+        .names
         .insert(HOST.into());
     let breach: Result<(), Breach> = invariant::pool(&view, &HOST.into());
     assert_eq!(breach.map_err(|breach| breach.check), Err(Check::Pool));
--- a/crates/core/tests/report/fixture.rs
+++ b/crates/core/tests/report/fixture.rs
@@ -112,10 +112,13 @@
     }
 
     pub(crate) fn lose(&mut self, index: usize) {
-        let host = format!("h{index}").into();
+        let host: ids::Host = format!("h{index}").into();
+        let revision = self.state.hosts[&host].revision;
         let verdict = self.append(Body::Lost {
             host,
             generation: 1,
+            revision,
+            term: 1,
         });
         assert_eq!(verdict, Verdict::Accepted);
     }
