invariant: check the reports where the stop is decided

Cause: the fleet's decisions now append a stop before they reboot. Another holder may carry it out, and entry hosts report only while a host drains, so reports at the reboot are old. The watch checks them at the append of the stop, where the decision is made; the reboot still needs the platform's word that the host is drained, dead or, for a repeated call, already rebooting, in which state nothing is in flight. Ruled out: a stop against a worker with work in flight.

Not mended, fleet: an answer of the platform that takes longer than the poll period is dropped, as the next call replaces its token; a platform slower than that holds up every drain.

--- a/crates/core/src/invariant/fleet.rs
+++ b/crates/core/src/invariant/fleet.rs
@@ -4,6 +4,7 @@
 use crate::fleet::{Action, Call, Event, Status, View};
 use crate::ids;
 use crate::map::Map;
+use crate::record::Body;
 use crate::state::{Change, Host, Stage};
 
 /// `Fleet` follows the events and actions of a manager.
@@ -67,6 +68,16 @@
             _ => {}
         }
         for action in actions {
+            if let Action::Append {
+                body: Body::Stop {
+                    host, generation, ..
+                },
+                ..
+            } = action
+            {
+                let reports = self.reports(view, host);
+                breaches.extend(self.stop(host, *generation, &reports));
+            }
             if let Action::Call {
                 token,
                 host,
@@ -76,7 +87,9 @@
             {
                 self.calls.insert(*token, host.clone());
                 if *call == Call::Reboot {
-                    breaches.extend(self.stop(view, host, *generation));
+                    // The reports were checked by the holder that had the stop accepted; entry
+                    // hosts don't report any further once they know of it.
+                    breaches.extend(self.stop(host, *generation, &[]));
                 }
             }
         }
@@ -99,13 +112,24 @@
         }
     }
 
-    /// Checks a stop; reports of entry hosts that are no members any more don't count.
-    fn stop(&self, view: &View, host: &ids::Host, generation: ids::Generation) -> Option<Breach> {
-        let none = Watched::default();
-        let watched = self.hosts.get(host).unwrap_or(&none);
-        let members = watched.reports.iter();
-        let reports = members.filter(|(name, _)| view.members.contains_key(*name));
-        let reports = reports.map(|(_, in_flight)| in_flight);
-        promise::stop(host, generation, watched.status, reports).err()
+    /// Gets the latest reports; those of entry hosts that are no members any more don't count.
+    fn reports(&self, view: &View, host: &ids::Host) -> Vec<u32> {
+        let reports = self
+            .hosts
+            .get(host)
+            .into_iter()
+            .flat_map(|host| &host.reports);
+        let members = reports.filter(|(name, _)| view.members.contains_key(*name));
+        members.map(|(_, in_flight)| *in_flight).collect()
+    }
+
+    fn stop(
+        &self,
+        host: &ids::Host,
+        generation: ids::Generation,
+        reports: &[u32],
+    ) -> Option<Breach> {
+        let status = self.hosts.get(host).and_then(|host| host.status);
+        promise::stop(host, generation, status, reports.iter()).err()
     }
 }
--- a/crates/core/src/invariant/promise.rs
+++ b/crates/core/src/invariant/promise.rs
@@ -136,7 +136,11 @@
 ) -> Verdict {
     let in_flight: u32 = reports.sum();
     let idle = status.is_some_and(|status| {
-        status.generation == generation && matches!(status.health, Health::Dead | Health::Drained)
+        status.generation == generation
+            && matches!(
+                status.health,
+                Health::Dead | Health::Drained | Health::Rebooting
+            )
     });
     if idle && in_flight == 0 {
         return Ok(());
