Wait for the platform's answer before the next call about a host

Cause: the manager called again after 500 ms and dropped the answer to the earlier call, so a platform that answers later than that held up every drain. Ruled out: the drain's own deadlines, which are minutes. A call now waits 10 s for its answer; the poll period counts from an answered call. The new test failed before (no host maintained in 90 s with answers after 2 s) and passes. The test of given-up calls runs 25 s instead of 2, so that there are any.

The check of stops accepted a host that is already starting when the stop is decided; that is allowed only for the repeated call now.

--- a/crates/core/src/fleet/options.rs
+++ b/crates/core/src/fleet/options.rs
@@ -17,6 +17,8 @@
     pub drain_timeout: Duration,
     /// Time between two calls to the platform about one host.
     pub poll: Duration,
+    /// Time after which a call to the platform that got no answer is given up.
+    pub call_timeout: Duration,
     /// Time after a stop within which a host is expected back.
     pub reboot_timeout: Duration,
     /// Time within which each host in service is asked for its status once.
@@ -47,6 +49,7 @@
             report_timeout: Duration::from_secs(5),
             drain_timeout: Duration::from_mins(30),
             poll: Duration::from_millis(500),
+            call_timeout: Duration::from_secs(10),
             reboot_timeout: Duration::from_mins(10),
             audit: Duration::from_mins(1),
             missing_timeout: Duration::from_secs(5),
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -94,7 +94,8 @@
         }
     }
 
-    /// Calls the platform about a host unless the latest call was made just now.
+    /// Calls the platform about a host unless the latest call was made just now or waits for its
+    /// answer.
     pub(crate) fn call(
         &mut self,
         now: Instant,
@@ -110,10 +111,17 @@
             .watches
             .entry(name.clone())
             .or_insert_with(|| Watch::new(revision, now));
-        let wait = self.options.poll;
-        let elapsed = |at: Instant| now.saturating_duration_since(at);
-        if watch.called.is_some_and(|(_, at)| elapsed(at) < wait) {
-            return;
+        if let Some((token, at)) = watch.called {
+            // Another call would make the answer of this one worthless, however slow it is.
+            let waits = self.calls.contains_key(&token);
+            let wait = if waits {
+                self.options.call_timeout
+            } else {
+                self.options.poll
+            };
+            if now.saturating_duration_since(at) < wait {
+                return;
+            }
         }
         self.tokens += 1;
         if let Some((token, _)) = watch.called.replace((self.tokens, now)) {
--- a/crates/core/src/invariant/fleet.rs
+++ b/crates/core/src/invariant/fleet.rs
@@ -76,7 +76,9 @@
             } = action
             {
                 let reports = self.reports(view, host);
-                breaches.extend(self.stop(host, *generation, &reports));
+                let status = self.status(host);
+                let reports = reports.iter();
+                breaches.extend(promise::stop(host, *generation, status, reports).err());
             }
             if let Action::Call {
                 token,
@@ -89,7 +91,8 @@
                 if *call == Call::Reboot {
                     // The reports were checked by the holder that had the stop accepted; entry
                     // hosts don't report any further once they know of it.
-                    breaches.extend(self.stop(host, *generation, &[]));
+                    let status = self.status(host);
+                    breaches.extend(promise::reboot(host, *generation, status).err());
                 }
             }
         }
@@ -123,13 +126,7 @@
         members.map(|(_, in_flight)| *in_flight).collect()
     }
 
-    fn stop(
-        &self,
-        host: &ids::Host,
-        generation: ids::Generation,
-        reports: &[u32],
-    ) -> Option<Breach> {
-        let status = self.hosts.get(host).and_then(|host| host.status);
-        promise::stop(host, generation, status, reports.iter()).err()
+    fn status(&self, host: &ids::Host) -> Option<Status> {
+        self.hosts.get(host).and_then(|host| host.status)
     }
 }
--- a/crates/core/src/invariant/promise.rs
+++ b/crates/core/src/invariant/promise.rs
@@ -136,11 +136,7 @@
 ) -> Verdict {
     let in_flight: u32 = reports.sum();
     let idle = status.is_some_and(|status| {
-        status.generation == generation
-            && matches!(
-                status.health,
-                Health::Dead | Health::Drained | Health::Rebooting
-            )
+        status.generation == generation && matches!(status.health, Health::Dead | Health::Drained)
     });
     if idle && in_flight == 0 {
         return Ok(());
@@ -150,6 +146,26 @@
     )))
 }
 
+/// Checks that a stopped host is rebooted while it runs nothing; a repeated call may find it
+/// starting already.
+///
+/// # Errors
+///
+/// Returns the breach.
+pub(super) fn reboot(
+    host: &ids::Host,
+    generation: ids::Generation,
+    status: Option<Status>,
+) -> Verdict {
+    let starting = status.is_some_and(|status| {
+        status.generation == generation && status.health == Health::Rebooting
+    });
+    if starting {
+        return Ok(());
+    }
+    stop(host, generation, status, std::iter::empty())
+}
+
 /// Gets whether the backend server may have run the request.
 pub(super) fn may_have_run(exchange: &Exchange) -> bool {
     !matches!(exchange, Exchange::Refused | Exchange::Unsent)
--- a/crates/core/tests/fleet/drains.rs
+++ b/crates/core/tests/fleet/drains.rs
@@ -1,5 +1,7 @@
 //! Planned stops.
 
+use std::collections::VecDeque;
+
 use persimmongate_core::fleet::{Action, Call, Event, Health, Status};
 use persimmongate_core::record::{Body, Command, Phase};
 use persimmongate_core::state::Stage;
@@ -162,7 +164,8 @@
     let mut bench = Bench::new(4);
     bench.wave(4, "w");
     bench.hold = true;
-    bench.run(2);
+    // A call without an answer is given up after a while, and the next one is made.
+    bench.run(25);
     let (host, _) = bench.draining().unwrap();
     let held = std::mem::take(&mut bench.held);
     let drained = Some(Status {
@@ -188,3 +191,35 @@
         Stage::Draining { .. }
     ));
 }
+
+#[test]
+fn verify_slow_answers_of_the_platform_bring_a_drain_to_its_end() {
+    const ANSWER_SECONDS: usize = 2;
+    const SECONDS: usize = 90;
+    let mut bench = Bench::new(4);
+    bench.wave(4, "w");
+    bench.hold = true;
+    let mut late = VecDeque::new();
+    for _ in 0..SECONDS {
+        bench.run(1);
+        late.push_back(std::mem::take(&mut bench.held));
+        if late.len() <= ANSWER_SECONDS {
+            continue;
+        }
+        for (node, action) in late.pop_front().unwrap() {
+            let Action::Call {
+                token,
+                host,
+                generation,
+                call,
+            } = action
+            else {
+                panic!("only calls are held");
+            };
+            let status = bench.call(&host, generation, call);
+            bench.send(node, Event::Answer { token, status });
+        }
+    }
+    let maintained = bench.state.hosts.values().filter(|h| h.maintained > 0);
+    assert!(maintained.count() > 0);
+}
