--- a/crates/entry/src/tree/mod.rs
+++ b/crates/entry/src/tree/mod.rs
@@ -6,7 +6,7 @@
 use actix::{Actor, Addr, ResponseFuture};
 use actix_web::web::Data;
 use actix_web::{App, HttpServer};
-use persimmongate_core::record::{Member, Role};
+use persimmongate_core::record::Role;
 use persimmongate_core::settings;
 use persimmongate_node::admin::{self, Directory, Register};
 use persimmongate_node::errors::{Result, io_error};
@@ -96,20 +96,7 @@
     }
 
     fn start_follower(&mut self, guard: Guard<Child>) {
-        let node = &self.settings.node;
-        let options = Options {
-            instance: node.instance.clone(),
-            about: Member {
-                role: Role::Entry,
-                peer: node.peer,
-                http: node.http,
-                zone: node.zone.clone(),
-            },
-            platform: node.platform,
-            renew: node.renew,
-            seeds: node.seeds.clone(),
-            snapshot_records: None,
-        };
+        let options = Options::new(&self.settings.node, Role::Entry);
         let meter = self.metrics.meter();
         let follower = Follower::new(options, &meter, self.logger.clone(), guard).start();
         self.follower = Some(follower);
--- a/crates/fleet/src/tree/mod.rs
+++ b/crates/fleet/src/tree/mod.rs
@@ -4,7 +4,7 @@
 
 use actix::{Actor, Addr, ResponseFuture};
 use actix_web::web::{Data, ServiceConfig};
-use persimmongate_core::record::{Member, Role};
+use persimmongate_core::record::Role;
 use persimmongate_core::settings;
 use persimmongate_node::admin::{self, Directory, Register};
 use persimmongate_node::errors::Result;
@@ -61,20 +61,7 @@
 
 impl Fleet {
     fn start_follower(&mut self, guard: Guard<Child>) {
-        let node = &self.settings.node;
-        let options = Options {
-            instance: node.instance.clone(),
-            about: Member {
-                role: Role::Fleet,
-                peer: node.peer,
-                http: node.http,
-                zone: node.zone.clone(),
-            },
-            platform: node.platform,
-            renew: node.renew,
-            seeds: node.seeds.clone(),
-            snapshot_records: None,
-        };
+        let options = Options::new(&self.settings.node, Role::Fleet);
         let meter = self.metrics.meter();
         let follower = Follower::new(options, &meter, self.logger.clone(), guard).start();
         self.follower = Some(follower);
--- a/crates/node/src/log/follower.rs
+++ b/crates/node/src/log/follower.rs
@@ -13,7 +13,8 @@
 use persimmongate_core::ids;
 use persimmongate_core::invariant;
 use persimmongate_core::outcome::Refusal;
-use persimmongate_core::record::{Body, Member};
+use persimmongate_core::record::{Body, Member, Role};
+use persimmongate_core::settings::Node;
 use persimmongate_core::state::State;
 use persimmongate_wire::log::{decode_state, encode_state};
 use rand::RngExt;
@@ -59,6 +60,26 @@
     pub snapshot_records: Option<u64>,
 }
 
+impl Options {
+    /// Gets the options of a daemon from the settings that every daemon has.
+    #[must_use]
+    pub fn new(node: &Node, role: Role) -> Self {
+        Self {
+            instance: node.instance.clone(),
+            about: Member {
+                role,
+                peer: node.peer,
+                http: node.http,
+                zone: node.zone.clone(),
+            },
+            platform: node.platform,
+            renew: node.renew,
+            seeds: node.seeds.clone(),
+            snapshot_records: None,
+        }
+    }
+}
+
 /// `Follower` owns the fold of the log and the appends of the process.
 pub struct Follower<C: Copy + Send + 'static> {
     pub(super) options: Options,
