--- a/crates/node/tests/log/fixture.rs
+++ b/crates/node/tests/log/fixture.rs
@@ -9,13 +9,13 @@
 use persimmongate_core::record::{Body, Member, Role};
 use persimmongate_core::state::{State, Verdict};
 use persimmongate_node::errors::Result;
-use persimmongate_node::log::{Append, Fold, Follower, Options, Settled};
+use persimmongate_node::log::{Append, Fold, Follower, Options, Restore, Settled};
 use persimmongate_node::metrics::Metrics;
 use persimmongate_node::supervisor::{Guard, Limit, Supervisor, Tree};
 use persimmongate_node::{logger, peer};
 use persimmongate_standin::log::{self, Break, Read, Store};
 use persimmongate_standin::{faults, ports};
-use persimmongate_wire::log::Stream;
+use persimmongate_wire::log::{Stream, encode_state};
 use tokio::sync::{mpsc, oneshot};
 
 /// Time between two looks at a process that is not ready yet.
@@ -158,6 +158,16 @@
         self.try_fold().await.expect("a fold")
     }
 
+    /// Hands over a fold as a peer would, under a stated offset.
+    pub(crate) async fn restore(&self, next: u64, state: &State) {
+        let state = encode_state(state).expect("an encoded state");
+        let restore = Restore { next, state };
+        self.follower
+            .send(restore)
+            .await
+            .expect("a running follower");
+    }
+
     /// Appends a record and waits for its verdict.
     pub(crate) async fn append(&self, body: Body) -> Option<Verdict> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/node/tests/log/main.rs
+++ b/crates/node/tests/log/main.rs
@@ -80,3 +80,19 @@
     assert_eq!(first.append(Body::Renew).await, Some(Verdict::Accepted));
     assert_eq!(first.fold().await.revision, revision);
 }
+
+#[actix::test]
+async fn verify_older_fold_of_a_peer_is_refused() {
+    let platform = Platform::start(RETENTION);
+    let process = Process::start("a", &platform, Vec::new(), SNAPSHOT_RECORDS).await;
+    let older = process.fold().await;
+    assert_eq!(process.append(sheet(0, 8)).await, Some(Verdict::Accepted));
+    // No record is folded any more, so that only a peer's fold could change the own one.
+    platform.set(faults::Log::Down).await;
+    let revision = process.fold().await.revision;
+    process.restore(older.next, &older).await;
+    assert_eq!(process.fold().await.revision, revision);
+    // Nor does a fold that is told to be newer than it is.
+    process.restore(u64::MAX, &older).await;
+    assert_eq!(process.fold().await.revision, revision);
+}
