--- a/crates/core/examples/measure/flood.rs
+++ b/crates/core/examples/measure/flood.rs
@@ -15,6 +15,8 @@
 const RUN_S: u64 = 16;
 const FLOOD_FROM: Duration = Duration::from_secs(7);
 const FLOOD_UNTIL: Duration = Duration::from_secs(15);
+/// Time at which the flood of the most urgent service follows that of the least urgent.
+const FLOOD_TURN: Duration = Duration::from_secs(11);
 /// Answers that the other services keep, at least, per ten thousand.
 const KEPT_MIN: u64 = 9900;
 /// Share of the goodput of its own slots that the flooding service gets, at least.
@@ -89,17 +91,16 @@
             .iter()
             .flat_map(|load| Way::ALL.map(|way| (*load, way)))
         {
-            let calm = world(deployment, None, (seed, load), way);
+            let calm = world(deployment, &[], (seed, load), way);
             for service in 0..deployment.services.len() {
-                let flooded = world(deployment, Some(service), (seed, load), way);
-                met &= add(
-                    &mut table,
-                    (load, way),
-                    &calm,
-                    &flooded,
-                    deployment,
-                    service,
-                );
+                let floods = [flood(service, FLOOD_FROM, FLOOD_UNTIL)];
+                let flooded = world(deployment, &floods, (seed, load), way);
+                met &= add(&mut table, (load, way), &calm, &flooded, &floods, 0);
+            }
+            let floods = in_turn(deployment);
+            let flooded = world(deployment, &floods, (seed, load), way);
+            for index in 0..floods.len() {
+                met &= add(&mut table, (load, way), &calm, &flooded, &floods, index);
             }
         }
     }
@@ -107,9 +108,30 @@
     met
 }
 
+fn flood(service: usize, from: Duration, until: Duration) -> Flood {
+    Flood {
+        service,
+        factor: FACTOR,
+        from,
+        until,
+    }
+}
+
+/// Gets the flood of the least urgent service, followed by that of the most urgent.
+fn in_turn(deployment: &Deployment) -> [Flood; 2] {
+    let services = || deployment.services.iter().enumerate();
+    let least = services().max_by_key(|(_, service)| service.urgency);
+    let most = services().min_by_key(|(_, service)| service.urgency);
+    let index = |found: Option<(usize, _)>| found.map_or(0, |(index, _)| index);
+    [
+        flood(index(least), FLOOD_FROM, FLOOD_TURN),
+        flood(index(most), FLOOD_TURN, FLOOD_UNTIL),
+    ]
+}
+
 fn world(
     deployment: &'static Deployment,
-    service: Option<usize>,
+    floods: &[Flood],
     (seed, load): (u64, f64),
     way: Way,
 ) -> World {
@@ -117,26 +139,30 @@
     if way == Way::SixGates {
         plan.entries = 6;
     }
-    plan.floods.extend(service.map(|service| Flood {
-        service,
-        factor: FACTOR,
-        from: FLOOD_FROM,
-        until: FLOOD_UNTIL,
-    }));
+    plan.floods.extend(floods);
     let mut world = World::new(plan, seed, |options, seed| way.door(options, seed));
     world.run();
     world
 }
 
+/// Adds a row for one of the floods of a run; returns whether its targets were met.
 fn add(
     table: &mut Table,
     (load, way): (f64, Way),
     calm: &World,
     flooded: &World,
-    deployment: &'static Deployment,
-    service: usize,
+    floods: &[Flood],
+    index: usize,
 ) -> bool {
-    let others = (0..deployment.services.len()).filter(|other| *other != service);
+    let Flood {
+        service,
+        from,
+        until,
+        ..
+    } = floods[index];
+    let deployment = flooded.plan.deployment;
+    let is_calm = |other: &usize| floods.iter().all(|flood| flood.service != *other);
+    let others = (0..deployment.services.len()).filter(is_calm);
     let kept = |other: usize| {
         flooded.tallies[other].answered * 10_000 / calm.tallies[other].answered.max(1)
     };
@@ -145,9 +171,14 @@
     let about = deployment.services[service];
     #[expect(clippy::cast_precision_loss, reason = "a few workers")]
     let slots = about.workers as f64 * f64::from(SLOTS);
-    let goodput = tally.work / (slots * FLOOD_UNTIL.saturating_sub(FLOOD_FROM).as_secs_f64());
+    let goodput = tally.work / (slots * until.saturating_sub(from).as_secs_f64());
+    let turn = match floods.len() {
+        1 => "",
+        _ if index == 0 => ", first",
+        _ => ", then",
+    };
     table.add(vec![
-        format!("{} {} at {load}", deployment.name, about.name),
+        format!("{} {}{} at {load}", deployment.name, about.name, turn),
         way.name().to_owned(),
         percent(least, 10_000),
         format!("{:.1}%", 100.0 * goodput),
--- a/crates/core/examples/measure/sim/carry.rs
+++ b/crates/core/examples/measure/sim/carry.rs
@@ -78,7 +78,11 @@
         tally.note(outcome, self.now.saturating_sub(call.since), in_time);
         let answered = matches!(outcome, Outcome::Answered(_)) && in_time;
         tally.calm.0 += u64::from(answered && call.calm);
-        let flood = self.plan.floods.first();
+        let flood = self
+            .plan
+            .floods
+            .iter()
+            .find(|flood| flood.service == call.service);
         if answered && flood.is_some_and(|it| (it.from..it.until).contains(&self.now)) {
             tally.work += call.work.as_secs_f64();
         }
--- a/crates/core/examples/measure/sim/world.rs
+++ b/crates/core/examples/measure/sim/world.rs
@@ -86,7 +86,7 @@
 
 /// `World` is one run.
 pub(crate) struct World {
-    pub(super) plan: Plan,
+    pub(crate) plan: Plan,
     pub(super) base: Instant,
     pub(super) now: Duration,
     order: u64,
