--- a/crates/core/tests/fleet/failures.rs
+++ b/crates/core/tests/fleet/failures.rs
@@ -101,7 +101,7 @@
 }
 
 #[test]
-fn verify_thawed_holder_changes_nothing() {
+fn verify_holder_that_was_frozen_changes_nothing() {
     let mut bench = Bench::new(4);
     let first = bench.holding();
     bench.freeze(0, true);
--- a/crates/entry/src/tree/mod.rs
+++ b/crates/entry/src/tree/mod.rs
@@ -8,7 +8,7 @@
 use actix_web::{App, HttpServer};
 use persimmongate_core::record::Role;
 use persimmongate_core::settings;
-use persimmongate_node::admin::{self, Directory, Register};
+use persimmongate_node::admin::{self, Directory};
 use persimmongate_node::errors::{Result, io_error};
 use persimmongate_node::http::{Close, Listener};
 use persimmongate_node::log::{Depart, Follower, Options, Subscribe};
@@ -125,36 +125,17 @@
         {
             gate.do_send(gate::Wire::Reporter(reporter.clone()));
         }
-        self.register(child);
+        self.register();
     }
 
-    fn register(&self, child: Child) {
-        let Some(directory) = &self.directory else {
-            return;
-        };
+    fn register(&self) {
         let actors = [
-            (
-                Child::Follower,
-                "log",
-                self.follower.clone().map(Addr::recipient),
-            ),
-            (Child::Gate, "gate", self.gate.clone().map(Addr::recipient)),
-            (
-                Child::Links,
-                "links",
-                self.links.clone().map(Addr::recipient),
-            ),
-            (
-                Child::Reporter,
-                "reporter",
-                self.reporter.clone().map(Addr::recipient),
-            ),
+            ("log", self.follower.clone().map(Addr::recipient)),
+            ("gate", self.gate.clone().map(Addr::recipient)),
+            ("links", self.links.clone().map(Addr::recipient)),
+            ("reporter", self.reporter.clone().map(Addr::recipient)),
         ];
-        for (of, name, actor) in actors {
-            if let (true, Some(actor)) = (child == of || child == Child::Directory, actor) {
-                directory.do_send(Register { name, actor });
-            }
-        }
+        admin::register(self.directory.as_ref(), actors);
     }
 
     fn start_gate(&mut self, guard: Guard<Child>) {
--- a/crates/fleet/src/tree/mod.rs
+++ b/crates/fleet/src/tree/mod.rs
@@ -6,7 +6,7 @@
 use actix_web::web::{Data, ServiceConfig};
 use persimmongate_core::record::Role;
 use persimmongate_core::settings;
-use persimmongate_node::admin::{self, Directory, Register};
+use persimmongate_node::admin::{self, Directory};
 use persimmongate_node::errors::Result;
 use persimmongate_node::http::{Close, Listener};
 use persimmongate_node::log::{Depart, Follower, Options, Subscribe};
@@ -114,26 +114,11 @@
             manager.do_send(Wire(follower.clone()));
             follower.do_send(Subscribe(manager.clone().recipient()));
         }
-        let Some(directory) = &self.directory else {
-            return;
-        };
         let actors = [
-            (
-                Child::Follower,
-                "log",
-                self.follower.clone().map(Addr::recipient),
-            ),
-            (
-                Child::Manager,
-                "manager",
-                self.manager.clone().map(Addr::recipient),
-            ),
+            ("log", self.follower.clone().map(Addr::recipient)),
+            ("manager", self.manager.clone().map(Addr::recipient)),
         ];
-        for (of, name, actor) in actors {
-            if let (true, Some(actor)) = (child == of || child == Child::Directory, actor) {
-                directory.do_send(Register { name, actor });
-            }
-        }
+        admin::register(self.directory.as_ref(), actors);
     }
 }
 
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use actix::{Actor, Context, Handler, Message, Recipient, ResponseFuture};
+use actix::{Actor, Addr, Context, Handler, Message, Recipient, ResponseFuture};
 use actix_web::dev::Server;
 use actix_web::web::{Data, Json, ServiceConfig, get};
 use actix_web::{App, HttpResponse, HttpServer, Responder};
@@ -31,6 +31,19 @@
     pub actor: Recipient<Dump>,
 }
 
+/// Registers the actors that run; an actor that is registered already is replaced.
+pub fn register<C: Copy + Send + Unpin + 'static>(
+    directory: Option<&Addr<Directory<C>>>,
+    actors: impl IntoIterator<Item = (&'static str, Option<Recipient<Dump>>)>,
+) {
+    let Some(directory) = directory else { return };
+    for (name, actor) in actors {
+        if let Some(actor) = actor {
+            directory.do_send(Register { name, actor });
+        }
+    }
+}
+
 /// `Survey` asks for the state of every registered actor.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "Value")]
