--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -14,27 +14,41 @@
 pub type Incarnation = u64;
 /// `Instance` names a process of the system.
 pub type Instance = ByteString;
+/// `Job` is the name that a caller gave a job.
+pub type Job = ByteString;
 /// `Key` is an idempotency key: a `UUIDv7` (RFC 9562) as a number.
 pub type Key = u128;
+/// `Label` is a property of a worker: its kind or its rack.
+pub type Label = ByteString;
 /// `Offset` is a position in the platform's log.
 pub type Offset = u64;
 /// `Operator` names the person who applied a sheet or steered a wave.
 pub type Operator = ByteString;
 /// `Pool` names a pool of hosts.
 pub type Pool = ByteString;
+/// `Queue` names a queue of jobs.
+pub type Queue = ByteString;
 /// `Rack` names a rack of hosts.
 pub type Rack = ByteString;
 /// `Request` identifies a request inside one process.
 pub type Request = u64;
 /// `Revision` is the offset of the record that last changed a thing.
 pub type Revision = u64;
+/// `Run` numbers the starts of a task; it rises.
+pub type Run = u64;
 /// `Sequence` counts the records of one author.
 pub type Sequence = u64;
 /// `Service` names a service that callers address.
 pub type Service = ByteString;
+/// `Shard` numbers a part of the fleet with a leader of its own; a partition of the log holds its records.
+pub type Shard = u32;
 /// `Term` numbers the claims on a pool.
 pub type Term = u64;
 /// `Wave` names a maintenance wave.
 pub type Wave = ByteString;
+/// `WaveNumber` numbers a wave that operators ask for through the platform.
+pub type WaveNumber = u64;
+/// `Worker` names one life of a worker as the platform lists it.
+pub type Worker = ByteString;
 /// `Zone` names an availability zone.
 pub type Zone = ByteString;
--- /dev/null
+++ b/crates/core/src/job/spec.rs
@@ -0,0 +1,130 @@
+use std::time::Duration;
+
+use bytestring::ByteString;
+use serde::{Deserialize, Serialize};
+
+use crate::ids;
+
+/// `Job` is work that a caller handed in: steps of tasks for the workers of one service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Job {
+    /// Name that the caller chose.
+    pub id: ids::Job,
+    /// Queue that took it in.
+    pub queue: ids::Queue,
+    /// Service whose workers ran the queue's tasks when the job was accepted.
+    pub service: ids::Service,
+    /// Text that each of its tasks is started with.
+    pub text: ByteString,
+    /// Steps in the order in which they refer to each other.
+    pub steps: Vec<Step>,
+    /// Times at which the steps run; nothing for a job that runs once, at once.
+    pub schedule: Option<Schedule>,
+    /// Milliseconds since the epoch at which it was accepted.
+    pub accepted: u64,
+}
+
+/// `Schedule` is when the occurrences of a job are due.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Schedule {
+    /// Milliseconds since the epoch at which the first occurrence is due.
+    pub first: u64,
+    /// Milliseconds between two occurrences.
+    pub interval: u64,
+    /// Number of occurrences.
+    pub times: u32,
+}
+
+/// `Step` is a set of like tasks of a job.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Step {
+    /// Number of tasks.
+    pub count: u32,
+    /// Processor time that a task reserves, in thousandths of a core.
+    pub cpu: u64,
+    /// Memory that a task reserves, in MB.
+    pub memory: u64,
+    /// Accelerators that a task reserves.
+    pub gpu: u64,
+    /// Rough run time of a task, as the caller declares it.
+    pub estimate: Duration,
+    /// Steps whose tasks must all be done first.
+    pub after: Vec<u32>,
+    /// Whether a task saves its progress while it runs.
+    pub checkpointing: bool,
+    /// Whether the tasks work only together.
+    pub gang: bool,
+    /// Whether the tasks are slow when spread over several racks.
+    pub same_rack: bool,
+    /// Label that a worker must have.
+    pub label: Option<ids::Label>,
+    /// Rack where the tasks' data is; they are slow elsewhere.
+    pub rack: Option<ids::Label>,
+    /// Most tasks of the step on one worker; nothing for no limit.
+    pub per_worker: Option<u32>,
+    /// Whether copies of a task may run in parallel.
+    pub duplicates: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub lasting: bool,
+    /// Program that the tasks run; tasks of one program behave alike.
+    pub image: Option<ByteString>,
+    /// Response time that a lasting task owes its own users.
+    pub target: Option<Duration>,
+    /// Whether the tasks use only what other tasks on the worker leave.
+    pub fills: bool,
+    /// Lasting tasks of the step that may be away at once by planned acts.
+    pub may_miss: u32,
+}
+
+/// `Task` names a task of a job.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Task {
+    /// Job that it belongs to.
+    pub job: ids::Job,
+    /// Occurrence of the job, from 0.
+    pub occurrence: u32,
+    /// Step of the job, from 0.
+    pub step: u32,
+    /// Place in the step, from 0.
+    pub index: u32,
+}
+
+impl Job {
+    /// Gets how many times the steps run.
+    #[must_use]
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.times)
+    }
+
+    /// Gets the declared run time of the longest chain of steps.
+    #[must_use]
+    pub fn chain(&self) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let after = step.after.iter().filter_map(|s| ends.get(*s as usize));
+            let start = after.max().copied().unwrap_or_default();
+            ends.push(start + step.estimate);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// Gets the declared work of one occurrence, in thousandths of a core times seconds.
+    #[must_use]
+    pub fn work(&self) -> f64 {
+        let work = |step: &Step| step.cpu as f64 * step.estimate.as_secs_f64();
+        self.steps
+            .iter()
+            .filter(|step| !step.lasting)
+            .map(|step| f64::from(step.count) * work(step))
+            .sum()
+    }
+
+    /// Checks that the steps refer to earlier ones only and have tasks.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        let ordered = |(index, step): (usize, &Step)| {
+            step.count > 0 && step.after.iter().all(|after| (*after as usize) < index)
+        };
+        !self.steps.is_empty() && self.steps.iter().enumerate().all(ordered)
+    }
+}
--- /dev/null
+++ b/crates/core/src/journal/mod.rs
@@ -0,0 +1,11 @@
+//! Records about jobs in the platform's log, and their fold.
+//!
+//! The log keeps the newest record of each key for good, so each record says all that is known of
+//! its key. Callers' records may come from any process; the others only from the leader of the
+//! shard, whose term the log checks.
+
+mod book;
+mod record;
+
+pub use book::{Book, Entry, Phase};
+pub use record::{Beat, Drain, Key, Load, Record, Vacated};
--- /dev/null
+++ b/crates/core/src/sched/ends.rs
@@ -0,0 +1,185 @@
+use std::time::{Duration, Instant};
+
+use bytestring::ByteString;
+
+use super::event::{Action, End};
+use super::hold::note;
+use super::machine::Scheduler;
+use super::work::Place;
+use crate::ids;
+use crate::job::{Outcome, Task};
+
+/// Failed runs in a row after which a worker gets no task for a time.
+const FAILURES: u32 = 3;
+/// Time for which a worker that keeps failing gets no task.
+const SUSPENSION: Duration = Duration::from_secs(3);
+
+impl Scheduler {
+    /// Takes in an end that a worker lists; an end that was taken in already changes nothing.
+    pub(super) fn note_end(
+        &mut self,
+        now: Instant,
+        id: &ids::Worker,
+        number: u64,
+        (task, run): (&Task, ids::Run),
+        end: End,
+        saved: &ByteString,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if number <= worker.seen {
+            return;
+        }
+        worker.seen = number;
+        let lasting = worker.runs.get(task).is_some_and(|known| known.lasting);
+        match end {
+            End::Done if !lasting => {
+                worker.failures = 0;
+                self.note_done(now, id, task, run, actions);
+            }
+            End::Failed if !lasting => {
+                worker.failures += 1;
+                if worker.failures >= FAILURES {
+                    worker.suspended = Some(now + SUSPENSION);
+                }
+                self.note_failed(now, id, task, run, actions);
+            }
+            End::Done | End::Failed | End::Cut => {}
+        }
+        if let Some(work) = self.works.get_mut(&task.job)
+            && let Some((stage, index)) = work.find(task)
+            && !saved.is_empty()
+        {
+            work.stages[stage].items[index].saved = saved.clone();
+        }
+        let current = self.workers.get(id).and_then(|worker| worker.runs.get(task));
+        if current.is_some_and(|known| known.run <= run) {
+            let what = match end {
+                End::Done => "done",
+                End::Failed => "failed",
+                End::Cut => "cut",
+            };
+            self.release(id, task, what, actions);
+        }
+    }
+
+    fn note_done(
+        &mut self,
+        now: Instant,
+        id: &ids::Worker,
+        task: &Task,
+        run: ids::Run,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(work) = self.works.get_mut(&task.job) else {
+            return;
+        };
+        let Some((stage, index)) = work.find(task) else {
+            return;
+        };
+        let step = work.step_of(stage);
+        if step.lasting {
+            return;
+        }
+        // One end stands for all tasks of a gang.
+        let indexes = if step.gang {
+            0..work.stages[stage].items.len()
+        } else {
+            index..index + 1
+        };
+        let mut elsewhere = Vec::new();
+        for (index, number) in indexes.clone().zip(index_of(indexes.start)..) {
+            let member = work.task(task.occurrence, task.step, number);
+            work.dirty |= work.progress.note_done(&member);
+            if let Place::On(other) = &work.stages[stage].items[index].place
+                && other != id
+            {
+                elsewhere.push((other.clone(), member));
+            }
+            work.put(stage, index, Place::Done);
+        }
+        if work.progress.outcome.is_none() && work.progress.is_complete(&work.job) {
+            work.progress.outcome = Some(Outcome::Completed);
+            work.progress.ended = self.wall;
+            work.over = Some(now);
+        }
+        for (other, member) in elsewhere {
+            self.stop_run(now, &other, &member, actions);
+        }
+        actions.push(note("task done", task, run, id));
+        self.stirred = true;
+    }
+
+    fn note_failed(
+        &mut self,
+        now: Instant,
+        id: &ids::Worker,
+        task: &Task,
+        run: ids::Run,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(work) = self.works.get_mut(&task.job) else {
+            return;
+        };
+        let Some((stage, index)) = work.find(task) else {
+            return;
+        };
+        let (lasting, gang) = (work.step_of(stage).lasting, work.step_of(stage).gang);
+        if lasting {
+            return;
+        }
+        work.stages[stage].items[index].avoid.push(id.clone());
+        // A gang fails as one.
+        let counted = work.task(task.occurrence, task.step, if gang { 0 } else { task.index });
+        work.dirty |= work.progress.note_failed(&counted, run);
+        let failures = work.progress.failures(&counted);
+        let queue = self.config.queue(&work.job.queue);
+        let attempts = queue.map_or(1, |queue| queue.attempts.max(1) as usize);
+        if failures >= attempts && work.progress.outcome.is_none() && !work.canceled {
+            work.progress.outcome = Some(Outcome::Failed);
+            work.progress.ended = self.wall;
+            work.over = Some(now);
+            let job = task.job.clone();
+            self.stop_job(now, &job, actions);
+        }
+        actions.push(note("task failed", task, run, id));
+        self.stirred = true;
+    }
+
+    /// Drops a run that is over, and lets its task start elsewhere if it is not done.
+    pub(super) fn release(
+        &mut self,
+        id: &ids::Worker,
+        task: &Task,
+        what: &'static str,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(run) = worker.runs.remove(task) else {
+            return;
+        };
+        self.stirred = true;
+        actions.push(note(what, task, run.run, id));
+        let Some(work) = self.works.get_mut(&task.job) else {
+            return;
+        };
+        if let Some((stage, index)) = work.find(task) {
+            let item = &mut work.stages[stage].items[index];
+            if !run.saved.is_empty() && item.saved.is_empty() {
+                item.saved = run.saved;
+            }
+            if work.stages[stage].items[index].place == Place::On(id.clone()) {
+                work.put(stage, index, Place::Idle);
+            }
+        }
+    }
+}
+
+/// Gets the number of a task from its place in the step.
+pub(super) fn index_of(place: usize) -> u32 {
+    u32::try_from(place).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/core/src/sched/event.rs
@@ -0,0 +1,261 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytestring::ByteString;
+
+use super::worker::Room;
+use crate::ids;
+use crate::job::{Job, Progress, Task};
+use crate::journal::Record;
+use crate::queue::Config;
+
+/// `Report` is what a worker says of itself in the list of workers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// Name of this life of the worker.
+    pub worker: ids::Worker,
+    /// Service that it runs.
+    pub service: ids::Service,
+    /// Address of its interface.
+    pub address: SocketAddr,
+    /// Host that it runs on.
+    pub host: Option<ids::Host>,
+    /// Whether it is going to leave.
+    pub draining: bool,
+    /// Milliseconds since the epoch at which it started.
+    pub born: u64,
+    /// Room that it has.
+    pub room: Room,
+    /// Its kind and its rack.
+    pub labels: Vec<ids::Label>,
+}
+
+/// `Row` is a task that a worker runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// Task.
+    pub task: Task,
+    /// Run of the task.
+    pub run: ids::Run,
+    /// Newest saved progress; empty for none.
+    pub saved: ByteString,
+    /// Share of its work that is done, in percent; 100 for a lasting task at work.
+    pub percent: u32,
+    /// Response time in milliseconds of a task that serves; processor time in use of any other.
+    pub figure: u64,
+}
+
+/// `End` is how a run ended on a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The task is done.
+    Done,
+    /// The task failed, through its own fault or the worker's.
+    Failed,
+    /// The run was stopped, lost its lease, or its gang broke.
+    Cut,
+}
+
+/// `Listing` is what a worker answers about its runs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listing {
+    /// Milliseconds since the epoch at which the worker started.
+    pub born: u64,
+    /// Time of the worker's own clock, in milliseconds.
+    pub clock: u64,
+    /// Tasks that it runs.
+    pub running: Vec<Row>,
+    /// Ends that were not acknowledged: number, task, run, how, saved progress.
+    pub ended: Vec<(u64, Task, ids::Run, End, ByteString)>,
+}
+
+/// `Ticket` allows a worker to run a step.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Ticket {
+    /// Worker allowed.
+    pub worker: ids::Worker,
+    /// Ticket that a start carries.
+    pub ticket: ByteString,
+}
+
+/// `Order` is a call to a worker about one task.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Starts a run.
+    Start {
+        /// Text of the job.
+        text: ByteString,
+        /// End of the lease on the worker's clock, in milliseconds.
+        until: u64,
+        /// Progress to resume from; empty for none.
+        saved: ByteString,
+        /// Ticket of the policy service.
+        ticket: Option<ByteString>,
+    },
+    /// Stops a run.
+    Stop,
+    /// Limits a run to a share of its work, in percent.
+    Pace(u32),
+}
+
+/// `Answer` is what came of a call to a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// It was carried out.
+    Done,
+    /// A higher token was seen there.
+    Fenced,
+    /// The run is not higher than one that was stopped or ended there.
+    Old,
+    /// The lease had ended already.
+    Late,
+    /// There is no room.
+    Full,
+    /// The ticket doesn't hold.
+    Ticket,
+    /// The worker refused otherwise and did nothing.
+    Refused,
+    /// Another life of the worker answered.
+    Stranger,
+    /// Nothing is known: it may be carried out later.
+    Unknown,
+}
+
+/// `Call` is one order for a run on a worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    /// Worker called.
+    pub worker: ids::Worker,
+    /// Address of its interface.
+    pub address: SocketAddr,
+    /// Token of the leader.
+    pub token: ids::Term,
+    /// Task that it is about.
+    pub task: Task,
+    /// Run that it is about.
+    pub run: ids::Run,
+    /// What is asked.
+    pub order: Order,
+}
+
+/// `Event` is what the scheduler learns.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The configuration in force.
+    Config(Arc<Config>),
+    /// A worker is listed or changed its report.
+    Listed(Report),
+    /// A worker is no longer listed.
+    Unlisted(ids::Worker),
+    /// Workers that hosts may run now, whether listed or not.
+    Hosts(Vec<ids::Worker>),
+    /// A job of the shard, with what is known of it.
+    Job {
+        /// The job.
+        job: Arc<Job>,
+        /// Offset of the record that accepted it.
+        offset: ids::Offset,
+        /// Ends of its tasks.
+        progress: Box<Progress>,
+        /// Whether a caller ended it.
+        canceled: bool,
+    },
+    /// A caller ended a job.
+    Canceled(ids::Job),
+    /// A host is to be freed, or no longer.
+    Drain(ids::Worker, bool),
+    /// A worker answered about its runs, or didn't.
+    Held {
+        /// Worker asked.
+        worker: ids::Worker,
+        /// Time at which it was asked.
+        sent: Instant,
+        /// Its answer.
+        answer: Result<Listing, Answer>,
+    },
+    /// A worker answered an order, or didn't.
+    Called {
+        /// The order.
+        call: Call,
+        /// Time at which it was sent.
+        sent: Instant,
+        /// The answer.
+        answer: Answer,
+        /// Time of the worker's own clock, if it said so.
+        clock: Option<u64>,
+    },
+    /// The policy service answered, or didn't.
+    Advised {
+        /// Job asked about.
+        job: ids::Job,
+        /// Occurrence asked about.
+        occurrence: u32,
+        /// Step asked about.
+        step: u32,
+        /// Time at which it was asked.
+        sent: Instant,
+        /// Workers that may run the step, and for how long the tickets hold.
+        answer: Option<(Vec<Ticket>, Duration)>,
+    },
+    /// The log took the records of the latest append.
+    Appended,
+    /// The log was reached at a time, and had no newer term.
+    Confirmed(Instant),
+    /// It is time to look at a worker.
+    Due(ids::Worker),
+    /// Some time has passed.
+    Tick,
+}
+
+/// `Action` is what the scheduler asks for.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Ask a worker about its runs, and extend its lease.
+    Hold {
+        /// Worker to ask.
+        worker: ids::Worker,
+        /// Address of its interface.
+        address: SocketAddr,
+        /// Token of the leader.
+        token: ids::Term,
+        /// Number up to which ends are acknowledged.
+        ack: u64,
+        /// End of the lease on the worker's clock, in milliseconds.
+        until: Option<u64>,
+        /// Time that the worker may wait for an end.
+        wait: Duration,
+    },
+    /// Give an order.
+    Call(Call),
+    /// Ask the policy service which workers may run a step.
+    Advise {
+        /// Job to ask about.
+        job: ids::Job,
+        /// Occurrence to ask about.
+        occurrence: u32,
+        /// Step to ask about.
+        step: u32,
+        /// Workers to ask about.
+        workers: Vec<ids::Worker>,
+        /// Time after which the answer counts as lost.
+        limit: Duration,
+    },
+    /// Append records; the next append follows when this one is known to have taken effect.
+    Append(Vec<Record>),
+    /// Look at a worker after a time.
+    Later(ids::Worker, Duration),
+    /// A worker has seen a newer term.
+    Fenced,
+    /// Tell what became of a task, for the log lines.
+    Note {
+        /// What happened.
+        what: &'static str,
+        /// Task that it is about.
+        task: Task,
+        /// Run that it is about.
+        run: ids::Run,
+        /// Worker that it is about.
+        worker: ids::Worker,
+    },
+}
--- /dev/null
+++ b/crates/core/src/sched/flush.rs
@@ -0,0 +1,72 @@
+use std::time::{Duration, Instant};
+
+use super::event::Action;
+use super::machine::Scheduler;
+use crate::ids;
+use crate::journal::{Beat, Record, Vacated};
+use crate::term::BEAT;
+
+impl Scheduler {
+    /// Appends what changed, one append at a time.
+    pub(super) fn flush(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.pending.is_some() || self.fenced {
+            return;
+        }
+        let mut records = Vec::new();
+        for work in self.works.values_mut().filter(|work| work.dirty) {
+            work.dirty = false;
+            records.push(Record::Progress(work.job.id.clone(), work.progress.clone()));
+        }
+        for worker in std::mem::take(&mut self.freed) {
+            records.push(Record::Vacated(worker, Vacated { term: self.term }));
+        }
+        if now.saturating_duration_since(self.beat) >= BEAT {
+            self.beat = now;
+            records.push(Record::Beat(Beat {
+                term: self.term,
+                loads: self.loads(now),
+                ..Beat::default()
+            }));
+        }
+        // Ends without a record, such as those of lasting tasks, need no append of their own.
+        let acks: Vec<(ids::Worker, u64, u64)> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.seen > worker.ack)
+            .map(|(id, worker)| (id.clone(), worker.report.born, worker.seen))
+            .collect();
+        if records.is_empty() {
+            self.acknowledge(acks);
+            return;
+        }
+        self.pending = Some(acks);
+        actions.push(Action::Append(records));
+    }
+
+    /// Takes in that the latest append took effect.
+    pub(super) fn note_appended(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if let Some(acks) = self.pending.take() {
+            let ids: Vec<ids::Worker> = acks.iter().map(|(id, ..)| id.clone()).collect();
+            self.acknowledge(acks);
+            for id in ids {
+                self.look(now, &id, actions);
+            }
+        }
+    }
+
+    fn acknowledge(&mut self, acks: Vec<(ids::Worker, u64, u64)>) {
+        for (id, born, seen) in acks {
+            if let Some(worker) = self.workers.get_mut(&id)
+                && worker.report.born == born
+            {
+                worker.ack = worker.ack.max(seen);
+            }
+        }
+    }
+
+    /// Gets the time since the latest beat was planned, for operators.
+    #[must_use]
+    pub fn beat_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.beat)
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/machine.rs
@@ -0,0 +1,174 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::event::{Action, Event};
+use super::settle::Settling;
+use super::work::Work;
+use super::worker::{Room, Worker};
+use crate::ids;
+use crate::journal::Load;
+use crate::map::{Map, Set};
+use crate::queue::Config;
+
+/// `Options` holds the limits of a scheduler.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Longest time that a worker takes to stop a run.
+    pub stop: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            stop: Duration::from_millis(900),
+        }
+    }
+}
+
+/// `Scheduler` decides for the workers and the jobs of one shard in one term.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(super) options: Options,
+    pub(super) term: ids::Term,
+    pub(super) config: Arc<Config>,
+    pub(super) workers: Map<ids::Worker, Worker>,
+    pub(super) works: Map<ids::Job, Work>,
+    pub(super) settling: Settling,
+    /// Workers that are to be freed, listed or not.
+    pub(super) vacating: Set<ids::Worker>,
+    /// Latest time at which the log had no newer term.
+    pub(super) confirmed: Instant,
+    /// Ends that the append under way records: worker, life and number.
+    pub(super) pending: Option<Vec<(ids::Worker, u64, u64)>>,
+    /// Workers that the log is told to be free at the next append.
+    pub(super) freed: Vec<ids::Worker>,
+    /// Questions to the policy service under way.
+    pub(super) asked: usize,
+    /// Whether something changed that may let a task start.
+    pub(super) stirred: bool,
+    /// Time of day at the latest event, in milliseconds since the epoch.
+    pub(super) wall: u64,
+    pub(super) beat: Instant,
+    /// Runs that ended, for the metrics.
+    pub(super) fenced: bool,
+}
+
+impl Scheduler {
+    /// Makes a scheduler for a new term.
+    ///
+    /// `succeeds` is false when no leader came before; `resigned` is true when the last one said that
+    /// it sends nothing more. `offset` is where the claim of the term stands.
+    #[must_use]
+    pub fn new(
+        options: Options,
+        term: ids::Term,
+        succeeds: bool,
+        resigned: bool,
+        now: Instant,
+    ) -> Self {
+        Self {
+            options,
+            term,
+            config: Arc::default(),
+            workers: Map::default(),
+            works: Map::default(),
+            settling: Settling::new(succeeds, resigned, now),
+            vacating: Set::default(),
+            confirmed: now,
+            pending: None,
+            freed: Vec::new(),
+            asked: 0,
+            stirred: false,
+            wall: 0,
+            beat: now,
+            fenced: false,
+        }
+    }
+
+    /// Takes an event in at a time of the runtime's clock and of the day.
+    pub fn step(&mut self, now: Instant, wall: u64, event: Event, actions: &mut Vec<Action>) {
+        self.wall = wall;
+        if self.fenced {
+            return;
+        }
+        self.apply(now, event, actions);
+        if self.stirred && self.may_act(now) {
+            self.stirred = false;
+            self.place(now, actions);
+        }
+        self.flush(now, actions);
+    }
+
+    /// Checks if the term was confirmed lately enough to give orders.
+    pub(super) fn may_act(&self, now: Instant) -> bool {
+        !self.fenced && now.saturating_duration_since(self.confirmed) < super::settle::CONFIRM
+    }
+
+    /// Gets the demand and the room of each service of the shard.
+    #[must_use]
+    pub fn loads(&self, now: Instant) -> Vec<Load> {
+        let mut loads: Map<ids::Service, Load> = Map::default();
+        for worker in self.workers.values() {
+            let load = entry(&mut loads, &worker.report.service);
+            if worker.listed && !worker.report.draining && !worker.vacating {
+                load.room += worker.report.room.cpu;
+            }
+            for run in worker.runs.values() {
+                if run.lasting {
+                    load.lasting += run.room.cpu;
+                } else {
+                    load.used += run.room.cpu;
+                }
+            }
+        }
+        for work in self.works.values().filter(|work| !work.is_over()) {
+            let waiting = work.waiting(now);
+            let load = entry(&mut loads, &self.service_of(work));
+            load.waiting += waiting;
+        }
+        let mut loads: Vec<Load> = loads.into_values().collect();
+        for load in &mut loads {
+            let room = load.room.saturating_sub(load.lasting).max(1);
+            // Work that runs is half done on average.
+            load.delay = Duration::from_secs_f64(load.waiting as f64 / room as f64);
+        }
+        loads.sort_by(|a, b| a.service.cmp(&b.service));
+        loads
+    }
+
+    /// Gets the service whose workers run a job now.
+    pub(super) fn service_of(&self, work: &Work) -> ids::Service {
+        let queue = self.config.queue(&work.job.queue);
+        queue.map_or_else(|| work.job.service.clone(), |queue| queue.service.clone())
+    }
+
+    /// Gets a summary for operators: workers, runs, jobs, and workers that did not answer yet.
+    #[must_use]
+    pub fn counts(&self) -> [(&'static str, usize); 4] {
+        let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
+        let open = self.works.values().filter(|work| !work.is_over());
+        [
+            ("workers", self.workers.len()),
+            ("runs", runs),
+            ("jobs", open.count()),
+            ("unsettled", self.unsettled()),
+        ]
+    }
+
+    /// Gets the room of a worker that is free, for operators.
+    #[must_use]
+    pub fn free(&self, worker: &ids::Worker) -> Option<Room> {
+        self.workers.get(worker).map(Worker::free)
+    }
+}
+
+fn entry<'a>(loads: &'a mut Map<ids::Service, Load>, service: &ids::Service) -> &'a mut Load {
+    loads.entry(service.clone()).or_insert_with(|| Load {
+        service: service.clone(),
+        used: 0,
+        lasting: 0,
+        room: 0,
+        waiting: 0,
+        delay: Duration::ZERO,
+    })
+}
--- /dev/null
+++ b/crates/core/src/sched/rank.rs
@@ -0,0 +1,87 @@
+use std::cmp::Ordering;
+use std::time::{Duration, Instant};
+
+use super::work::Work;
+
+/// Multiple of its objective after which a late job is of no use any more.
+const LATE_FACTOR: u32 = 3;
+
+/// `Rank` is the place of a job in the order in which tasks are started.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Rank {
+    /// Lasting jobs first: they are few, and each second without them counts.
+    ends: bool,
+    chance: Chance,
+    priority: u32,
+    due: Instant,
+}
+
+/// `Chance` is whether a job can still be served in time.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Chance {
+    InTime,
+    Late,
+    Lost,
+}
+
+impl Work {
+    /// Gets the place in the order of starts.
+    pub(super) fn rank(&self, now: Instant, priority: u32) -> Rank {
+        let lasts = self.job.steps.iter().any(|step| step.lasting);
+        Rank {
+            ends: !lasts,
+            chance: if lasts {
+                Chance::InTime
+            } else {
+                self.chance(now)
+            },
+            priority,
+            due: self.due,
+        }
+    }
+
+    fn chance(&self, now: Instant) -> Chance {
+        if self.job.schedule.is_some() {
+            return Chance::InTime;
+        }
+        let end = now + self.rest();
+        if end <= self.due {
+            return Chance::InTime;
+        }
+        let objective = self.due.saturating_duration_since(self.accepted);
+        match end.cmp(&(self.accepted + objective * LATE_FACTOR)) {
+            Ordering::Greater => Chance::Lost,
+            Ordering::Equal | Ordering::Less => Chance::Late,
+        }
+    }
+
+    /// Gets the declared run time of the longest chain of steps that have idle tasks.
+    fn rest(&self) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.job.steps.len());
+        for (index, step) in (0_u32..).zip(&self.job.steps) {
+            let after = step.after.iter().filter_map(|s| ends.get(*s as usize));
+            let start = after.max().copied().unwrap_or_default();
+            let stage = self.stages.iter().find(|stage| stage.step == index);
+            let open = stage.is_some_and(|stage| stage.idle > 0);
+            ends.push(start + if open { step.estimate } else { Duration::ZERO });
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// Gets the declared work of idle tasks of jobs that can be served in time, in thousandths of a
+    /// core times seconds.
+    pub(super) fn waiting(&self, now: Instant) -> u64 {
+        if self.chance(now) != Chance::InTime {
+            return 0;
+        }
+        let work = |stage: &super::work::Stage| {
+            let step = &self.job.steps[stage.step as usize];
+            if step.lasting {
+                return 0;
+            }
+            let millis = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+            u64::from(stage.idle) * step.cpu * millis / 1_000
+        };
+        self.stages.iter().map(work).sum()
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/worker.rs
@@ -0,0 +1,204 @@
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+
+use super::event::Report;
+use super::run::Run;
+use crate::ids;
+use crate::job::{Step, Task};
+use crate::map::Map;
+
+/// Lease of a worker beyond its clock, in milliseconds: three holds, so that two may be lost.
+pub(super) const LEASE_MS: u64 = 2_800;
+/// Slack for a worker's clock, in milliseconds: the resolution of its times and of a late timer.
+const SLACK_MS: u64 = 50;
+/// Share by which a worker's clock may run slow, in percent.
+const SLOW_PERCENT: u64 = 2;
+
+/// `Room` is processor time, memory and accelerators.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Room {
+    /// Processor time, in thousandths of a core.
+    pub cpu: u64,
+    /// Memory, in MB.
+    pub memory: u64,
+    /// Accelerators.
+    pub gpu: u64,
+}
+
+impl Room {
+    /// Gets the room that a task of a step takes.
+    #[must_use]
+    pub fn of(step: &Step) -> Self {
+        Self {
+            // A task that fills uses only what the others leave.
+            cpu: if step.fills { 0 } else { step.cpu },
+            memory: step.memory,
+            gpu: step.gpu,
+        }
+    }
+
+    /// Checks if another room fits inside.
+    #[must_use]
+    pub fn holds(&self, other: Self) -> bool {
+        self.cpu >= other.cpu && self.memory >= other.memory && self.gpu >= other.gpu
+    }
+
+    pub(super) fn plus(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu + other.cpu,
+            memory: self.memory + other.memory,
+            gpu: self.gpu + other.gpu,
+        }
+    }
+
+    pub(super) fn minus(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            memory: self.memory.saturating_sub(other.memory),
+            gpu: self.gpu.saturating_sub(other.gpu),
+        }
+    }
+}
+
+/// `Look` is where the next question about a worker's runs stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Look {
+    /// None is planned.
+    None,
+    /// It is asked after a wait.
+    Planned,
+    /// It was asked.
+    Sent,
+}
+
+/// `Worker` is a worker as the leader knows it.
+#[derive(Debug)]
+pub(super) struct Worker {
+    pub(super) report: Report,
+    /// Whether the list has it.
+    pub(super) listed: bool,
+    /// Whether it answered under the token of this term.
+    pub(super) settled: bool,
+    /// Time of its clock and when that was learned.
+    pub(super) clock: Option<(u64, Instant)>,
+    /// End of its lease on its own clock, as granted by this leader.
+    pub(super) until: u64,
+    pub(super) look: Look,
+    /// Questions in a row without an answer.
+    pub(super) misses: u32,
+    pub(super) runs: Map<Task, Run>,
+    /// Highest end taken in.
+    pub(super) seen: u64,
+    /// Highest end that is recorded and may be acknowledged.
+    pub(super) ack: u64,
+    /// Highest end acknowledged in an answered call.
+    pub(super) acked: u64,
+    /// Failed runs in a row.
+    pub(super) failures: u32,
+    /// Time until which it gets no task after failures.
+    pub(super) suspended: Option<Instant>,
+    /// Whether it is to be freed of tasks.
+    pub(super) vacating: bool,
+    /// Whether the log was told that it is free.
+    pub(super) vacated: bool,
+    /// Time since which all that serve on it have been well under their targets.
+    pub(super) calm: Option<Instant>,
+}
+
+impl Worker {
+    pub(super) fn new(report: Report) -> Self {
+        Self {
+            report,
+            listed: true,
+            settled: false,
+            clock: None,
+            until: 0,
+            look: Look::None,
+            misses: 0,
+            runs: Map::default(),
+            seen: 0,
+            ack: 0,
+            acked: 0,
+            failures: 0,
+            suspended: None,
+            vacating: false,
+            vacated: false,
+            calm: None,
+        }
+    }
+
+    /// Forgets what another life of the worker said.
+    pub(super) fn renew(&mut self, born: u64) {
+        self.report.born = born;
+        self.settled = false;
+        self.clock = None;
+        self.until = 0;
+        self.seen = 0;
+        self.ack = 0;
+        self.acked = 0;
+        self.failures = 0;
+        self.suspended = None;
+    }
+
+    /// Notes the time of the worker's clock, which was read before now.
+    pub(super) fn note_clock(&mut self, clock: u64, now: Instant) {
+        // Answers on different connections overtake each other.
+        if self.clock.is_none_or(|(known, _)| clock >= known) {
+            self.clock = Some((clock, now));
+        }
+    }
+
+    /// Gets a new end of the lease, nothing while the worker's clock is unknown.
+    pub(super) fn grant(&mut self, now: Instant) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        let elapsed = u64::try_from(now.saturating_duration_since(at).as_millis());
+        let until = clock + elapsed.unwrap_or(0) + LEASE_MS;
+        self.until = self.until.max(until);
+        Some(until)
+    }
+
+    /// Checks if the lease has ended for sure, so that nothing runs there any more.
+    pub(super) fn lapsed(&self, now: Instant) -> bool {
+        let Some((clock, at)) = self.clock else {
+            // Without a clock no lease was given.
+            return true;
+        };
+        let elapsed = now.saturating_duration_since(at).as_millis();
+        let elapsed = u64::try_from(elapsed).unwrap_or(u64::MAX);
+        let least = elapsed - elapsed * SLOW_PERCENT / 100;
+        clock + least > self.until + SLACK_MS
+    }
+
+    /// Gets the room that its runs take.
+    pub(super) fn used(&self) -> Room {
+        let rooms = self.runs.values().map(|run| run.room);
+        rooms.fold(Room::default(), Room::plus)
+    }
+
+    /// Gets the room that is free.
+    pub(super) fn free(&self) -> Room {
+        self.report.room.minus(self.used())
+    }
+
+    /// Checks if new tasks may go to it.
+    pub(super) fn is_usable(&self, now: Instant) -> bool {
+        self.listed
+            && self.settled
+            && !self.report.draining
+            && !self.vacating
+            && self.misses == 0
+            && self.clock.is_some()
+            && self.suspended.is_none_or(|until| until <= now)
+    }
+
+    /// Checks if questions about its runs are of use.
+    pub(super) fn wants_look(&self) -> bool {
+        !self.settled || !self.runs.is_empty() || self.acked < self.ack
+    }
+
+    /// Gets its rack or kind labels.
+    pub(super) fn has_label(&self, label: &ids::Label) -> bool {
+        self.report.labels.contains(label)
+    }
+}
--- /dev/null
+++ b/crates/core/src/settings/gateway.rs
@@ -0,0 +1,80 @@
+//! Settings of the gateway daemon.
+
+use std::net::SocketAddr;
+
+use super::reader::Reader;
+use crate::errors::{Error, Result};
+use crate::{ids, sched, upkeep};
+
+/// Shards of the fleet if the settings don't say.
+const SHARDS: usize = 24;
+/// Shards accepted.
+const SHARDS_RANGE: std::ops::RangeInclusive<usize> = 2..=1_024;
+
+/// `Gateway` holds the settings of the gateway daemon.
+#[derive(Clone, Debug)]
+pub struct Gateway {
+    /// Name of the process.
+    pub instance: ids::Instance,
+    /// Availability zone that it runs in.
+    pub zone: ids::Zone,
+    /// Address at which callers are served.
+    pub listen: SocketAddr,
+    /// Address at which the balancer asks for readiness.
+    pub ready: SocketAddr,
+    /// Address of metrics and dumps.
+    pub admin: SocketAddr,
+    /// Address of the log.
+    pub log: SocketAddr,
+    /// Address of the host service.
+    pub hosts: Option<SocketAddr>,
+    /// Address of the policy service.
+    pub advice: Option<SocketAddr>,
+    /// Shards of the fleet; every process must have the same number.
+    pub shards: ids::Shard,
+    /// Limits of the schedulers.
+    pub sched: sched::Options,
+    /// Limits of the planner of hosts.
+    pub upkeep: upkeep::Options,
+}
+
+impl TryFrom<&str> for Gateway {
+    type Error = Error;
+
+    fn try_from(text: &str) -> Result<Self> {
+        super::parse(text, |reader: &mut Reader<'_>| {
+            let (schedules, upkeeps) = (sched::Options::default(), upkeep::Options::default());
+            let instance = reader.name("instance");
+            let zone = reader.name("zone");
+            let listen = reader.listen("listen");
+            let ready = reader.listen("ready");
+            let admin = reader.listen("admin");
+            let log = reader.address("log");
+            let hosts = reader.addresses("hosts");
+            let advice = reader.addresses("advice");
+            let shards = reader.count("shards", SHARDS, SHARDS_RANGE);
+            let stop = reader.duration("stop", schedules.stop);
+            let lease = reader.duration("holder_lease", upkeeps.lease);
+            let maintenance = reader.duration("maintenance", upkeeps.upkeep);
+            Some(Self {
+                instance: instance?,
+                zone: zone?,
+                listen: listen?,
+                ready: ready?,
+                admin: admin?,
+                log: log?,
+                hosts: hosts?.first().copied(),
+                advice: advice?.first().copied(),
+                shards: ids::Shard::try_from(shards?).ok()?,
+                sched: sched::Options {
+                    stop: stop?,
+                    ..schedules
+                },
+                upkeep: upkeep::Options {
+                    lease: lease?,
+                    upkeep: maintenance?,
+                },
+            })
+        })
+    }
+}
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod control;
 mod entry;
 mod fleet;
+mod gateway;
 mod node;
 mod reader;
 mod unit;
@@ -10,6 +11,7 @@
 pub use control::Control;
 pub use entry::Entry;
 pub use fleet::Fleet;
+pub use gateway::Gateway;
 pub use node::{Format, Node};
 
 use crate::errors::{Result, value_error};
--- a/crates/core/src/settings/reader.rs
+++ b/crates/core/src/settings/reader.rs
@@ -227,6 +227,24 @@
         })
     }
 
+    /// Takes a whole number.
+    pub(crate) fn count(
+        &mut self,
+        key: &str,
+        default: usize,
+        range: RangeInclusive<usize>,
+    ) -> Option<usize> {
+        let accepted = format!("a whole number from {} to {}", range.start(), range.end());
+        self.take(key, Some(default), &accepted, |value| {
+            let number = value.as_integer().ok_or(WRONG_TYPE)?;
+            let number: usize = number.as_str().parse().map_err(|_| WRONG_TYPE)?;
+            if !range.contains(&number) {
+                return Err("number is out of range");
+            }
+            Ok(number)
+        })
+    }
+
     pub(crate) fn choice<T: Copy>(&mut self, key: &str, choices: &[(&str, T)]) -> Option<T> {
         let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
         let default = choices.first().map(|(_, value)| *value);
--- /dev/null
+++ b/crates/core/src/term/mod.rs
@@ -0,0 +1,200 @@
+//! Leadership of a shard, claimed by a record in the shard's partition of the log.
+//!
+//! A claim is appended on the condition that the partition ends where the candidate has read to, so
+//! its offset makes a term that no other claim has. The log refuses later records of older terms, and
+//! workers refuse orders with older tokens. Silence of the leader only decides when to try.
+
+use std::time::{Duration, Instant};
+
+use crate::ids;
+use crate::journal::Beat;
+
+/// Time between two beats of a leader; a few must be lost before another process claims.
+pub const BEAT: Duration = Duration::from_millis(400);
+/// Silence of a leader after which another process claims: three beats and a slow append.
+pub const SILENCE: Duration = Duration::from_millis(1_500);
+/// Time without an answer after which a claim is tried again.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// `Event` is what an election learns.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The partition was read up to an end, by a read that was sent at a time.
+    Read {
+        /// Time at which the read was sent.
+        sent: Instant,
+        /// Offset that the next record gets.
+        end: ids::Offset,
+    },
+    /// The partition has a record of a leader that is not a beat.
+    Heard,
+    /// The partition has a beat.
+    Beat {
+        /// Offset of the record.
+        offset: ids::Offset,
+        /// What it says.
+        beat: Beat,
+    },
+    /// The log refused the claim, or may have lost it.
+    Refused,
+    /// The log holds a newer term.
+    Fenced,
+    /// The process is going to end.
+    Leave,
+}
+
+/// `Action` is what an election asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Append a claim if the partition ends at an offset.
+    Claim {
+        /// Offset at which the partition must end.
+        at: ids::Offset,
+        /// Value that tells the claim apart.
+        nonce: u64,
+    },
+    /// The process leads from now on.
+    Lead {
+        /// Term that it leads in.
+        term: ids::Term,
+        /// Whether a leader came before, whose tasks may still run.
+        succeeds: bool,
+        /// Whether that leader said that it sends nothing more.
+        resigned: bool,
+    },
+    /// The process leads no more.
+    Yield,
+}
+
+/// `Election` follows who leads a shard and claims it when nobody does.
+#[derive(Debug)]
+pub struct Election {
+    node: ids::Instance,
+    nonce: u64,
+    /// Time that this process leaves to others before it claims.
+    patience: Duration,
+    /// Term of the newest claim.
+    term: ids::Term,
+    leader: Option<ids::Instance>,
+    resigned: bool,
+    leads: bool,
+    heard: Instant,
+    claimed: Option<Instant>,
+    leaving: bool,
+}
+
+impl Election {
+    /// Makes an election that knows of no leader.
+    #[must_use]
+    pub fn new(node: ids::Instance, nonce: u64, patience: Duration, now: Instant) -> Self {
+        Self {
+            node,
+            nonce,
+            patience,
+            term: 0,
+            leader: None,
+            resigned: true,
+            leads: false,
+            heard: now,
+            claimed: None,
+            leaving: false,
+        }
+    }
+
+    /// Sets the time that this process leaves to others before it claims.
+    pub fn set_patience(&mut self, patience: Duration) {
+        self.patience = patience;
+    }
+
+    /// Checks if this process leads.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        self.leads
+    }
+
+    /// Gets the process that leads, as far as the log says.
+    #[must_use]
+    pub fn leader(&self) -> Option<&ids::Instance> {
+        self.leader.as_ref().filter(|_| !self.resigned)
+    }
+
+    /// Takes an event in.
+    pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Read { end, .. } => self.consider(now, end, actions),
+            Event::Heard => self.heard = now,
+            Event::Beat { offset, beat } => self.note_beat(now, offset, &beat, actions),
+            Event::Refused => self.claimed = None,
+            Event::Fenced => self.give_up(actions),
+            Event::Leave => {
+                self.leaving = true;
+                self.give_up(actions);
+            }
+        }
+    }
+
+    fn give_up(&mut self, actions: &mut Vec<Action>) {
+        if std::mem::take(&mut self.leads) {
+            actions.push(Action::Yield);
+        }
+    }
+
+    fn note_beat(
+        &mut self,
+        now: Instant,
+        offset: ids::Offset,
+        beat: &Beat,
+        actions: &mut Vec<Action>,
+    ) {
+        let claims = beat.term == 0;
+        let term = if claims { offset + 1 } else { beat.term };
+        if term < self.term {
+            return;
+        }
+        let succeeds = self.term > 0;
+        let resigned = self.resigned && succeeds;
+        self.heard = now;
+        if term > self.term {
+            self.give_up(actions);
+            self.term = term;
+            self.claimed = None;
+            let own = claims && beat.node == self.node && beat.nonce == self.nonce;
+            if own && !self.leaving {
+                self.leads = true;
+                actions.push(Action::Lead {
+                    term,
+                    succeeds,
+                    resigned,
+                });
+            }
+        }
+        self.leader = Some(beat.node.clone());
+        self.resigned = beat.resigned;
+    }
+
+    /// Claims the shard when nobody leads it.
+    fn consider(&mut self, now: Instant, end: ids::Offset, actions: &mut Vec<Action>) {
+        if self.leads || self.leaving {
+            return;
+        }
+        let waits = |at: Instant| now.saturating_duration_since(at) < CLAIM_TIMEOUT;
+        if self.claimed.is_some_and(waits) {
+            return;
+        }
+        // The process itself led before it started again, so nobody leads now.
+        let own = self.leader.as_ref() == Some(&self.node);
+        let silence = if self.resigned || own {
+            Duration::ZERO
+        } else {
+            SILENCE
+        };
+        if now.saturating_duration_since(self.heard) < silence + self.patience {
+            return;
+        }
+        self.claimed = Some(now);
+        actions.push(Action::Claim {
+            at: end,
+            nonce: self.nonce,
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/upkeep/planner.rs
@@ -0,0 +1,394 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::event::{Action, Answer, Event, Kind, Order};
+use super::host::{Host, State};
+use super::wave::Tour;
+use crate::ids;
+use crate::journal::{Drain, Load};
+use crate::map::{Map, Set};
+use crate::queue::Config;
+
+/// Time since the log was reached for which orders are given; a new leader waits longer.
+const FRESH: Duration = Duration::from_millis(1_500);
+/// Time without an answer of the host list after which a host counts as gone for good.
+const GONE: Duration = Duration::from_secs(6);
+/// Time for which a host counts as down after an order, as the list lags.
+const LAG: Duration = Duration::from_millis(1_500);
+/// Time before a host that was busy is tried again.
+const AGAIN: Duration = Duration::from_millis(400);
+/// Time after which a drain that does not end is given up.
+const DRAIN_MAX: Duration = Duration::from_secs(9);
+
+/// `Options` holds the limits of a planner.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Time in which two holders must not both give orders.
+    pub lease: Duration,
+    /// Time that a host is down for maintenance.
+    pub upkeep: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(3),
+            upkeep: Duration::from_secs(2),
+        }
+    }
+}
+
+/// `Task` is a host that is being freed or told something.
+#[derive(Clone, Debug)]
+pub(super) struct Task {
+    pub(super) kind: Kind,
+    pub(super) drain: Option<Drain>,
+    pub(super) vacated: bool,
+    pub(super) since: Instant,
+    /// Whether an order is on its way.
+    pub(super) sent: bool,
+    /// Time before which no further order is given.
+    pub(super) after: Instant,
+    /// Whether an order may have been carried out.
+    pub(super) doubtful: bool,
+}
+
+/// `Planner` decides for the hosts of the fleet in one term.
+#[derive(Debug)]
+pub struct Planner {
+    pub(super) options: Options,
+    node: ids::Instance,
+    term: ids::Term,
+    pub(super) config: Arc<Config>,
+    pub(super) hosts: Map<ids::Host, Host>,
+    /// Time at which a host was last listed.
+    listed: Map<ids::Host, Instant>,
+    pub(super) loads: Map<ids::Service, Load>,
+    tours: Vec<Tour>,
+    pub(super) tasks: Map<ids::Host, Task>,
+    /// Hosts that were told to go down, with the time.
+    down: Map<ids::Host, Instant>,
+    /// Drains that the log has.
+    drains: Map<ids::Host, Drain>,
+    confirmed: Instant,
+    /// Time before which an older holder may have an order on its way.
+    starts: Instant,
+}
+
+impl Planner {
+    /// Makes a planner for a new term; `succeeds` is false when no leader came before.
+    #[must_use]
+    pub fn new(
+        options: Options,
+        node: ids::Instance,
+        term: ids::Term,
+        succeeds: bool,
+        now: Instant,
+    ) -> Self {
+        let wait = if succeeds { options.lease + FRESH } else { Duration::ZERO };
+        Self {
+            options,
+            node,
+            term,
+            config: Arc::default(),
+            hosts: Map::default(),
+            listed: Map::default(),
+            loads: Map::default(),
+            tours: Vec::new(),
+            tasks: Map::default(),
+            down: Map::default(),
+            drains: Map::default(),
+            confirmed: now,
+            starts: now + wait,
+        }
+    }
+
+    /// Takes an event in.
+    pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Config(config) => self.config = config,
+            Event::Hosts(hosts) => self.note_hosts(now, hosts),
+            Event::Wave(wave) => {
+                if !self.tours.iter().any(|tour| tour.wave.number == wave.number) {
+                    self.tours.push(Tour::new(wave));
+                }
+            }
+            Event::Maintained(number, hosts) => {
+                if let Some(tour) = self.tours.iter_mut().find(|t| t.wave.number == number) {
+                    tour.done.extend(hosts);
+                }
+            }
+            Event::Drain(host, drain) => {
+                match drain {
+                    Some(drain) => self.drains.insert(host, drain),
+                    None => self.drains.remove(&host),
+                };
+                return;
+            }
+            Event::Vacated(worker) => {
+                for task in self.tasks.values_mut() {
+                    task.vacated |= task.drain.as_ref().is_some_and(|d| d.worker == worker);
+                }
+            }
+            Event::Loads(loads) => {
+                for load in loads {
+                    self.loads.insert(load.service.clone(), load);
+                }
+                return;
+            }
+            Event::Answered(order, answer) => self.note_answer(now, &order, answer, actions),
+            Event::Confirmed(at) => {
+                self.confirmed = self.confirmed.max(at);
+                return;
+            }
+            Event::Tick => {}
+        }
+        self.act(now, actions);
+    }
+
+    fn note_hosts(&mut self, now: Instant, hosts: Vec<Host>) {
+        for host in hosts {
+            self.listed.insert(host.host.clone(), now);
+            if host.state == State::Upkeep {
+                self.down.insert(host.host.clone(), now);
+            }
+            self.hosts.insert(host.host.clone(), host);
+        }
+        let listed = &self.listed;
+        let fresh = |host: &ids::Host| {
+            listed
+                .get(host)
+                .is_some_and(|at| now.saturating_duration_since(*at) < GONE)
+        };
+        self.hosts.retain(|host, _| fresh(host));
+    }
+
+    fn note_answer(
+        &mut self,
+        now: Instant,
+        order: &Order,
+        answer: Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(task) = self.tasks.get_mut(&order.host) else {
+            return;
+        };
+        task.sent = false;
+        match answer {
+            Answer::Done => {
+                let drain = task.drain.clone();
+                self.finish(now, &order.host, actions);
+                if let Some(drain) = drain {
+                    actions.push(Action::Undrain(order.host.clone(), drain));
+                }
+            }
+            Answer::Busy | Answer::Limited => task.after = now + AGAIN,
+            Answer::Unknown => {
+                task.after = now + AGAIN;
+                task.doubtful = true;
+                self.down.insert(order.host.clone(), now);
+            }
+            Answer::Fenced => task.after = now + self.options.lease,
+            Answer::Refused => {
+                let drain = task.drain.clone();
+                // A host that can't be told is not maintained; operators see the wave running.
+                self.tasks.remove(&order.host);
+                if let Some(drain) = drain {
+                    actions.push(Action::Undrain(order.host.clone(), drain));
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, now: Instant, host: &ids::Host, actions: &mut Vec<Action>) {
+        let Some(task) = self.tasks.remove(host) else {
+            return;
+        };
+        if let Kind::Maintain(number) = task.kind {
+            self.down.insert(host.clone(), now);
+            if let Some(entry) = self.hosts.get_mut(host) {
+                entry.state = State::Upkeep;
+            }
+            if let Some(tour) = self.tours.iter_mut().find(|t| t.wave.number == number) {
+                tour.done.insert(host.clone());
+                actions.push(Action::Record(number, tour.done.iter().cloned().collect()));
+            }
+        } else if let Some(entry) = self.hosts.get_mut(host) {
+            entry.state = State::Moving;
+        }
+    }
+
+    fn act(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if now < self.starts || now.saturating_duration_since(self.confirmed) > FRESH {
+            return;
+        }
+        // The list lags, so a host that was told to go down counts as down for a while.
+        let gone = self.options.upkeep + LAG;
+        self.down.retain(|_, at| now.saturating_duration_since(*at) < gone);
+        self.tell(actions);
+        self.drop_stale(now, actions);
+        self.plan_waves(now, actions);
+        self.steer(now, actions);
+    }
+
+    /// Tells operators how far the waves are.
+    fn tell(&mut self, actions: &mut Vec<Action>) {
+        let known = !self.hosts.is_empty();
+        for tour in &mut self.tours {
+            let open = |host: &&ids::Host| !tour.done.contains(*host) && self.hosts.contains_key(*host);
+            let complete = known && !tour.wave.hosts.iter().any(|host| open(&host));
+            if tour.told.is_none() || (tour.told == Some(false) && complete) {
+                tour.told = Some(complete);
+                actions.push(Action::Status(tour.wave.number, complete));
+            }
+        }
+    }
+
+    /// Gives up drains that nobody waits for, or whose worker is gone.
+    fn drop_stale(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let hosts = &self.hosts;
+        let mut stale = Vec::new();
+        for (host, task) in &self.tasks {
+            let worker = hosts.get(host).and_then(|host| host.worker.clone());
+            let other = task.drain.as_ref().is_some_and(|drain| worker.as_ref() != Some(&drain.worker));
+            let slow = !task.vacated && now.saturating_duration_since(task.since) > DRAIN_MAX;
+            if !task.sent && !task.doubtful && (other || slow) {
+                stale.push(host.clone());
+            }
+        }
+        for host in stale {
+            if let Some(task) = self.tasks.remove(&host)
+                && let Some(drain) = task.drain
+            {
+                actions.push(Action::Undrain(host, drain));
+            }
+        }
+        let orphans = self.drains.iter().filter(|(host, _)| !self.tasks.contains_key(*host));
+        let orphans: Vec<(ids::Host, Drain)> =
+            orphans.map(|(host, drain)| (host.clone(), drain.clone())).collect();
+        for (host, drain) in orphans {
+            self.drains.remove(&host);
+            actions.push(Action::Undrain(host, drain));
+        }
+    }
+
+    /// Starts to free the next hosts of the waves.
+    fn plan_waves(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut plans: Vec<(ids::Host, Kind)> = Vec::new();
+        for tour in &self.tours {
+            let number = tour.wave.number;
+            let busy = self.tasks.values().filter(|t| t.kind == Kind::Maintain(number)).count();
+            // The next hosts are freed while others are down.
+            let most = tour.wave.cap + tour.wave.cap.div_ceil(2);
+            let mut open: Vec<(u64, &Host)> = tour
+                .wave
+                .hosts
+                .iter()
+                .filter(|host| !tour.done.contains(*host) && !self.tasks.contains_key(*host))
+                .filter_map(|host| self.hosts.get(host))
+                .filter(|host| host.state == State::Up)
+                .map(|host| (self.press(&host.service), host))
+                .collect();
+            open.sort_by_key(|(press, host)| (*press, host.host.clone()));
+            let down = tour.wave.hosts.iter().filter(|host| self.down.contains_key(*host)).count();
+            let room = most.saturating_sub(busy + down);
+            let next = open.into_iter().take(room);
+            plans.extend(next.map(|(_, host)| (host.host.clone(), Kind::Maintain(number))));
+        }
+        for (host, kind) in plans {
+            self.begin(now, &host, kind, actions);
+        }
+    }
+
+    /// Gets how full a service is, in percent of its room; spare hosts come first.
+    pub(super) fn press(&self, service: &ids::Service) -> u64 {
+        if self.is_spare(service) {
+            return 0;
+        }
+        self.loads.get(service).map_or(100, |load| {
+            1 + (load.used + load.lasting + load.waiting) * 100 / load.room.max(1)
+        })
+    }
+
+    pub(super) fn is_spare(&self, service: &ids::Service) -> bool {
+        self.config.service(service).is_some_and(|service| service.spare)
+    }
+
+    pub(super) fn begin(
+        &mut self,
+        now: Instant,
+        host: &ids::Host,
+        kind: Kind,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.hosts.get(host) else {
+            return;
+        };
+        let spare = self.is_spare(&entry.service);
+        let worker = entry.worker.clone().filter(|_| !spare);
+        let drain = worker.map(|worker| Drain {
+            worker,
+            service: entry.service.clone(),
+        });
+        if let Some(drain) = &drain {
+            actions.push(Action::Drain(host.clone(), drain.clone()));
+        }
+        let task = Task {
+            kind,
+            vacated: drain.is_none(),
+            drain,
+            since: now,
+            sent: false,
+            after: now,
+            doubtful: false,
+        };
+        self.tasks.insert(host.clone(), task);
+    }
+
+    /// Calls the host service for hosts that are free.
+    fn steer(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut free: Vec<(Instant, ids::Host)> = Vec::new();
+        for (host, task) in &self.tasks {
+            if task.vacated && !task.sent && task.after <= now {
+                free.push((task.since, host.clone()));
+            }
+        }
+        free.sort();
+        for (_, host) in free {
+            let Some(task) = self.tasks.get(&host) else {
+                continue;
+            };
+            if let Kind::Maintain(number) = task.kind
+                && !self.has_slot(number, &host)
+            {
+                continue;
+            }
+            let order = Order {
+                host: host.clone(),
+                kind: task.kind.clone(),
+                holder: self.node.clone(),
+                token: self.term,
+            };
+            if let Some(task) = self.tasks.get_mut(&host) {
+                task.sent = true;
+            }
+            actions.push(Action::Steer(order));
+        }
+    }
+
+    /// Checks if one more host of a wave may go down.
+    fn has_slot(&self, number: ids::WaveNumber, host: &ids::Host) -> bool {
+        let Some(tour) = self.tours.iter().find(|tour| tour.wave.number == number) else {
+            return false;
+        };
+        let sent = |host: &ids::Host| self.tasks.get(host).is_some_and(|task| task.sent);
+        let others: Set<&ids::Host> = tour
+            .wave
+            .hosts
+            .iter()
+            .filter(|other| *other != host)
+            .filter(|other| sent(other) || self.down.contains_key(*other))
+            .collect();
+        others.len() < tour.wave.cap
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/edge/mod.rs
@@ -0,0 +1,168 @@
+//! What a deployment's platform gives, as the actors call it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytestring::ByteString;
+use futures_util::future::LocalBoxFuture;
+use persimmongate_core::ids;
+use persimmongate_core::sched::{Answer, Call, Listing, Report, Ticket};
+use persimmongate_core::upkeep::{self, Host, Wave};
+use persimmongate_core::queue::Config;
+
+/// `Topic` is a partition of the platform's log.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Topic {
+    /// A shard's records about jobs.
+    Jobs(ids::Shard),
+    /// What operators ask for.
+    Operator,
+    /// What operators are told.
+    Status,
+    /// What workers say of themselves.
+    Workers,
+}
+
+/// `Raw` is a record as the log holds it; no value drops the key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Raw {
+    /// Place in the partition.
+    pub offset: ids::Offset,
+    /// What it is about.
+    pub key: ByteString,
+    /// What it says.
+    pub value: Option<Bytes>,
+}
+
+/// `Page` is an answer to a read.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Page {
+    /// Offset that the next record gets.
+    pub end: ids::Offset,
+    /// Records in the order of the log.
+    pub records: Vec<Raw>,
+}
+
+/// `Author` lets the log refuse records of older terms, and repeated ones.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Author {
+    /// Term of the leader.
+    pub term: ids::Term,
+    /// Number of the append in the term.
+    pub sequence: u64,
+}
+
+/// `Append` is a call that adds records, all or none.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Append {
+    /// Partition.
+    pub topic: Topic,
+    /// Keys with their values.
+    pub records: Vec<(ByteString, Option<Bytes>)>,
+    /// Offset at which the partition must end.
+    pub at: Option<ids::Offset>,
+    /// Leader that appends.
+    pub author: Option<Author>,
+}
+
+/// `Failure` is why a call to the log had no success.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// Nothing was done: the log is busy or refuses this process.
+    Busy,
+    /// Records asked for are no longer kept.
+    Expired,
+    /// A newer term was seen.
+    Fenced,
+    /// The partition ends elsewhere.
+    Moved,
+    /// An append of the same author that comes before is not there yet.
+    Order,
+    /// The call was refused and did nothing, with a status.
+    Refused(u16),
+    /// Nothing is known: it may be carried out later.
+    Unknown,
+}
+
+/// `Reply` is the answer to a call to the log or the host service.
+pub type Reply<T> = LocalBoxFuture<'static, Result<T, Failure>>;
+
+/// `Change` is a record of an operator.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// A configuration.
+    Config(Config),
+    /// A wave of maintenance.
+    Wave(Wave),
+}
+
+/// `Edge` is the platform of a deployment.
+///
+/// Its calls end within a time limit, and a future that is dropped closes its connection.
+pub trait Edge: Clone + Unpin + 'static {
+    /// Appends records and gets the offset of the first.
+    fn append(&self, append: Append) -> Reply<ids::Offset>;
+
+    /// Reads a partition from an offset, waiting for a record for a time.
+    fn read(&self, topic: Topic, from: ids::Offset, wait: Duration) -> Reply<Page>;
+
+    /// Gets the newest record of each key; the end is that of before the records.
+    fn newest(&self, topic: Topic) -> Reply<Page>;
+
+    /// Asks a worker about its runs.
+    fn hold(&self, hold: Hold) -> LocalBoxFuture<'static, Result<Listing, Answer>>;
+
+    /// Gives a worker an order; gets its answer and the time of its clock.
+    fn call(&self, call: Call) -> LocalBoxFuture<'static, (Answer, Option<u64>)>;
+
+    /// Asks the policy service which workers may run a step.
+    fn advise(&self, question: Question) -> LocalBoxFuture<'static, Option<(Vec<Ticket>, Duration)>>;
+
+    /// Lists the hosts.
+    fn hosts(&self) -> Reply<Vec<Host>>;
+
+    /// Gives the host service an order.
+    fn steer(&self, order: upkeep::Order) -> LocalBoxFuture<'static, upkeep::Answer>;
+
+    /// Decodes a record of an operator; nothing for one that is not known or can't be read.
+    fn change(&self, raw: &Raw) -> Option<Change>;
+
+    /// Decodes what a worker says of itself; nothing for what names no worker to use.
+    fn report(&self, raw: &Raw) -> Option<Report>;
+
+    /// Encodes how far a wave is, for operators.
+    fn status(&self, wave: ids::WaveNumber, completed: bool) -> (ByteString, Bytes);
+}
+
+/// `Hold` is a question to a worker about its runs, which extends its lease.
+#[derive(Clone, Debug)]
+pub struct Hold {
+    /// Worker to ask.
+    pub worker: ids::Worker,
+    /// Address of its interface.
+    pub address: SocketAddr,
+    /// Token of the leader.
+    pub token: ids::Term,
+    /// Number up to which ends are acknowledged.
+    pub ack: u64,
+    /// End of the lease on the worker's clock, in milliseconds.
+    pub until: Option<u64>,
+    /// Time that the worker may wait for an end.
+    pub wait: Duration,
+}
+
+/// `Question` asks the policy service about a step.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// Job asked about.
+    pub job: ids::Job,
+    /// Occurrence asked about.
+    pub occurrence: u32,
+    /// Step asked about.
+    pub step: u32,
+    /// Workers asked about.
+    pub workers: Vec<ids::Worker>,
+    /// Time after which the answer counts as lost.
+    pub limit: Duration,
+}
--- /dev/null
+++ b/crates/jobs/src/lead/mod.rs
@@ -0,0 +1,82 @@
+//! What leaders of a partition share: claims, and appends that are tried until they take effect.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use bytestring::ByteString;
+use persimmongate_core::ids;
+use persimmongate_core::journal::{Beat, Record};
+use persimmongate_node::clock;
+use persimmongate_wire::errors::Result as Coded;
+use persimmongate_wire::journal;
+
+use crate::edge::{Append, Author, Edge, Failure, Topic};
+
+/// Time before an append is tried again after the log failed.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// Tries of an append whose forerunner is not there, before the author's sequence counts as broken.
+const DISORDER_MAX: u32 = 20;
+
+/// Encodes records for the log.
+///
+/// # Errors
+///
+/// Returns an error when a record can't be encoded.
+pub(crate) fn encode(records: &[Record]) -> Coded<Vec<(ByteString, Option<Bytes>)>> {
+    let pair = |record: &Record| Ok((journal::encode_key(&record.key()), journal::encode(record)?));
+    records.iter().map(pair).collect()
+}
+
+/// Makes the append that claims a partition.
+///
+/// # Errors
+///
+/// Returns an error when the record can't be encoded.
+pub(crate) fn claim(
+    topic: Topic,
+    at: ids::Offset,
+    node: ids::Instance,
+    nonce: u64,
+) -> Coded<Append> {
+    let beat = Beat {
+        node,
+        nonce,
+        ..Beat::default()
+    };
+    Ok(Append {
+        topic,
+        records: encode(&[Record::Beat(beat)])?,
+        at: Some(at),
+        author: Some(Author {
+            term: at + 1,
+            sequence: 0,
+        }),
+    })
+}
+
+/// Appends, and tries again until the log took the records, refused them, or a time is over.
+///
+/// Trying again is safe: an author's append carries its sequence, and a caller's record says the same
+/// under the same key. [`Failure::Busy`] is returned only if no try can still take effect.
+pub(crate) async fn persist<E: Edge>(
+    edge: E,
+    append: Append,
+    end: Option<Instant>,
+) -> Result<ids::Offset, Failure> {
+    let mut doubtful = false;
+    let mut disorder = 0;
+    loop {
+        match edge.append(append.clone()).await {
+            Ok(offset) => return Ok(offset),
+            Err(Failure::Busy) => {}
+            Err(Failure::Unknown) => doubtful = true,
+            Err(Failure::Order) if disorder < DISORDER_MAX => disorder += 1,
+            Err(failure) => return Err(failure),
+        }
+        if end.is_some_and(|end| clock::now() + RETRY >= end) {
+            return Err(if doubtful { Failure::Unknown } else { Failure::Busy });
+        }
+        actix_rt::time::sleep(RETRY).await;
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/shard/lead.rs
@@ -0,0 +1,339 @@
+use std::time::Duration;
+
+use actix::{
+    ActorFutureExt, AsyncContext, Context, Handler, ResponseActFuture, SpawnHandle, WrapFuture,
+};
+use persimmongate_core::ids;
+use persimmongate_core::journal::{Beat, Record};
+use persimmongate_core::sched::{Action, Event, Scheduler};
+use persimmongate_core::term::{self, Action as Elected};
+use persimmongate_node::clock;
+use slog::{error, info, warn};
+
+use super::{Leave, Led, Shard};
+use crate::edge::{Append, Author, Edge, Failure, Hold, Question};
+use crate::lead::{claim, encode, persist};
+use crate::roster::{News, Subscribe, Unsubscribe};
+
+/// Time between two rounds of upkeep of a scheduler.
+const TICK: Duration = Duration::from_millis(200);
+/// Time that the last append of a leader may take.
+const RESIGN: Duration = Duration::from_secs(2);
+
+/// `Lead` is the leadership of a shard in one term.
+pub(super) struct Lead {
+    pub(super) term: ids::Term,
+    pub(super) scheduler: Scheduler,
+    /// Number of the latest append.
+    sequence: u64,
+    tick: SpawnHandle,
+}
+
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Shard<E, C> {
+    /// Takes an event of the election in, and carries out what it asks for.
+    pub(super) fn elect(&mut self, event: term::Event, ctx: &mut Context<Self>) {
+        let mut actions = Vec::new();
+        self.election.step(clock::now(), event, &mut actions);
+        for action in actions {
+            match action {
+                Elected::Claim { at, nonce } => self.claim(at, nonce, ctx),
+                Elected::Lead {
+                    term,
+                    succeeds,
+                    resigned,
+                } => self.take_over(term, succeeds, resigned, ctx),
+                Elected::Yield => self.give_up(ctx),
+            }
+        }
+    }
+
+    fn claim(&mut self, at: ids::Offset, nonce: u64, ctx: &mut Context<Self>) {
+        let append = match claim(self.topic(), at, self.setup.node.clone(), nonce) {
+            Ok(append) => append,
+            Err(problem) => {
+                error!(self.setup.logger, "claim not encoded"; "error" => %problem);
+                return;
+            }
+        };
+        let appended = self.setup.edge.append(append).into_actor(self);
+        ctx.spawn(appended.map(move |appended, act, ctx| {
+            info!(act.setup.logger, "shard claimed"; "shard" => act.setup.shard, "at" => at,
+                "outcome" => ?appended);
+            // A claim without an answer may still take effect; the log tells.
+            if appended.is_err_and(|failure| failure != Failure::Unknown) {
+                act.elect(term::Event::Refused, ctx);
+            }
+        }));
+    }
+
+    fn take_over(
+        &mut self,
+        term: ids::Term,
+        succeeds: bool,
+        resigned: bool,
+        ctx: &mut Context<Self>,
+    ) {
+        info!(self.setup.logger, "leads shard"; "shard" => self.setup.shard, "term" => term,
+            "succeeds" => succeeds, "resigned" => resigned);
+        let options = self.setup.options.clone();
+        let scheduler = Scheduler::new(options, term, succeeds, resigned, clock::now());
+        let tick = ctx.run_interval(TICK, |act, ctx| act.schedule(Event::Tick, ctx));
+        self.lead = Some(Lead {
+            term,
+            scheduler,
+            sequence: 0,
+            tick,
+        });
+        if let Some(config) = self.config.clone() {
+            self.schedule(Event::Config(config), ctx);
+        }
+        let drains: Vec<_> = self.drains.values().map(|drain| drain.worker.clone()).collect();
+        for worker in drains {
+            self.schedule(Event::Drain(worker, true), ctx);
+        }
+        let jobs: Vec<_> = self.book.jobs().map(|(job, _)| job.id.clone()).collect();
+        for job in jobs {
+            self.schedule_job(&job, ctx);
+        }
+        let recipient = ctx.address().recipient();
+        self.setup.roster.do_send(Subscribe(self.setup.shard, recipient));
+        self.setup.led.do_send(Led {
+            shard: self.setup.shard,
+            leads: true,
+        });
+    }
+
+    pub(super) fn give_up(&mut self, ctx: &mut Context<Self>) {
+        let Some(lead) = self.lead.take() else {
+            return;
+        };
+        warn!(self.setup.logger, "leads shard no more"; "shard" => self.setup.shard,
+            "term" => lead.term);
+        ctx.cancel_future(lead.tick);
+        self.setup.roster.do_send(Unsubscribe(self.setup.shard));
+        self.setup.led.do_send(Led {
+            shard: self.setup.shard,
+            leads: false,
+        });
+    }
+
+    /// Tells the scheduler of a job with all that is known of it.
+    pub(super) fn schedule_job(&mut self, job: &ids::Job, ctx: &mut Context<Self>) {
+        if self.lead.is_none() {
+            return;
+        }
+        let Some(entry) = self.book.get(job) else {
+            return;
+        };
+        if let Some(job) = &entry.job {
+            let event = Event::Job {
+                job: job.clone(),
+                offset: entry.offset,
+                progress: Box::new(entry.progress.clone()),
+                canceled: entry.canceled,
+            };
+            self.schedule(event, ctx);
+        }
+    }
+
+    /// Takes an event of the scheduler in, and carries out what it asks for.
+    pub(super) fn schedule(&mut self, event: Event, ctx: &mut Context<Self>) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let mut actions = Vec::new();
+        lead.scheduler.step(clock::now(), clock::wall(), event, &mut actions);
+        let term = lead.term;
+        for action in actions {
+            self.carry_out(term, action, ctx);
+        }
+    }
+
+    /// Takes in an event that an older term of this process may have asked for.
+    fn schedule_for(&mut self, term: ids::Term, event: Event, ctx: &mut Context<Self>) {
+        if self.lead.as_ref().is_some_and(|lead| lead.term == term) {
+            self.schedule(event, ctx);
+        }
+    }
+
+    fn carry_out(&mut self, term: ids::Term, action: Action, ctx: &mut Context<Self>) {
+        let edge = self.setup.edge.clone();
+        let sent = clock::now();
+        match action {
+            Action::Hold {
+                worker,
+                address,
+                token,
+                ack,
+                until,
+                wait,
+            } => {
+                let hold = Hold {
+                    worker: worker.clone(),
+                    address,
+                    token,
+                    ack,
+                    until,
+                    wait,
+                };
+                let held = edge.hold(hold).into_actor(self);
+                ctx.spawn(held.map(move |answer, act, ctx| {
+                    let held = Event::Held {
+                        worker,
+                        sent,
+                        answer,
+                    };
+                    act.schedule_for(term, held, ctx);
+                }));
+            }
+            Action::Call(call) => {
+                let called = edge.call(call.clone()).into_actor(self);
+                ctx.spawn(called.map(move |(answer, clock), act, ctx| {
+                    let called = Event::Called {
+                        call,
+                        sent,
+                        answer,
+                        clock,
+                    };
+                    act.schedule_for(term, called, ctx);
+                }));
+            }
+            Action::Advise {
+                job,
+                occurrence,
+                step,
+                workers,
+                limit,
+            } => {
+                let question = Question {
+                    job: job.clone(),
+                    occurrence,
+                    step,
+                    workers,
+                    limit,
+                };
+                let advised = edge.advise(question).into_actor(self);
+                ctx.spawn(advised.map(move |answer, act, ctx| {
+                    let advised = Event::Advised {
+                        job,
+                        occurrence,
+                        step,
+                        sent,
+                        answer,
+                    };
+                    act.schedule_for(term, advised, ctx);
+                }));
+            }
+            Action::Append(records) => self.append(term, &records, ctx),
+            Action::Later(worker, wait) => {
+                ctx.run_later(wait, move |act, ctx| {
+                    act.schedule_for(term, Event::Due(worker), ctx);
+                });
+            }
+            Action::Fenced => self.elect(term::Event::Fenced, ctx),
+            Action::Note {
+                what,
+                task,
+                run,
+                worker,
+            } => {
+                info!(self.setup.logger, "{}", what; "job" => %task.job,
+                    "task" => format!("{}.{}.{}", task.occurrence, task.step, task.index),
+                    "run" => run, "worker" => %worker, "term" => term);
+            }
+        }
+    }
+
+    fn append(&mut self, term: ids::Term, records: &[Record], ctx: &mut Context<Self>) {
+        let Some(append) = self.authored(records) else {
+            return;
+        };
+        let persisted = persist(self.setup.edge.clone(), append, None).into_actor(self);
+        ctx.spawn(persisted.map(move |appended, act, ctx| match appended {
+            Ok(_) => act.schedule_for(term, Event::Appended, ctx),
+            Err(failure) => {
+                warn!(act.setup.logger, "leader's append refused"; "shard" => act.setup.shard,
+                    "term" => term, "reason" => ?failure);
+                if act.lead.as_ref().is_some_and(|lead| lead.term == term) {
+                    act.elect(term::Event::Fenced, ctx);
+                }
+            }
+        }));
+    }
+
+    /// Makes the leader's next append.
+    fn authored(&mut self, records: &[Record]) -> Option<Append> {
+        let topic = self.topic();
+        let lead = self.lead.as_mut()?;
+        let records = match encode(records) {
+            Ok(records) => records,
+            Err(problem) => {
+                error!(self.setup.logger, "records not encoded"; "error" => %problem);
+                return None;
+            }
+        };
+        lead.sequence += 1;
+        Some(Append {
+            topic,
+            records,
+            at: None,
+            author: Some(Author {
+                term: lead.term,
+                sequence: lead.sequence,
+            }),
+        })
+    }
+}
+
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Handler<News> for Shard<E, C> {
+    type Result = ();
+
+    fn handle(&mut self, news: News, ctx: &mut Self::Context) {
+        match news {
+            News::Listed(reports) => {
+                for report in reports {
+                    if self.owns(&report.service) {
+                        self.schedule(Event::Listed(report), ctx);
+                    }
+                }
+            }
+            News::Unlisted(workers) => {
+                for worker in workers {
+                    self.schedule(Event::Unlisted(worker), ctx);
+                }
+            }
+            News::Hosts(hosts) => {
+                let own = hosts.into_iter().filter(|host| self.owns(&host.service));
+                let workers = own.filter_map(|host| host.worker).collect();
+                self.schedule(Event::Hosts(workers), ctx);
+            }
+        }
+    }
+}
+
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Handler<Leave> for Shard<E, C> {
+    type Result = ResponseActFuture<Self, ()>;
+
+    /// Gives the shard up at once: the record says that this leader sends nothing more.
+    fn handle(&mut self, _: Leave, ctx: &mut Self::Context) -> Self::Result {
+        let resignation = self.lead.as_ref().map(|lead| {
+            Record::Beat(Beat {
+                term: lead.term,
+                node: self.setup.node.clone(),
+                resigned: true,
+                ..Beat::default()
+            })
+        });
+        let append = resignation.and_then(|record| self.authored(&[record]));
+        self.elect(term::Event::Leave, ctx);
+        let edge = self.setup.edge.clone();
+        let logger = self.setup.logger.clone();
+        let resign = async move {
+            if let Some(append) = append {
+                let outcome = persist(edge, append, Some(clock::now() + RESIGN)).await;
+                info!(logger, "leadership given up"; "outcome" => ?outcome);
+            }
+        };
+        Box::pin(resign.into_actor(self))
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/shard/mod.rs
@@ -0,0 +1,305 @@
+//! Jobs of one shard: their fold, callers' requests about them, and the shard's leadership.
+
+mod lead;
+mod request;
+
+pub use request::{Answer, Cancel, Count, Fresh, Known, Query, Submit};
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix::{
+    Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, Recipient, WrapFuture,
+};
+use persimmongate_core::ids;
+use persimmongate_core::journal::{Book, Drain, Load, Record};
+use persimmongate_core::map::Map;
+use persimmongate_core::queue::Config;
+use persimmongate_core::sched::{Event, Options};
+use persimmongate_core::term::{self, Election};
+use persimmongate_node::admin::Dump;
+use persimmongate_node::clock;
+use persimmongate_node::supervisor::Guard;
+use persimmongate_wire::journal;
+use serde_json::{Value, json};
+use slog::{Logger, info, warn};
+
+use crate::edge::{Edge, Topic};
+use crate::follow::{Batch, Cursor};
+use crate::operator::Configured;
+use crate::roster::Roster;
+use lead::Lead;
+
+/// Time that a read waits for a record; candidates look after each.
+const WAIT: Duration = Duration::from_millis(500);
+/// Longest time that a process leaves to others before it claims a shard that nobody leads.
+const PATIENCE_MAX_MS: u64 = 250;
+/// Time that a process leaves to others for each shard that it leads already.
+const PATIENCE_EACH: Duration = Duration::from_millis(300);
+/// Age of the latest read above which the fold is not trusted to know all jobs.
+const FRESH: Duration = Duration::from_millis(2_500);
+
+/// `Seen` tells the fleet's leader what a shard's log says.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub enum Seen {
+    /// A host is to be freed, or no longer.
+    Drain(ids::Host, Option<Drain>),
+    /// Loads of the shard's services.
+    Loads(Vec<Load>),
+    /// A worker is free.
+    Vacated(ids::Worker),
+}
+
+/// `Burden` tells how many shards this process leads.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Burden(pub u32);
+
+/// `Led` tells that this process leads a shard, or no longer.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Led {
+    /// Shard.
+    pub shard: ids::Shard,
+    /// Whether this process leads it.
+    pub leads: bool,
+}
+
+/// `Leave` ends the leadership of the shard.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Leave;
+
+/// `Stop` ends the actor without a word to the log, before another one takes its place.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Stop;
+
+/// `Setup` is what a shard is made from.
+pub struct Setup<E: Edge, C: Copy + Send + Unpin + 'static> {
+    /// Number of the shard.
+    pub shard: ids::Shard,
+    /// Shards of the fleet.
+    pub shards: ids::Shard,
+    /// Platform.
+    pub edge: E,
+    /// Name of the process.
+    pub node: ids::Instance,
+    /// Limits of the scheduler.
+    pub options: Options,
+    /// Workers and hosts.
+    pub roster: Addr<Roster<E, C>>,
+    /// Told when this process leads the shard.
+    pub led: Recipient<Led>,
+    /// Told what the log says about hosts and loads.
+    pub seen: Recipient<Seen>,
+    /// Log lines.
+    pub logger: Logger,
+}
+
+/// `Shard` owns the fold of a shard's jobs, and leads the shard when it is this process's turn.
+pub struct Shard<E: Edge, C: Copy + Send + Unpin + 'static> {
+    setup: Setup<E, C>,
+    config: Option<Arc<Config>>,
+    /// Whether the partition is read; it is once a service belongs to the shard.
+    active: bool,
+    book: Book,
+    drains: Map<ids::Host, Drain>,
+    loads: Vec<Load>,
+    election: Election,
+    /// Time at which the latest read that reached the end was sent.
+    read: Option<Instant>,
+    lead: Option<Lead>,
+    _guard: Guard<C>,
+}
+
+/// Gets the shard of a service.
+#[must_use]
+pub fn shard_of(service: &ids::Service, shards: ids::Shard) -> ids::Shard {
+    // FNV-1a (Fowler, Noll, Vo): the same in every process and version.
+    let hash = service.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    // Shard 0 is that of the fleet's hosts.
+    let others = u64::from(shards.saturating_sub(1).max(1));
+    1 + ids::Shard::try_from(hash % others).unwrap_or(0)
+}
+
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Shard<E, C> {
+    /// Makes a shard; it reads nothing until a service belongs to it.
+    pub fn new(setup: Setup<E, C>, guard: Guard<C>) -> Self {
+        let patience = Duration::from_millis(rand::random_range(0..PATIENCE_MAX_MS));
+        let now = clock::now();
+        let election = Election::new(setup.node.clone(), rand::random(), patience, now);
+        Self {
+            setup,
+            config: None,
+            active: false,
+            book: Book::default(),
+            drains: Map::default(),
+            loads: Vec::new(),
+            election,
+            read: None,
+            lead: None,
+            _guard: guard,
+        }
+    }
+
+    fn topic(&self) -> Topic {
+        Topic::Jobs(self.setup.shard)
+    }
+
+    fn owns(&self, service: &ids::Service) -> bool {
+        shard_of(service, self.setup.shards) == self.setup.shard
+    }
+
+    /// Checks if all jobs accepted until a short time ago are known.
+    fn is_fresh(&self) -> bool {
+        let now = clock::now();
+        self.read.is_some_and(|at| now.saturating_duration_since(at) < FRESH)
+    }
+
+    fn read_on(&self, cursor: Cursor, ctx: &mut Context<Self>) {
+        let read = cursor.read(self.setup.edge.clone()).into_actor(self);
+        ctx.spawn(read.map(|(cursor, batch), act, ctx| {
+            match batch {
+                Ok(batch) => act.apply(&cursor, &batch, ctx),
+                Err(failure) => {
+                    warn!(act.setup.logger, "shard unread"; "shard" => act.setup.shard,
+                        "reason" => ?failure);
+                }
+            }
+            act.read_on(cursor, ctx);
+        }));
+    }
+
+    fn apply(&mut self, cursor: &Cursor, batch: &Batch, ctx: &mut Context<Self>) {
+        if batch.reset {
+            self.book.clear();
+            self.drains.clear();
+        }
+        for raw in &batch.records {
+            match journal::decode(&raw.key, raw.value.as_ref()) {
+                Ok(record) => self.note(raw.offset, &record, ctx),
+                Err(error) => {
+                    warn!(self.setup.logger, "record skipped"; "shard" => self.setup.shard,
+                        "offset" => raw.offset, "error" => %error);
+                }
+            }
+        }
+        if !cursor.is_at(batch.end) {
+            return;
+        }
+        self.read = Some(batch.sent);
+        let read = term::Event::Read {
+            sent: batch.sent,
+            end: batch.end,
+        };
+        self.elect(read, ctx);
+        self.schedule(Event::Confirmed(batch.sent), ctx);
+    }
+
+    /// Takes in a record of the log.
+    fn note(&mut self, offset: ids::Offset, record: &Record, ctx: &mut Context<Self>) {
+        self.book.apply(offset, record);
+        match record {
+            Record::Accepted(job) => {
+                let id = job.id.clone();
+                self.schedule_job(&id, ctx);
+            }
+            Record::Beat(beat) => {
+                if beat.term > 0 {
+                    self.loads.clone_from(&beat.loads);
+                    self.setup.seen.do_send(Seen::Loads(beat.loads.clone()));
+                }
+                let beat = beat.clone();
+                self.elect(term::Event::Beat { offset, beat }, ctx);
+            }
+            Record::Canceled(job) => self.schedule(Event::Canceled(job.clone()), ctx),
+            Record::Drain(host, drain) => {
+                let before = match drain {
+                    Some(drain) => self.drains.insert(host.clone(), drain.clone()),
+                    None => self.drains.remove(host),
+                };
+                if let Some(before) = before
+                    && drain.as_ref() != Some(&before)
+                {
+                    self.schedule(Event::Drain(before.worker, false), ctx);
+                }
+                if let Some(drain) = drain {
+                    self.schedule(Event::Drain(drain.worker.clone(), true), ctx);
+                }
+                let seen = Seen::Drain(host.clone(), drain.clone());
+                self.setup.seen.do_send(seen);
+            }
+            Record::Progress(..) => self.elect(term::Event::Heard, ctx),
+            Record::Vacated(worker, _) => {
+                self.setup.seen.do_send(Seen::Vacated(worker.clone()));
+            }
+            Record::Dropped(_) | Record::Wave(..) => {}
+        }
+    }
+
+    /// Gets the time that this process leaves to others before it claims the shard.
+    fn patience(burden: u32) -> Duration {
+        let jitter = Duration::from_millis(rand::random_range(0..PATIENCE_MAX_MS));
+        jitter + PATIENCE_EACH * burden
+    }
+}
+
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Actor for Shard<E, C> {
+    type Context = Context<Self>;
+}
+
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Handler<Configured> for Shard<E, C> {
+    type Result = ();
+
+    fn handle(&mut self, Configured(config): Configured, ctx: &mut Self::Context) {
+        let owns = config
+            .services
+            .iter()
+            .any(|service| !service.spare && self.owns(&service.name));
+        self.config = Some(config.clone());
+        if owns && !self.active {
+            info!(self.setup.logger, "shard in use"; "shard" => self.setup.shard);
+            self.active = true;
+            self.read_on(Cursor::new(self.topic(), WAIT), ctx);
+        }
+        self.schedule(Event::Config(config), ctx);
+    }
+}
+
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Handler<Burden> for Shard<E, C> {
+    type Result = ();
+
+    fn handle(&mut self, burden: Burden, _: &mut Self::Context) {
+        self.election.set_patience(Self::patience(burden.0));
+    }
+}
+
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Handler<Dump> for Shard<E, C> {
+    type Result = actix::MessageResult<Dump>;
+
+    fn handle(&mut self, _: Dump, _: &mut Self::Context) -> Self::Result {
+        let counts = self.lead.as_ref().map(|lead| {
+            let counts = lead.scheduler.counts().into_iter();
+            counts.map(|(name, count)| (name.to_owned(), json!(count))).collect::<serde_json::Map<_, _>>()
+        });
+        actix::MessageResult(json!({
+            "active": self.active,
+            "leader": self.election.leader().map(ToString::to_string),
+            "leads": counts.map(Value::Object),
+            "jobs": self.book.jobs().count(),
+            "fresh": self.is_fresh(),
+        }))
+    }
+}
+
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Handler<Stop> for Shard<E, C> {
+    type Result = ();
+
+    fn handle(&mut self, _: Stop, ctx: &mut Self::Context) {
+        ctx.stop();
+    }
+}
--- a/crates/node/src/logger/mod.rs
+++ b/crates/node/src/logger/mod.rs
@@ -1,21 +1,30 @@
 //! Structured log lines, written at changes of state only.
 
+use persimmongate_core::ids;
 use persimmongate_core::settings::{Format, Node};
 use slog::{Drain, Logger, o};
 
 /// Makes the root logger of a daemon.
 pub fn start(node: &Node) -> Logger {
+    begin(node.log, &node.instance, &node.zone)
+}
+
+/// Makes a root logger that writes lines of a form to standard output.
+///
+/// Lines wait in a bounded queue; those that don't fit are counted and dropped, so that nothing
+/// waits for them.
+pub fn begin(format: Format, instance: &ids::Instance, zone: &ids::Zone) -> Logger {
     let values = o!(
-        "instance" => node.instance.to_string(),
-        "zone" => node.zone.to_string(),
+        "instance" => instance.to_string(),
+        "zone" => zone.to_string(),
     );
-    match node.log {
+    match format {
         Format::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            let drain = slog_json::Json::default(std::io::stdout()).fuse();
             Logger::root(slog_async::Async::new(drain).build().fuse(), values)
         }
         Format::Terminal => {
-            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let decorator = slog_term::TermDecorator::new().stdout().build();
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
             Logger::root(slog_async::Async::new(drain).build().fuse(), values)
         }
