--- a/crates/core/src/sched/flush.rs
+++ b/crates/core/src/sched/flush.rs
@@ -6,10 +6,14 @@
 use crate::journal::{Beat, Record, Vacated};
 use crate::term::BEAT;
 
+/// Time between two appends, in which further ends gather: callers see an end that much later.
+const GATHER: Duration = Duration::from_millis(40);
+
 impl Scheduler {
     /// Appends what changed, one append at a time.
     pub(super) fn flush(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.pending.is_some() || self.fenced {
+        let early = now.saturating_duration_since(self.flushed) < GATHER;
+        if self.pending.is_some() || self.fenced || early {
             return;
         }
         let mut records = Vec::new();
@@ -40,6 +44,7 @@
             return;
         }
         self.pending = Some(acks);
+        self.flushed = now;
         actions.push(Action::Append(records));
     }
 
--- a/crates/core/src/sched/machine.rs
+++ b/crates/core/src/sched/machine.rs
@@ -49,6 +49,8 @@
     /// Time of day at the latest event, in milliseconds since the epoch.
     pub(super) wall: u64,
     pub(super) beat: Instant,
+    /// Time of the latest append.
+    pub(super) flushed: Instant,
     /// Runs that ended, for the metrics.
     pub(super) fenced: bool,
 }
@@ -81,6 +83,7 @@
             stirred: false,
             wall: 0,
             beat: now,
+            flushed: now,
             fenced: false,
         }
     }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -32,6 +32,10 @@
 
 /// Time that a read waits for a record; candidates look after each.
 const WAIT: Duration = Duration::from_millis(500);
+/// Time between two reads of a leader, in which records gather: a small part of a task's run time.
+const LEADER_PAUSE: Duration = Duration::from_millis(25);
+/// Time between two reads of the others, who only tell callers what became of their jobs.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(150);
 /// Longest time that a process leaves to others before it claims a shard that nobody leads.
 const PATIENCE_MAX_MS: u64 = 250;
 /// Time that a process leaves to others for each shard that it leads already.
@@ -163,6 +167,13 @@
     fn read_on(&self, cursor: Cursor, ctx: &mut Context<Self>) {
         let read = cursor.read(self.setup.edge.clone()).into_actor(self);
         ctx.spawn(read.map(|(cursor, batch), act, ctx| {
+            let pause = if batch.as_ref().is_ok_and(|batch| batch.records.is_empty()) {
+                Duration::ZERO
+            } else if act.lead.is_some() {
+                LEADER_PAUSE
+            } else {
+                FOLLOWER_PAUSE
+            };
             match batch {
                 Ok(batch) => act.apply(&cursor, &batch, ctx),
                 Err(failure) => {
@@ -170,7 +181,7 @@
                         "reason" => ?failure);
                 }
             }
-            act.read_on(cursor, ctx);
+            ctx.run_later(pause, move |act, ctx| act.read_on(cursor, ctx));
         }));
     }
 
