--- a/crates/core/src/sched/hold.rs
+++ b/crates/core/src/sched/hold.rs
@@ -35,7 +35,8 @@
             return;
         }
         worker.look = Look::Sent;
-        let until = if worker.runs.is_empty() {
+        // A worker that does not answer gets no longer lease, or its tasks could never go elsewhere.
+        let until = if worker.runs.is_empty() || worker.misses > 0 {
             None
         } else {
             worker.grant(now)
