--- /dev/null
+++ b/crates/core/tests/sched/main.rs
@@ -0,0 +1,179 @@
+//! The scheduler of a shard, against workers that keep to the platform's pages.
+
+mod soak;
+mod worker;
+mod world;
+
+use std::time::Duration;
+
+use persimmongate_core::job::Outcome;
+use persimmongate_core::sched::Event;
+
+use world::{Faults, World, lasting, step};
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn none(world: &World) {
+    assert_eq!(world.breaches, Vec::<String>::new());
+}
+
+#[test]
+fn verify_job_completes_in_the_order_of_its_steps() {
+    let mut world = World::new(3, 1);
+    world.submit("job", vec![step(6, 800, &[]), step(4, 500, &[0])]);
+    world.run(seconds(3));
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+    assert_eq!(world.starts, 10);
+    none(&world);
+}
+
+#[test]
+fn verify_tasks_wait_for_room() {
+    let mut world = World::new(1, 1);
+    world.submit("job", vec![step(9, 500, &[])]);
+    world.run(seconds(1));
+    assert_eq!(world.outcome("job"), None);
+    world.run(seconds(2));
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+    none(&world);
+}
+
+#[test]
+fn verify_failing_job_ends_as_failed_after_its_attempts() {
+    let mut world = World::new(3, 1);
+    world.faults.failed = 1_000;
+    world.submit("job", vec![step(1, 300, &[])]);
+    world.run(seconds(3));
+    assert_eq!(world.outcome("job"), Some(Outcome::Failed));
+    assert_eq!(world.starts, 2);
+    none(&world);
+}
+
+#[test]
+fn verify_silent_worker_loses_its_tasks_when_its_lease_ends() {
+    let mut world = World::new(2, 1);
+    world.submit("job", vec![lasting(1, 0)]);
+    world.run(seconds(2));
+    let before = world.running("job");
+    world.workers.get_mut(&before[0]).unwrap().up = false;
+    world.run(seconds(5));
+    let after = world.running("job");
+    assert_eq!(after.len(), 1);
+    assert_ne!(before, after);
+    none(&world);
+}
+
+#[test]
+fn verify_canceled_job_is_stopped() {
+    let mut world = World::new(2, 1);
+    world.submit("job", vec![lasting(2, 0)]);
+    world.run(seconds(2));
+    assert_eq!(world.running("job").len(), 2);
+    world.cancel("job");
+    world.run(seconds(1));
+    assert_eq!(world.running("job").len(), 0);
+    none(&world);
+}
+
+#[test]
+fn verify_start_without_an_answer_is_settled_before_the_task_starts_again() {
+    let mut world = World::new(3, 7);
+    world.faults = Faults {
+        lost: 300,
+        late: 200,
+        failed: 0,
+    };
+    for number in 0..20 {
+        world.submit(&format!("job-{number}"), vec![step(4, 400, &[])]);
+    }
+    world.run(seconds(40));
+    world.faults = Faults::default();
+    world.run(seconds(20));
+    for number in 0..20 {
+        assert_eq!(world.outcome(&format!("job-{number}")), Some(Outcome::Completed));
+    }
+    none(&world);
+}
+
+#[test]
+fn verify_worker_that_starts_again_has_nothing_of_before() {
+    let mut world = World::new(1, 1);
+    world.submit("job", vec![lasting(2, 0), step(2, 3_000, &[])]);
+    world.run(seconds(1));
+    let now = world.now;
+    world.workers.get_mut("w0").unwrap().restart(now);
+    world.list("w0", true);
+    world.run(seconds(2));
+    assert_eq!(world.running("job"), ["w0"]);
+    assert_eq!(world.workers["w0"].runs.len(), 3);
+    none(&world);
+}
+
+#[test]
+fn verify_new_leader_takes_over_what_runs() {
+    let mut world = World::new(3, 1);
+    world.submit("job", vec![step(6, 2_000, &[])]);
+    world.run(seconds(1));
+    world.leaders[0].up = false;
+    world.lead();
+    world.run(seconds(3));
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+    assert_eq!(world.starts, 6);
+    none(&world);
+}
+
+#[test]
+fn verify_new_leader_waits_for_workers_that_an_older_one_may_use() {
+    let mut world = World::new(2, 1);
+    world.submit("job", vec![step(2, 6_000, &[])]);
+    world.run(seconds(1));
+    // The old leader has lost the log, but still reaches a worker that the new one doesn't.
+    world.leaders[0].linked = false;
+    let held = world.running("job")[0].clone();
+    world.workers.get_mut(&held).unwrap().reachable = false;
+    world.leaders[0].up = false;
+    world.lead();
+    world.run(seconds(2));
+    assert_eq!(world.starts, 2);
+    // Jobs from after the claim don't wait.
+    world.submit("new", vec![step(1, 300, &[])]);
+    world.run(seconds(1));
+    assert_eq!(world.outcome("new"), Some(Outcome::Completed));
+    world.run(seconds(20));
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+    none(&world);
+}
+
+#[test]
+fn verify_leader_without_the_log_gives_no_orders_after_a_time() {
+    let mut world = World::new(2, 1);
+    world.run(seconds(1));
+    world.leaders[0].linked = false;
+    world.run(seconds(6));
+    let leader = world.leaders.len() - 1;
+    world.submit("job", vec![step(1, 300, &[])]);
+    world.tell(leader, Event::Tick);
+    world.run(seconds(2));
+    assert_eq!(world.starts, 0);
+    none(&world);
+}
+
+#[test]
+fn verify_drained_worker_is_freed_within_what_its_steps_may_miss() {
+    let mut world = World::new(4, 1);
+    world.submit("job", vec![lasting(3, 1)]);
+    world.run(seconds(2));
+    let busy = world.running("job");
+    assert_eq!(busy.len(), 3);
+    world.tell(0, Event::Drain(busy[0].as_str().into(), true));
+    world.tell(0, Event::Drain(busy[1].as_str().into(), true));
+    world.run(Duration::from_millis(100));
+    // One may be away at a time, and only one spare worker can take a task.
+    let stopping = world.workers.values().flat_map(|w| w.runs.values());
+    assert_eq!(stopping.filter(|run| run.stopping.is_some()).count(), 1);
+    world.run(seconds(5));
+    assert!(world.workers[&busy[0]].runs.is_empty() || world.workers[&busy[1]].runs.is_empty());
+    none(&world);
+}
--- /dev/null
+++ b/crates/core/tests/sched/worker.rs
@@ -0,0 +1,187 @@
+//! A worker as the platform's pages describe it, with a clock of its own.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bytestring::ByteString;
+use persimmongate_core::ids;
+use persimmongate_core::job::Task;
+use persimmongate_core::sched::{Answer, Call, End, Listing, Order, Report, Room, Row};
+
+/// Time that a worker takes to stop a run.
+const STOP: Duration = Duration::from_millis(300);
+
+/// `Going` is a run on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Going {
+    pub(crate) run: ids::Run,
+    pub(crate) room: Room,
+    pub(crate) since: Instant,
+    /// Time at which it ends by itself, and how; nothing for a lasting task.
+    pub(crate) end: Option<(Instant, End)>,
+    pub(crate) stopping: Option<Instant>,
+}
+
+/// `Worker` is one host's worker; a new life forgets everything.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) report: Report,
+    pub(crate) up: bool,
+    pub(crate) reachable: bool,
+    begin: Instant,
+    /// Thousandths of its clock's speed.
+    rate: u64,
+    pub(crate) token: ids::Term,
+    until: u64,
+    pub(crate) runs: BTreeMap<Task, Going>,
+    /// Highest run of each task that ended or was stopped here.
+    closed: BTreeMap<Task, ids::Run>,
+    pub(crate) ended: Vec<(u64, Task, ids::Run, End, ByteString)>,
+    numbers: u64,
+}
+
+/// `Outcome` is how a run ended on a worker.
+pub(crate) type Outcome = (u64, Task, ids::Run, End);
+
+impl Worker {
+    pub(crate) fn new(report: Report, begin: Instant, rate: u64) -> Self {
+        Self {
+            report,
+            up: true,
+            reachable: true,
+            begin,
+            rate,
+            token: 0,
+            until: 0,
+            runs: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            ended: Vec::new(),
+            numbers: 0,
+        }
+    }
+
+    /// Starts a new life under the same name.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        self.report.born += 1 + u64::try_from((now - self.begin).as_millis()).unwrap();
+        *self = Self::new(self.report.clone(), now, self.rate);
+    }
+
+    fn clock(&self, now: Instant) -> u64 {
+        u64::try_from((now - self.begin).as_millis()).unwrap() * self.rate / 1_000 + 5_000
+    }
+
+    pub(crate) fn used(&self) -> Room {
+        let mut used = Room::default();
+        for run in self.runs.values() {
+            used.cpu += run.room.cpu;
+            used.memory += run.room.memory;
+        }
+        used
+    }
+
+    /// Ends what is due; gets what ended.
+    pub(crate) fn advance(&mut self, now: Instant) -> Vec<Outcome> {
+        let lapsed = self.clock(now) > self.until;
+        let mut ended = Vec::new();
+        for (task, run) in &self.runs {
+            let stopped = run.stopping.is_some_and(|at| at + STOP <= now);
+            let end = match run.end {
+                Some((at, end)) if at <= now => Some(end),
+                _ if stopped || lapsed => Some(End::Cut),
+                _ => None,
+            };
+            ended.extend(end.map(|end| (task.clone(), run.run, end)));
+        }
+        let mut outcomes = Vec::new();
+        for (task, run, end) in ended {
+            self.runs.remove(&task);
+            self.numbers += 1;
+            self.closed.insert(task.clone(), run);
+            self.ended.push((self.numbers, task.clone(), run, end, ByteString::new()));
+            outcomes.push((self.numbers, task, run, end));
+        }
+        outcomes
+    }
+
+    /// Answers a question about its runs; gets the ends that were acknowledged.
+    pub(crate) fn hold(
+        &mut self,
+        now: Instant,
+        token: ids::Term,
+        ack: u64,
+        until: Option<u64>,
+    ) -> (Result<Listing, Answer>, Vec<Outcome>) {
+        if token < self.token {
+            return (Err(Answer::Fenced), Vec::new());
+        }
+        self.token = token;
+        self.until = self.until.max(until.unwrap_or(0));
+        let mut noted = Vec::new();
+        for (number, task, run, end, _) in &self.ended {
+            if *number <= ack {
+                noted.push((*number, task.clone(), *run, *end));
+            }
+        }
+        self.ended.retain(|(number, ..)| *number > ack);
+        let row = |(task, run): (&Task, &Going)| Row {
+            task: task.clone(),
+            run: run.run,
+            saved: ByteString::new(),
+            percent: match run.end {
+                None => 100,
+                Some((end, _)) => {
+                    let whole = (end - run.since).as_millis().max(1);
+                    u32::try_from((now - run.since).as_millis() * 100 / whole).unwrap()
+                }
+            },
+            figure: 0,
+        };
+        let listing = Listing {
+            born: self.report.born,
+            clock: self.clock(now),
+            running: self.runs.iter().map(row).collect(),
+            ended: self.ended.clone(),
+        };
+        (Ok(listing), noted)
+    }
+
+    /// Carries an order out; gets whether a run started.
+    pub(crate) fn call(
+        &mut self,
+        now: Instant,
+        call: &Call,
+        going: impl FnOnce() -> Going,
+    ) -> (Answer, bool) {
+        if call.token < self.token {
+            return (Answer::Fenced, false);
+        }
+        self.token = call.token;
+        match &call.order {
+            Order::Start { until, .. } => {
+                if *until < self.clock(now) {
+                    return (Answer::Late, false);
+                }
+                self.until = self.until.max(*until);
+                if self.runs.get(&call.task).is_some_and(|run| run.run == call.run) {
+                    return (Answer::Done, false);
+                }
+                if self.closed.get(&call.task).is_some_and(|run| *run >= call.run) {
+                    return (Answer::Old, false);
+                }
+                self.runs.insert(call.task.clone(), going());
+                (Answer::Done, true)
+            }
+            Order::Stop => {
+                let closed = self.closed.entry(call.task.clone()).or_default();
+                *closed = (*closed).max(call.run);
+                if let Some(run) = self.runs.get_mut(&call.task)
+                    && run.run <= call.run
+                {
+                    run.stopping.get_or_insert(now);
+                }
+                (Answer::Done, false)
+            }
+            Order::Pace(_) => (Answer::Done, false),
+        }
+    }
+}
