Let hosts follow the demand of the services

Ruled out: the order inside a queue (nearly all refused jobs would have missed their objective in their own pool).

The planner of hosts gives each service room for its demand, from the spare pool first, and gives back what runs nothing. A host on its way counts where it goes.

--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -110,12 +110,15 @@
 
     /// Gets the declared work of one occurrence, in thousandths of a core times seconds.
     #[must_use]
-    pub fn work(&self) -> f64 {
-        let work = |step: &Step| step.cpu as f64 * step.estimate.as_secs_f64();
+    pub fn work(&self) -> u64 {
+        let work = |step: &Step| {
+            let millis = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+            u64::from(step.count) * step.cpu * millis / 1_000
+        };
         self.steps
             .iter()
             .filter(|step| !step.lasting)
-            .map(|step| f64::from(step.count) * work(step))
+            .map(work)
             .sum()
     }
 
--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -61,7 +61,7 @@
 }
 
 /// `Load` is the demand and the room of a service.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Load {
     /// Service.
     pub service: ids::Service,
@@ -75,6 +75,12 @@
     pub waiting: u64,
     /// Time that a job handed in now waits for its first start.
     pub delay: Duration,
+    /// Work of the jobs accepted lately, in thousandths of a core times seconds, a second.
+    pub offered: u64,
+    /// Hosts without which a lasting step can't be spread as it asks.
+    pub spread: u32,
+    /// Workers that run nothing.
+    pub idle: Vec<ids::Worker>,
 }
 
 /// `Drain` asks the leader of a shard to free a worker of tasks.
--- a/crates/core/src/sched/advice.rs
+++ b/crates/core/src/sched/advice.rs
@@ -46,7 +46,11 @@
             .workers
             .values()
             .filter(|worker| worker.is_usable(now) && worker.report.service == service)
-            .filter(|worker| step.label.as_ref().is_none_or(|label| worker.has_label(label)))
+            .filter(|worker| {
+                step.label
+                    .as_ref()
+                    .is_none_or(|label| worker.has_label(label))
+            })
             .map(|worker| {
                 let free = worker.free();
                 (!free.holds(room), free.cpu, worker.report.worker.clone())
--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -29,7 +29,7 @@
             worker.vacated &= on;
             self.stirred = true;
         }
-        self.evacuate(now, id, actions);
+        self.free_hosts(now, actions);
     }
 
     /// Stops the lasting tasks of a worker that leaves; they start elsewhere.
@@ -41,7 +41,10 @@
             return;
         }
         let forced = worker.report.draining;
-        let lasting = worker.runs.iter().filter(|(_, run)| run.lasting && run.stage == Stage::Running);
+        let lasting = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| run.lasting && run.stage == Stage::Running);
         let lasting: Vec<Task> = lasting.map(|(task, _)| task.clone()).collect();
         for task in lasting {
             if forced || self.may_stop(&task) {
@@ -77,15 +80,16 @@
             let worker = self.workers.get(id);
             let task = work.task(own.occurrence, own.step, index);
             let run = worker.and_then(|worker| worker.runs.get(&task));
-            let works = run.is_some_and(|run| {
-                run.stage == Stage::Running && run.percent >= AT_WORK
-            });
+            let works =
+                run.is_some_and(|run| run.stage == Stage::Running && run.percent >= AT_WORK);
             let sound = worker.is_some_and(|worker| {
                 worker.misses == 0 && worker.listed && !worker.report.draining
             });
             runs.insert(index, works && sound);
         }
-        let others = runs.iter().filter(|(index, works)| **index as usize != but && !**works);
+        let others = runs
+            .iter()
+            .filter(|(index, works)| **index as usize != but && !**works);
         others.count()
     }
 
--- a/crates/core/src/sched/ends.rs
+++ b/crates/core/src/sched/ends.rs
@@ -54,7 +54,10 @@
         {
             work.stages[stage].items[index].saved = saved.clone();
         }
-        let current = self.workers.get(id).and_then(|worker| worker.runs.get(task));
+        let current = self
+            .workers
+            .get(id)
+            .and_then(|worker| worker.runs.get(task));
         if current.is_some_and(|known| known.run <= run) {
             let what = match end {
                 End::Done => "done",
@@ -132,7 +135,11 @@
         }
         work.stages[stage].items[index].avoid.push(id.clone());
         // A gang fails as one.
-        let counted = work.task(task.occurrence, task.step, if gang { 0 } else { task.index });
+        let counted = work.task(
+            task.occurrence,
+            task.step,
+            if gang { 0 } else { task.index },
+        );
         work.dirty |= work.progress.note_failed(&counted, run);
         let failures = work.progress.failures(&counted);
         let queue = self.config.queue(&work.job.queue);
--- a/crates/core/src/sched/flush.rs
+++ b/crates/core/src/sched/flush.rs
@@ -9,6 +9,9 @@
 /// Time between two appends, in which further ends gather: callers see an end that much later.
 const GATHER: Duration = Duration::from_millis(40);
 
+/// Time between two beats that go with other records, so that loads are known soon under change.
+const BUSY_BEAT: Duration = Duration::from_millis(200);
+
 impl Scheduler {
     /// Appends what changed, one append at a time.
     pub(super) fn flush(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -24,7 +27,8 @@
         for worker in std::mem::take(&mut self.freed) {
             records.push(Record::Vacated(worker, Vacated { term: self.term }));
         }
-        if now.saturating_duration_since(self.beat) >= BEAT {
+        let age = now.saturating_duration_since(self.beat);
+        if age >= BEAT || (age >= BUSY_BEAT && !records.is_empty()) {
             self.beat = now;
             records.push(Record::Beat(Beat {
                 term: self.term,
--- a/crates/core/src/sched/hold.rs
+++ b/crates/core/src/sched/hold.rs
@@ -122,7 +122,10 @@
             self.note_end(now, id, *number, (task, *run), *end, saved, actions);
         }
         for row in &listing.running {
-            let known = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(&row.task));
+            let known = self
+                .workers
+                .get_mut(id)
+                .and_then(|w| w.runs.get_mut(&row.task));
             match known {
                 Some(run) if run.run == row.run => {
                     run.observe(row, now);
@@ -164,8 +167,7 @@
             run.describe(&step);
             let item = &mut work.stages[stage].items[index];
             item.run = item.run.max(number);
-            if !work.is_over() && work.stages[stage].items[index].place == Place::Idle
-            {
+            if !work.is_over() && work.stages[stage].items[index].place == Place::Idle {
                 work.put(stage, index, Place::On(id.clone()));
                 run.wanted = true;
                 if !work.progress.started {
@@ -212,12 +214,7 @@
     }
 
     /// Drops what another life of a worker ran; starts that were not answered may still arrive.
-    pub(super) fn lose_life(
-        &mut self,
-        id: &ids::Worker,
-        born: u64,
-        actions: &mut Vec<Action>,
-    ) {
+    pub(super) fn lose_life(&mut self, id: &ids::Worker, born: u64, actions: &mut Vec<Action>) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -248,12 +245,7 @@
 }
 
 /// Makes the line about what became of a run.
-pub(super) fn note(
-    what: &'static str,
-    task: &Task,
-    run: ids::Run,
-    worker: &ids::Worker,
-) -> Action {
+pub(super) fn note(what: &'static str, task: &Task, run: ids::Run, worker: &ids::Worker) -> Action {
     Action::Note {
         what,
         task: task.clone(),
--- a/crates/core/src/sched/machine.rs
+++ b/crates/core/src/sched/machine.rs
@@ -2,11 +2,11 @@
 use std::time::{Duration, Instant};
 
 use super::event::{Action, Event};
+use super::load::Offers;
 use super::settle::Settling;
 use super::work::Work;
 use super::worker::{Room, Worker};
 use crate::ids;
-use crate::journal::Load;
 use crate::map::{Map, Set};
 use crate::queue::Config;
 
@@ -51,7 +51,9 @@
     pub(super) beat: Instant,
     /// Time of the latest append.
     pub(super) flushed: Instant,
-    /// Runs that ended, for the metrics.
+    /// Work of the jobs that came lately.
+    pub(super) offers: Offers,
+    /// Whether a worker has seen a newer term.
     pub(super) fenced: bool,
 }
 
@@ -84,6 +86,7 @@
             wall: 0,
             beat: now,
             flushed: now,
+            offers: Offers::default(),
             fenced: false,
         }
     }
@@ -107,38 +110,6 @@
         !self.fenced && now.saturating_duration_since(self.confirmed) < super::settle::CONFIRM
     }
 
-    /// Gets the demand and the room of each service of the shard.
-    #[must_use]
-    pub fn loads(&self, now: Instant) -> Vec<Load> {
-        let mut loads: Map<ids::Service, Load> = Map::default();
-        for worker in self.workers.values() {
-            let load = entry(&mut loads, &worker.report.service);
-            if worker.listed && !worker.report.draining && !worker.vacating {
-                load.room += worker.report.room.cpu;
-            }
-            for run in worker.runs.values() {
-                if run.lasting {
-                    load.lasting += run.room.cpu;
-                } else {
-                    load.used += run.room.cpu;
-                }
-            }
-        }
-        for work in self.works.values().filter(|work| !work.is_over()) {
-            let waiting = work.waiting(now);
-            let load = entry(&mut loads, &self.service_of(work));
-            load.waiting += waiting;
-        }
-        let mut loads: Vec<Load> = loads.into_values().collect();
-        for load in &mut loads {
-            let room = load.room.saturating_sub(load.lasting).max(1);
-            // Work that runs is half done on average.
-            load.delay = Duration::from_secs_f64(load.waiting as f64 / room as f64);
-        }
-        loads.sort_by(|a, b| a.service.cmp(&b.service));
-        loads
-    }
-
     /// Gets the service whose workers run a job now.
     pub(super) fn service_of(&self, work: &Work) -> ids::Service {
         let queue = self.config.queue(&work.job.queue);
@@ -164,14 +135,3 @@
         self.workers.get(worker).map(Worker::free)
     }
 }
-
-fn entry<'a>(loads: &'a mut Map<ids::Service, Load>, service: &ids::Service) -> &'a mut Load {
-    loads.entry(service.clone()).or_insert_with(|| Load {
-        service: service.clone(),
-        used: 0,
-        lasting: 0,
-        room: 0,
-        waiting: 0,
-        delay: Duration::ZERO,
-    })
-}
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -11,6 +11,7 @@
 mod event;
 mod flush;
 mod hold;
+mod load;
 mod machine;
 mod order;
 mod pace;
--- a/crates/core/src/sched/order.rs
+++ b/crates/core/src/sched/order.rs
@@ -30,7 +30,10 @@
             return;
         };
         if let Some(clock) = clock
-            && worker.runs.get(&call.task).is_some_and(|run| sent >= run.since)
+            && worker
+                .runs
+                .get(&call.task)
+                .is_some_and(|run| sent >= run.since)
         {
             worker.note_clock(clock, now);
         }
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -52,7 +52,10 @@
                 failures: worker.failures,
                 fills: worker.runs.values().filter(|run| run.fills).count(),
             };
-            seats.entry(worker.report.service.clone()).or_default().push(seat);
+            seats
+                .entry(worker.report.service.clone())
+                .or_default()
+                .push(seat);
         }
         for (_, job) in queue {
             self.place_job(now, &job, &mut seats, actions);
@@ -143,9 +146,15 @@
         let mut racks: Vec<Option<ids::Label>> = Vec::new();
         if step.same_rack {
             for seat in seats.iter() {
-                let labels = self.workers.get(&seat.worker).map(|w| w.report.labels.clone());
+                let labels = self
+                    .workers
+                    .get(&seat.worker)
+                    .map(|w| w.report.labels.clone());
                 let labels = labels.unwrap_or_default();
-                let new = labels.into_iter().map(Some).filter(|label| !racks.contains(label));
+                let new = labels
+                    .into_iter()
+                    .map(Some)
+                    .filter(|label| !racks.contains(label));
                 racks.extend(new.collect::<Vec<_>>());
             }
         }
@@ -189,7 +198,10 @@
 
     /// Chooses the worker for a task: near its data, proven, and the fullest that still has room, so
     /// that whole hosts come free.
-    #[expect(clippy::too_many_arguments, reason = "the seats and counts change with each pick")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the seats and counts change with each pick"
+    )]
     fn pick(
         &self,
         job: &ids::Job,
@@ -202,14 +214,21 @@
     ) -> Option<Pick> {
         let work = self.works.get(job)?;
         let item = &work.stages[stage].items[index];
-        let task = work.task(work.stages[stage].occurrence, work.stages[stage].step, index_of(index));
+        let task = work.task(
+            work.stages[stage].occurrence,
+            work.stages[stage].step,
+            index_of(index),
+        );
         let room = Room::of(step);
         let mut best: Option<((bool, bool, bool, u64, usize), usize)> = None;
         for (at, seat) in seats.iter().enumerate() {
             let Some(worker) = self.workers.get(&seat.worker) else {
                 continue;
             };
-            let label = step.label.as_ref().is_none_or(|label| worker.has_label(label));
+            let label = step
+                .label
+                .as_ref()
+                .is_none_or(|label| worker.has_label(label));
             let within = rack.is_none_or(|rack| worker.has_label(rack));
             let count = counts.get(&seat.worker).copied().unwrap_or(0);
             let spread = step.per_worker.is_none_or(|most| count < most);
@@ -222,7 +241,10 @@
             if !(label && within && spread && new && advised && seat.free.holds(room)) {
                 continue;
             }
-            let far = step.rack.as_ref().is_some_and(|rack| !worker.has_label(rack));
+            let far = step
+                .rack
+                .as_ref()
+                .is_some_and(|rack| !worker.has_label(rack));
             let avoided = item.avoid.contains(&seat.worker);
             let crowd = if step.fills { seat.fills } else { 0 };
             let left = seat.free.cpu - room.cpu;
@@ -266,7 +288,9 @@
             return;
         };
         // The members of a gang share the number of their run and what was saved.
-        let numbers = picks.iter().map(|pick| work.next_run(term, stage, pick.index));
+        let numbers = picks
+            .iter()
+            .map(|pick| work.next_run(term, stage, pick.index));
         let shared = numbers.max().filter(|_| step.gang);
         let saved = work.stages[stage].items.iter().map(|item| &item.saved);
         let saved = saved.max().filter(|_| step.gang).cloned();
--- a/crates/core/src/sched/step.rs
+++ b/crates/core/src/sched/step.rs
@@ -121,8 +121,9 @@
             return;
         }
         let queue = self.config.queue(&job.queue);
-        let (stretch, allowance) =
-            queue.map_or((2.0, Duration::ZERO), |queue| (queue.stretch, queue.allowance));
+        let (stretch, allowance) = queue.map_or((2.0, Duration::ZERO), |queue| {
+            (queue.stretch, queue.allowance)
+        });
         let objective = job.chain().mul_f64(stretch) + allowance;
         let age = Duration::from_millis(self.wall.saturating_sub(job.accepted)).min(AGE_MAX);
         let accepted = now.checked_sub(age).unwrap_or(now);
@@ -130,6 +131,10 @@
         // A record after the claim of the term was read by no older leader that could act on it.
         work.old = offset < self.term - 1;
         work.over = work.is_over().then_some(now);
+        if !work.is_over() {
+            let service = self.service_of(&work);
+            self.offers.note(now, service, job.work());
+        }
         work.open(self.wall);
         self.works.insert(job.id.clone(), work);
         self.stirred = true;
--- a/crates/core/src/upkeep/mod.rs
+++ b/crates/core/src/upkeep/mod.rs
@@ -4,6 +4,7 @@
 //! called by one holder at a time: a new leader waits until an older one can't have an order on its
 //! way.
 
+mod balance;
 mod event;
 mod host;
 mod planner;
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::balance::Balance;
 use super::event::{Action, Answer, Event, Kind, Order};
 use super::host::{Host, State};
 use super::wave::Tour;
@@ -65,6 +66,7 @@
     listed: Map<ids::Host, Instant>,
     pub(super) loads: Map<ids::Service, Load>,
     tours: Vec<Tour>,
+    pub(super) balance: Balance,
     pub(super) tasks: Map<ids::Host, Task>,
     /// Hosts that were told to go down, with the time.
     down: Map<ids::Host, Instant>,
@@ -85,7 +87,11 @@
         succeeds: bool,
         now: Instant,
     ) -> Self {
-        let wait = if succeeds { options.lease + FRESH } else { Duration::ZERO };
+        let wait = if succeeds {
+            options.lease + FRESH
+        } else {
+            Duration::ZERO
+        };
         Self {
             options,
             node,
@@ -95,6 +101,7 @@
             listed: Map::default(),
             loads: Map::default(),
             tours: Vec::new(),
+            balance: Balance::default(),
             tasks: Map::default(),
             down: Map::default(),
             drains: Map::default(),
@@ -109,7 +116,11 @@
             Event::Config(config) => self.config = config,
             Event::Hosts(hosts) => self.note_hosts(now, hosts),
             Event::Wave(wave) => {
-                if !self.tours.iter().any(|tour| tour.wave.number == wave.number) {
+                if !self
+                    .tours
+                    .iter()
+                    .any(|tour| tour.wave.number == wave.number)
+                {
                     self.tours.push(Tour::new(wave));
                 }
             }
@@ -149,6 +160,7 @@
     fn note_hosts(&mut self, now: Instant, hosts: Vec<Host>) {
         for host in hosts {
             self.listed.insert(host.host.clone(), now);
+            self.balance.note_host(now, &host);
             if host.state == State::Upkeep {
                 self.down.insert(host.host.clone(), now);
             }
@@ -204,17 +216,26 @@
         let Some(task) = self.tasks.remove(host) else {
             return;
         };
-        if let Kind::Maintain(number) = task.kind {
-            self.down.insert(host.clone(), now);
-            if let Some(entry) = self.hosts.get_mut(host) {
-                entry.state = State::Upkeep;
-            }
-            if let Some(tour) = self.tours.iter_mut().find(|t| t.wave.number == number) {
-                tour.done.insert(host.clone());
-                actions.push(Action::Record(number, tour.done.iter().cloned().collect()));
-            }
-        } else if let Some(entry) = self.hosts.get_mut(host) {
-            entry.state = State::Moving;
+        match task.kind {
+            Kind::Maintain(number) => self.finish_upkeep(now, host, number, actions),
+            Kind::Move(service) => self.balance.note_move(now, host, &service),
+        }
+    }
+
+    fn finish_upkeep(
+        &mut self,
+        now: Instant,
+        host: &ids::Host,
+        number: ids::WaveNumber,
+        actions: &mut Vec<Action>,
+    ) {
+        self.down.insert(host.clone(), now);
+        if let Some(entry) = self.hosts.get_mut(host) {
+            entry.state = State::Upkeep;
+        }
+        if let Some(tour) = self.tours.iter_mut().find(|t| t.wave.number == number) {
+            tour.done.insert(host.clone());
+            actions.push(Action::Record(number, tour.done.iter().cloned().collect()));
         }
     }
 
@@ -224,10 +245,12 @@
         }
         // The list lags, so a host that was told to go down counts as down for a while.
         let gone = self.options.upkeep + LAG;
-        self.down.retain(|_, at| now.saturating_duration_since(*at) < gone);
+        self.down
+            .retain(|_, at| now.saturating_duration_since(*at) < gone);
         self.tell(actions);
         self.drop_stale(now, actions);
         self.plan_waves(now, actions);
+        self.plan_moves(now, actions);
         self.steer(now, actions);
     }
 
@@ -235,7 +258,8 @@
     fn tell(&mut self, actions: &mut Vec<Action>) {
         let known = !self.hosts.is_empty();
         for tour in &mut self.tours {
-            let open = |host: &&ids::Host| !tour.done.contains(*host) && self.hosts.contains_key(*host);
+            let open =
+                |host: &&ids::Host| !tour.done.contains(*host) && self.hosts.contains_key(*host);
             let complete = known && !tour.wave.hosts.iter().any(|host| open(&host));
             if tour.told.is_none() || (tour.told == Some(false) && complete) {
                 tour.told = Some(complete);
@@ -250,7 +274,10 @@
         let mut stale = Vec::new();
         for (host, task) in &self.tasks {
             let worker = hosts.get(host).and_then(|host| host.worker.clone());
-            let other = task.drain.as_ref().is_some_and(|drain| worker.as_ref() != Some(&drain.worker));
+            let other = task
+                .drain
+                .as_ref()
+                .is_some_and(|drain| worker.as_ref() != Some(&drain.worker));
             let slow = !task.vacated && now.saturating_duration_since(task.since) > DRAIN_MAX;
             if !task.sent && !task.doubtful && (other || slow) {
                 stale.push(host.clone());
@@ -263,9 +290,13 @@
                 actions.push(Action::Undrain(host, drain));
             }
         }
-        let orphans = self.drains.iter().filter(|(host, _)| !self.tasks.contains_key(*host));
-        let orphans: Vec<(ids::Host, Drain)> =
-            orphans.map(|(host, drain)| (host.clone(), drain.clone())).collect();
+        let orphans = self
+            .drains
+            .iter()
+            .filter(|(host, _)| !self.tasks.contains_key(*host));
+        let orphans: Vec<(ids::Host, Drain)> = orphans
+            .map(|(host, drain)| (host.clone(), drain.clone()))
+            .collect();
         for (host, drain) in orphans {
             self.drains.remove(&host);
             actions.push(Action::Undrain(host, drain));
@@ -277,7 +308,11 @@
         let mut plans: Vec<(ids::Host, Kind)> = Vec::new();
         for tour in &self.tours {
             let number = tour.wave.number;
-            let busy = self.tasks.values().filter(|t| t.kind == Kind::Maintain(number)).count();
+            let busy = self
+                .tasks
+                .values()
+                .filter(|t| t.kind == Kind::Maintain(number))
+                .count();
             // The next hosts are freed while others are down.
             let most = tour.wave.cap + tour.wave.cap.div_ceil(2);
             let mut open: Vec<(u64, &Host)> = tour
@@ -290,7 +325,12 @@
                 .map(|host| (self.press(&host.service), host))
                 .collect();
             open.sort_by_key(|(press, host)| (*press, host.host.clone()));
-            let down = tour.wave.hosts.iter().filter(|host| self.down.contains_key(*host)).count();
+            let down = tour
+                .wave
+                .hosts
+                .iter()
+                .filter(|host| self.down.contains_key(*host))
+                .count();
             let room = most.saturating_sub(busy + down);
             let next = open.into_iter().take(room);
             plans.extend(next.map(|(_, host)| (host.host.clone(), Kind::Maintain(number))));
@@ -311,7 +351,9 @@
     }
 
     pub(super) fn is_spare(&self, service: &ids::Service) -> bool {
-        self.config.service(service).is_some_and(|service| service.spare)
+        self.config
+            .service(service)
+            .is_some_and(|service| service.spare)
     }
 
     pub(super) fn begin(
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -92,7 +92,10 @@
     world.faults = Faults::default();
     world.run(seconds(20));
     for number in 0..20 {
-        assert_eq!(world.outcome(&format!("job-{number}")), Some(Outcome::Completed));
+        assert_eq!(
+            world.outcome(&format!("job-{number}")),
+            Some(Outcome::Completed)
+        );
     }
     none(&world);
 }
--- a/crates/core/tests/sched/soak.rs
+++ b/crates/core/tests/sched/soak.rs
@@ -104,7 +104,10 @@
     let world = play(seed);
     assert_eq!(world.breaches, Vec::<String>::new());
     assert!(world.starts > 100);
-    let completed = world.jobs.keys().filter(|id| world.outcome(id) == Some(Outcome::Completed));
+    let completed = world
+        .jobs
+        .keys()
+        .filter(|id| world.outcome(id) == Some(Outcome::Completed));
     assert!(completed.count() > 10);
 }
 
--- a/crates/core/tests/sched/worker.rs
+++ b/crates/core/tests/sched/worker.rs
@@ -97,7 +97,8 @@
             self.runs.remove(&task);
             self.numbers += 1;
             self.closed.insert(task.clone(), run);
-            self.ended.push((self.numbers, task.clone(), run, end, ByteString::new()));
+            self.ended
+                .push((self.numbers, task.clone(), run, end, ByteString::new()));
             outcomes.push((self.numbers, task, run, end));
         }
         outcomes
@@ -162,10 +163,18 @@
                     return (Answer::Late, false);
                 }
                 self.until = self.until.max(*until);
-                if self.runs.get(&call.task).is_some_and(|run| run.run == call.run) {
+                if self
+                    .runs
+                    .get(&call.task)
+                    .is_some_and(|run| run.run == call.run)
+                {
                     return (Answer::Done, false);
                 }
-                if self.closed.get(&call.task).is_some_and(|run| *run >= call.run) {
+                if self
+                    .closed
+                    .get(&call.task)
+                    .is_some_and(|run| *run >= call.run)
+                {
                     return (Answer::Old, false);
                 }
                 self.runs.insert(call.task.clone(), going());
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -132,7 +132,11 @@
         });
         let leader = self.leaders.len() - 1;
         self.tell(leader, Event::Config(Arc::new(config())));
-        let jobs: Vec<_> = self.book.jobs().map(|(job, entry)| (job.clone(), entry.clone())).collect();
+        let jobs: Vec<_> = self
+            .book
+            .jobs()
+            .map(|(job, entry)| (job.clone(), entry.clone()))
+            .collect();
         for (job, entry) in jobs {
             let event = Event::Job {
                 job,
@@ -168,7 +172,8 @@
         });
         let offset = self.offset;
         self.offset += 1;
-        self.book.apply(offset, &Record::Accepted(Box::new((*job).clone())));
+        self.book
+            .apply(offset, &Record::Accepted(Box::new((*job).clone())));
         self.jobs.insert(job.id.clone(), job.clone());
         for leader in 0..self.leaders.len() {
             if self.follows(leader) {
@@ -216,7 +221,9 @@
         }
         let mut actions = Vec::new();
         let wall = self.wall();
-        self.leaders[leader].scheduler.step(self.now, wall, event, &mut actions);
+        self.leaders[leader]
+            .scheduler
+            .step(self.now, wall, event, &mut actions);
         for action in actions {
             match action {
                 Action::Append(records) => {
@@ -330,7 +337,10 @@
             self.offset += 1;
             self.book.apply(self.offset, record);
         }
-        self.plan(self.now + HOP, Item::Deliver(leader, Box::new(Event::Appended)));
+        self.plan(
+            self.now + HOP,
+            Item::Deliver(leader, Box::new(Event::Appended)),
+        );
     }
 
     fn arrive(&mut self, leader: usize, action: Action) {
@@ -408,7 +418,9 @@
             return;
         }
         let sent = now - HOP;
-        let empty = answer.as_ref().is_ok_and(|listing| listing.ended.is_empty());
+        let empty = answer
+            .as_ref()
+            .is_ok_and(|listing| listing.ended.is_empty());
         if lost {
             let event = Event::Held {
                 worker: id,
@@ -418,7 +430,10 @@
             self.plan(now + wait + LIMIT, Item::Deliver(leader, Box::new(event)));
         } else if empty && !wait.is_zero() {
             self.waiting.insert(name.to_owned(), (leader, sent));
-            self.plan(now + wait, Item::Waited(name.to_owned(), leader, sent, born));
+            self.plan(
+                now + wait,
+                Item::Waited(name.to_owned(), leader, sent, born),
+            );
         } else {
             let event = Event::Held {
                 worker: id,
@@ -430,13 +445,7 @@
     }
 
     /// Answers a question that waited.
-    fn answer_hold(
-        &mut self,
-        name: &str,
-        leader: usize,
-        sent: Instant,
-        born: u64,
-    ) {
+    fn answer_hold(&mut self, name: &str, leader: usize, sent: Instant, born: u64) {
         let now = self.now;
         let worker = self.workers.get_mut(name).unwrap();
         let (answer, _) = worker.hold(now, self.leaders[leader].term, 0, None);
@@ -444,7 +453,11 @@
         let event = Event::Held {
             worker: name.into(),
             sent,
-            answer: if reached { answer } else { Err(Answer::Unknown) },
+            answer: if reached {
+                answer
+            } else {
+                Err(Answer::Unknown)
+            },
         };
         self.plan(now + HOP, Item::Deliver(leader, Box::new(event)));
     }
@@ -516,7 +529,8 @@
         let order = matches!(call.order, Order::Start { .. });
         let breaches = breaches.into_iter().filter(|_| order);
         let at = self.now - self.begin;
-        let found = breaches.map(|what| format!("{at:?}: {task:?} run {} on {name} {what}", call.run));
+        let found =
+            breaches.map(|what| format!("{at:?}: {task:?} run {} on {name} {what}", call.run));
         self.breaches.extend(found);
     }
 
@@ -532,7 +546,9 @@
         };
         if !kept && !lasting && !over {
             let at = self.now - self.begin;
-            self.breaches.push(format!("{at:?}: end of {task:?} run {run} is not in the log"));
+            self.breaches.push(format!(
+                "{at:?}: end of {task:?} run {run} is not in the log"
+            ));
         }
         if end == End::Done && !lasting {
             self.noted.insert(task.clone());
@@ -551,7 +567,10 @@
     /// Gets the workers that run a task of a job.
     pub(crate) fn running(&self, id: &str) -> Vec<String> {
         let runs = |worker: &Worker| worker.runs.keys().any(|task| task.job == *id);
-        let workers = self.workers.iter().filter(|(_, worker)| worker.up && runs(worker));
+        let workers = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.up && runs(worker));
         workers.map(|(name, _)| name.clone()).collect()
     }
 
--- /dev/null
+++ b/crates/core/tests/upkeep/main.rs
@@ -0,0 +1,291 @@
+//! The planner of hosts, against a host service that the test plays.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use persimmongate_core::ids;
+use persimmongate_core::journal::{Drain, Load};
+use persimmongate_core::queue::{Config, Service};
+use persimmongate_core::sched::Room;
+use persimmongate_core::upkeep::{
+    Action, Answer, Event, Host, Kind, Options, Order, Planner, State, Wave,
+};
+
+/// Processor time of a host, in thousandths of a core.
+const CPU: u64 = 8_000;
+
+/// `Stage` is a planner with hosts.
+struct Stage {
+    planner: Planner,
+    now: Instant,
+    hosts: Vec<Host>,
+    /// Hosts that are away, with the time of their return and their pool then.
+    away: Vec<(Instant, ids::Host, ids::Service)>,
+    drains: Vec<(ids::Host, Drain)>,
+    undrained: Vec<ids::Host>,
+    orders: Vec<Order>,
+    statuses: Vec<(ids::WaveNumber, bool)>,
+    loads: Vec<Load>,
+    /// Hosts that are down for maintenance at once, at most.
+    most: usize,
+}
+
+impl Stage {
+    fn new(succeeds: bool) -> Self {
+        let now = Instant::now();
+        let planner = Planner::new(Options::default(), "node".into(), 7, succeeds, now);
+        let services = [("one", false), ("two", false), ("spare", true)];
+        let service = |(name, spare): (&'static str, bool)| Service {
+            name: name.into(),
+            guarded: false,
+            spare,
+        };
+        let config = Config::new(1, Vec::new(), services.map(service).to_vec());
+        let mut stage = Self {
+            planner,
+            now,
+            hosts: Vec::new(),
+            away: Vec::new(),
+            drains: Vec::new(),
+            undrained: Vec::new(),
+            orders: Vec::new(),
+            statuses: Vec::new(),
+            loads: Vec::new(),
+            most: 0,
+        };
+        for (service, count) in [("one", 4), ("two", 4), ("spare", 2)] {
+            for number in 0..count {
+                stage.hosts.push(host(service, number));
+            }
+        }
+        stage.step(Event::Config(Arc::new(config)));
+        stage
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.planner.step(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Drain(host, drain) => self.drains.push((host, drain)),
+                Action::Undrain(host, _) => self.undrained.push(host),
+                Action::Steer(order) => self.steer(order),
+                Action::Status(wave, complete) => self.statuses.push((wave, complete)),
+                Action::Record(..) => {}
+            }
+        }
+    }
+
+    /// Carries an order out; the answer comes with the next round.
+    fn steer(&mut self, order: Order) {
+        let pool = match &order.kind {
+            Kind::Move(service) => service.clone(),
+            Kind::Maintain(_) => self.find(&order.host).service.clone(),
+        };
+        let back = self.now + Duration::from_secs(2);
+        self.away.push((back, order.host.clone(), pool));
+        let state = match order.kind {
+            Kind::Move(_) => State::Moving,
+            Kind::Maintain(_) => State::Upkeep,
+        };
+        let host = self
+            .hosts
+            .iter_mut()
+            .find(|host| host.host == order.host)
+            .unwrap();
+        host.state = state;
+        host.worker = None;
+        let down = self.hosts.iter().filter(|host| host.state == State::Upkeep);
+        self.most = self.most.max(down.count());
+        self.orders.push(order);
+    }
+
+    fn find(&self, host: &ids::Host) -> &Host {
+        self.hosts.iter().find(|entry| entry.host == *host).unwrap()
+    }
+
+    /// Lets time pass; the shards free workers at once.
+    fn pass(&mut self, seconds: u64) {
+        let end = self.now + Duration::from_secs(seconds);
+        let mut answered = self.orders.len();
+        while self.now < end {
+            self.now += Duration::from_millis(200);
+            let now = self.now;
+            for (_, host, pool) in self.away.extract_if(.., |(at, ..)| *at <= now) {
+                let entry = self
+                    .hosts
+                    .iter_mut()
+                    .find(|entry| entry.host == host)
+                    .unwrap();
+                entry.state = State::Up;
+                entry.worker = (pool != "spare").then(|| format!("w-{host}").into());
+                entry.service = pool;
+            }
+            self.step(Event::Confirmed(now));
+            self.step(Event::Hosts(self.hosts.clone()));
+            self.step(Event::Loads(self.loads.clone()));
+            for (_, drain) in std::mem::take(&mut self.drains) {
+                self.step(Event::Vacated(drain.worker));
+            }
+            while answered < self.orders.len() {
+                let order = self.orders[answered].clone();
+                answered += 1;
+                self.step(Event::Answered(order, Answer::Done));
+            }
+            self.step(Event::Tick);
+        }
+    }
+
+    fn pool(&self, service: &str) -> usize {
+        self.hosts
+            .iter()
+            .filter(|host| host.service == *service)
+            .count()
+    }
+}
+
+fn host(service: &str, number: usize) -> Host {
+    let name = format!("{service}-{number}");
+    Host {
+        service: service.into(),
+        state: State::Up,
+        worker: (service != "spare").then(|| format!("w-{name}").into()),
+        room: Room {
+            cpu: CPU,
+            memory: 1_000,
+            gpu: 0,
+        },
+        labels: Vec::new(),
+        host: name.into(),
+    }
+}
+
+fn load(service: &str, used: u64, waiting: u64, idle: &[&str]) -> Load {
+    Load {
+        service: service.into(),
+        used,
+        waiting,
+        room: 4 * CPU,
+        offered: used,
+        spread: 2,
+        idle: idle.iter().map(|worker| (*worker).into()).collect(),
+        ..Load::default()
+    }
+}
+
+fn wave(cap: usize) -> Wave {
+    let hosts = (0..4).flat_map(|n| [format!("one-{n}").into(), format!("two-{n}").into()]);
+    Wave {
+        number: 1,
+        hosts: hosts.collect(),
+        limit: Duration::from_secs(30),
+        cap,
+    }
+}
+
+#[test]
+fn verify_wave_keeps_its_cap_and_completes() {
+    let mut stage = Stage::new(false);
+    stage.loads = vec![
+        load("one", 3 * CPU / 2, 0, &[]),
+        load("two", 3 * CPU / 2, 0, &[]),
+    ];
+    stage.step(Event::Wave(wave(2)));
+    stage.pass(30);
+    assert_eq!(stage.most, 2);
+    let maintained = stage
+        .orders
+        .iter()
+        .filter(|order| order.kind == Kind::Maintain(1));
+    assert_eq!(maintained.count(), 8);
+    assert_eq!(stage.statuses, [(1, false), (1, true)]);
+}
+
+#[test]
+fn verify_host_is_freed_before_it_is_told() {
+    let mut stage = Stage::new(false);
+    stage.loads = vec![load("one", CPU, 0, &[])];
+    stage.step(Event::Wave(wave(1)));
+    for _ in 0..10 {
+        stage.now += Duration::from_millis(200);
+        stage.step(Event::Confirmed(stage.now));
+        stage.step(Event::Hosts(stage.hosts.clone()));
+    }
+    assert!(!stage.drains.is_empty());
+    assert_eq!(stage.orders, []);
+}
+
+#[test]
+fn verify_new_leader_waits_until_an_older_one_can_have_no_order_on_its_way() {
+    let mut stage = Stage::new(true);
+    stage.step(Event::Wave(wave(1)));
+    stage.pass(4);
+    assert_eq!(stage.orders, []);
+    stage.pass(3);
+    assert!(!stage.orders.is_empty());
+}
+
+#[test]
+fn verify_leader_without_the_log_gives_no_orders() {
+    let mut stage = Stage::new(false);
+    stage.now += Duration::from_secs(5);
+    stage.step(Event::Hosts(stage.hosts.clone()));
+    stage.step(Event::Wave(wave(1)));
+    stage.step(Event::Tick);
+    assert_eq!(stage.drains, []);
+}
+
+#[test]
+fn verify_spare_hosts_go_where_work_waits() {
+    let mut stage = Stage::new(false);
+    stage.loads = vec![
+        load("one", 4 * CPU, 4 * CPU, &[]),
+        load("two", 3 * CPU / 2, 0, &[]),
+    ];
+    stage.pass(4);
+    assert_eq!(stage.pool("one"), 6);
+    assert_eq!(stage.pool("two"), 4);
+}
+
+#[test]
+fn verify_idle_hosts_of_another_pool_follow_when_no_spare_one_is_left() {
+    let mut stage = Stage::new(false);
+    stage.hosts.retain(|host| host.service != *"spare");
+    // A service that rests keeps what its lasting tasks need, and a reserve.
+    let rests = Load {
+        spread: 0,
+        ..load("two", 0, 0, &["w-two-0", "w-two-1", "w-two-2", "w-two-3"])
+    };
+    stage.loads = vec![load("one", 4 * CPU, 4 * CPU, &[]), rests];
+    stage.pass(2);
+    assert_eq!(stage.orders.len(), 2);
+    stage.pass(2);
+    assert_eq!(stage.pool("one"), 6);
+}
+
+#[test]
+fn verify_idle_hosts_go_to_the_spare_pool_after_a_while() {
+    let mut stage = Stage::new(false);
+    let rests = Load {
+        spread: 0,
+        ..load("one", 0, 0, &["w-one-0", "w-one-1", "w-one-2", "w-one-3"])
+    };
+    stage.loads = vec![rests];
+    stage.pass(2);
+    assert_eq!(stage.pool("one"), 4);
+    stage.pass(8);
+    assert_eq!(stage.pool("one"), 2);
+    assert_eq!(stage.pool("spare"), 4);
+}
+
+#[test]
+fn verify_drain_that_nobody_asked_for_is_given_back() {
+    let mut stage = Stage::new(false);
+    let drain = Drain {
+        worker: "w-one-0".into(),
+        service: "one".into(),
+    };
+    stage.step(Event::Drain("one-0".into(), Some(drain)));
+    stage.pass(1);
+    assert_eq!(stage.undrained, ["one-0"]);
+}
--- a/crates/jobs/src/desk/mod.rs
+++ b/crates/jobs/src/desk/mod.rs
@@ -137,7 +137,9 @@
             }
         }
         let shards = numbers.into_iter();
-        shards.filter_map(|shard| self.shards.get(shard as usize).cloned().flatten()).collect()
+        shards
+            .filter_map(|shard| self.shards.get(shard as usize).cloned().flatten())
+            .collect()
     }
 }
 
@@ -240,7 +242,10 @@
                     Known::Phase(_) | Known::Unavailable => Answer::Unknown,
                 };
             };
-            if matches!(known, Known::Phase(Phase::Completed | Phase::Failed | Phase::Canceled)) {
+            if matches!(
+                known,
+                Known::Phase(Phase::Completed | Phase::Failed | Phase::Canceled)
+            ) {
                 return Answer::Done;
             }
             let message = shard::Cancel {
--- a/crates/jobs/src/edge/mod.rs
+++ b/crates/jobs/src/edge/mod.rs
@@ -7,9 +7,9 @@
 use bytestring::ByteString;
 use futures_util::future::LocalBoxFuture;
 use persimmongate_core::ids;
+use persimmongate_core::queue::Config;
 use persimmongate_core::sched::{Answer, Call, Listing, Report, Ticket};
 use persimmongate_core::upkeep::{self, Host, Wave};
-use persimmongate_core::queue::Config;
 
 /// `Topic` is a partition of the platform's log.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -117,7 +117,10 @@
     fn call(&self, call: Call) -> LocalBoxFuture<'static, (Answer, Option<u64>)>;
 
     /// Asks the policy service which workers may run a step.
-    fn advise(&self, question: Question) -> LocalBoxFuture<'static, Option<(Vec<Ticket>, Duration)>>;
+    fn advise(
+        &self,
+        question: Question,
+    ) -> LocalBoxFuture<'static, Option<(Vec<Ticket>, Duration)>>;
 
     /// Lists the hosts.
     fn hosts(&self) -> Reply<Vec<Host>>;
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use actix::{
-    Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, MessageResult, Recipient,
-    ResponseActFuture, SpawnHandle, WrapFuture,
+    Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, MessageResult,
+    Recipient, ResponseActFuture, SpawnHandle, WrapFuture,
 };
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Beat, Drain, Load, Record};
@@ -270,7 +270,11 @@
         match action {
             Action::Drain(host, drain) => {
                 info!(self.setup.logger, "drain"; "host" => %host, "worker" => %drain.worker);
-                self.request(&drain.service.clone(), &[Record::Drain(host, Some(drain))], ctx);
+                self.request(
+                    &drain.service.clone(),
+                    &[Record::Drain(host, Some(drain))],
+                    ctx,
+                );
             }
             Action::Undrain(host, drain) => {
                 info!(self.setup.logger, "drain over"; "host" => %host, "worker" => %drain.worker);
--- a/crates/jobs/src/follow/mod.rs
+++ b/crates/jobs/src/follow/mod.rs
@@ -55,7 +55,9 @@
                 let next = if reset {
                     end
                 } else {
-                    records.last().map_or(self.next.unwrap_or(end), |raw| raw.offset + 1)
+                    records
+                        .last()
+                        .map_or(self.next.unwrap_or(end), |raw| raw.offset + 1)
                 };
                 self.next = Some(next);
                 let batch = Batch {
--- a/crates/jobs/src/lead/mod.rs
+++ b/crates/jobs/src/lead/mod.rs
@@ -75,7 +75,11 @@
             Err(failure) => return Err(failure),
         }
         if end.is_some_and(|end| clock::now() + RETRY >= end) {
-            return Err(if doubtful { Failure::Unknown } else { Failure::Busy });
+            return Err(if doubtful {
+                Failure::Unknown
+            } else {
+                Failure::Busy
+            });
         }
         actix_rt::time::sleep(RETRY).await;
     }
--- a/crates/jobs/src/operator/mod.rs
+++ b/crates/jobs/src/operator/mod.rs
@@ -85,7 +85,11 @@
 
     /// Takes a configuration into force; the version never goes back.
     fn configure(&mut self, config: Config) {
-        if self.config.as_ref().is_some_and(|known| known.version >= config.version) {
+        if self
+            .config
+            .as_ref()
+            .is_some_and(|known| known.version >= config.version)
+        {
             return;
         }
         info!(self.logger, "configuration in force"; "version" => config.version,
--- a/crates/jobs/src/roster/mod.rs
+++ b/crates/jobs/src/roster/mod.rs
@@ -182,7 +182,9 @@
             self.look(self.round, ctx);
         }
         if self.complete {
-            subscribe.1.do_send(News::Listed(self.reports.values().cloned().collect()));
+            subscribe
+                .1
+                .do_send(News::Listed(self.reports.values().cloned().collect()));
             if let Some(hosts) = &self.hosts {
                 subscribe.1.do_send(News::Hosts(hosts.clone()));
             }
--- a/crates/jobs/src/shard/lead.rs
+++ b/crates/jobs/src/shard/lead.rs
@@ -87,7 +87,11 @@
         if let Some(config) = self.config.clone() {
             self.schedule(Event::Config(config), ctx);
         }
-        let drains: Vec<_> = self.drains.values().map(|drain| drain.worker.clone()).collect();
+        let drains: Vec<_> = self
+            .drains
+            .values()
+            .map(|drain| drain.worker.clone())
+            .collect();
         for worker in drains {
             self.schedule(Event::Drain(worker, true), ctx);
         }
@@ -96,7 +100,9 @@
             self.schedule_job(&job, ctx);
         }
         let recipient = ctx.address().recipient();
-        self.setup.roster.do_send(Subscribe(self.setup.shard, recipient));
+        self.setup
+            .roster
+            .do_send(Subscribe(self.setup.shard, recipient));
         self.setup.led.do_send(Led {
             shard: self.setup.shard,
             leads: true,
@@ -142,7 +148,8 @@
             return;
         };
         let mut actions = Vec::new();
-        lead.scheduler.step(clock::now(), clock::wall(), event, &mut actions);
+        lead.scheduler
+            .step(clock::now(), clock::wall(), event, &mut actions);
         let term = lead.term;
         for action in actions {
             self.carry_out(term, action, ctx);
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -9,7 +9,8 @@
 use std::time::{Duration, Instant};
 
 use actix::{
-    Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, Recipient, WrapFuture,
+    Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, Recipient,
+    WrapFuture,
 };
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Book, Drain, Load, Record};
@@ -122,9 +123,11 @@
 #[must_use]
 pub fn shard_of(service: &ids::Service, shards: ids::Shard) -> ids::Shard {
     // FNV-1a (Fowler, Noll, Vo): the same in every process and version.
-    let hash = service.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
+    let hash = service
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
     // Shard 0 is that of the fleet's hosts.
     let others = u64::from(shards.saturating_sub(1).max(1));
     1 + ids::Shard::try_from(hash % others).unwrap_or(0)
@@ -161,7 +164,8 @@
     /// Checks if all jobs accepted until a short time ago are known.
     fn is_fresh(&self) -> bool {
         let now = clock::now();
-        self.read.is_some_and(|at| now.saturating_duration_since(at) < FRESH)
+        self.read
+            .is_some_and(|at| now.saturating_duration_since(at) < FRESH)
     }
 
     fn read_on(&self, cursor: Cursor, ctx: &mut Context<Self>) {
@@ -295,7 +299,9 @@
     fn handle(&mut self, _: Dump, _: &mut Self::Context) -> Self::Result {
         let counts = self.lead.as_ref().map(|lead| {
             let counts = lead.scheduler.counts().into_iter();
-            counts.map(|(name, count)| (name.to_owned(), json!(count))).collect::<serde_json::Map<_, _>>()
+            counts
+                .map(|(name, count)| (name.to_owned(), json!(count)))
+                .collect::<serde_json::Map<_, _>>()
         });
         actix::MessageResult(json!({
             "active": self.active,
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -90,25 +90,36 @@
 }
 
 impl<E: Edge, C: Copy + Send + Unpin + 'static> Shard<E, C> {
+    /// Gets the time that a job handed in now waits for its first start, as the leader said last.
+    fn delay(&self, queue: &Queue) -> Option<Duration> {
+        let load = self
+            .loads
+            .iter()
+            .find(|load| load.service == queue.service)?;
+        Some(load.delay)
+    }
+
+    fn read_age(&self) -> Duration {
+        let now = clock::now();
+        self.read
+            .map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    }
+
     /// Checks if a job can't be served in time, and gets the time after which it may be.
     fn refusal(&self, job: &Job, queue: &Queue) -> Option<Duration> {
         if job.schedule.is_some() || job.steps.iter().any(|step| step.lasting) {
             return None;
         }
-        let load = self.loads.iter().find(|load| load.service == queue.service)?;
+        let delay = self.delay(queue)?;
         let chain = job.chain();
         let spare = (chain.mul_f64(queue.stretch) + queue.allowance).saturating_sub(chain);
-        let late = load.delay.checked_sub(spare).filter(|late| !late.is_zero())?;
+        let late = delay.checked_sub(spare).filter(|late| !late.is_zero())?;
         // Callers that come back at once would meet the same backlog; the jitter spreads them.
         let jitter = rand::random_range(1.0..1.5);
         Some(late.mul_f64(jitter).min(AWAY_MAX))
     }
 
-    fn persist(
-        &self,
-        record: Record,
-        end: Instant,
-    ) -> ResponseActFuture<Self, Answer> {
+    fn persist(&self, record: Record, end: Instant) -> ResponseActFuture<Self, Answer> {
         let append = match encode(std::slice::from_ref(&record)) {
             Ok(records) => Append {
                 topic: self.topic(),
@@ -122,15 +133,13 @@
             }
         };
         let persisted = persist(self.setup.edge.clone(), append, Some(end)).into_actor(self);
-        Box::pin(persisted.map(move |appended, act, _| {
-            match appended {
-                Ok(offset) => {
-                    act.book.apply(offset, &record);
-                    Answer::Done
-                }
-                Err(Failure::Unknown) => Answer::Unknown,
-                Err(_) => Answer::Refused(AWAY),
+        Box::pin(persisted.map(move |appended, act, _| match appended {
+            Ok(offset) => {
+                act.book.apply(offset, &record);
+                Answer::Done
             }
+            Err(Failure::Unknown) => Answer::Unknown,
+            Err(_) => Answer::Refused(AWAY),
         }))
     }
 }
@@ -143,6 +152,11 @@
         let id = job.id.clone();
         let known = self.book.get(&id).is_some();
         let refusal = self.refusal(&job, &submit.queue);
+        let facts = slog::o!("job" => id.to_string(), "queue" => job.queue.to_string(),
+            "work" => job.work(), "chain_ms" => job.chain().as_millis(),
+            "delay_ms" => self.delay(&submit.queue).map(|delay| delay.as_millis()),
+            "read_age_ms" => self.read_age().as_millis());
+        let logger = self.setup.logger.new(facts);
         let answer = if known {
             Some(Answer::Done)
         } else if !self.is_fresh() {
@@ -151,15 +165,14 @@
             refusal.map(Answer::Refused)
         };
         if let Some(answer) = answer {
-            info!(self.setup.logger, "job"; "job" => %id, "known" => known, "answer" => ?answer,
-                "fresh" => self.is_fresh());
+            info!(logger, "job"; "known" => known, "answer" => ?answer);
             return Box::pin(std::future::ready(answer).into_actor(self));
         }
         let record = Record::Accepted(Box::new(job));
         let persisted = self.persist(record, submit.end);
         let began = clock::now();
-        Box::pin(persisted.map(move |answer, act: &mut Self, _| {
-            info!(act.setup.logger, "job"; "job" => %id, "answer" => ?answer,
+        Box::pin(persisted.map(move |answer, _: &mut Self, _| {
+            info!(logger, "job"; "answer" => ?answer,
                 "took_ms" => clock::now().saturating_duration_since(began).as_millis());
             answer
         }))
--- a/crates/node/src/clock/mod.rs
+++ b/crates/node/src/clock/mod.rs
@@ -12,5 +12,7 @@
 #[must_use]
 pub fn wall() -> u64 {
     let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    elapsed.map_or(0, |elapsed| u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+    elapsed.map_or(0, |elapsed| {
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    })
 }
--- a/crates/wire/src/journal/mod.rs
+++ b/crates/wire/src/journal/mod.rs
@@ -47,7 +47,10 @@
         "d" => Key::Drain(text),
         "p" => Key::Progress(text),
         "v" => Key::Vacated(text),
-        "w" => Key::Wave(name.parse().map_err(|error| malformed_error("journal record", &error))?),
+        "w" => Key::Wave(
+            name.parse()
+                .map_err(|error| malformed_error("journal record", &error))?,
+        ),
         _ => return Err(malformed_error("journal key", &"unknown kind")),
     })
 }
@@ -96,7 +99,8 @@
 
 fn pack<T: Serialize>(value: &T) -> Result<Bytes> {
     let mut buffer = Vec::new();
-    ciborium::into_writer(value, &mut buffer).map_err(|error| malformed_error("journal record", &error))?;
+    ciborium::into_writer(value, &mut buffer)
+        .map_err(|error| malformed_error("journal record", &error))?;
     Ok(buffer.into())
 }
 
