Name the leader in each beat, and log the demand that moves go by

Cause: beats of shard leaders named no process, so a process that came back after a loss of power did not find its own beat and waited 1.5 s, and its settling took the long wait. Ruled out: slow reads (the newest records were read 0.3 s after the start).

--- a/crates/core/src/sched/flush.rs
+++ b/crates/core/src/sched/flush.rs
@@ -32,6 +32,7 @@
             self.beat = now;
             records.push(Record::Beat(Beat {
                 term: self.term,
+                node: self.options.node.clone(),
                 loads: self.loads(now),
                 ..Beat::default()
             }));
--- a/crates/core/src/sched/machine.rs
+++ b/crates/core/src/sched/machine.rs
@@ -13,6 +13,8 @@
 /// `Options` holds the limits of a scheduler.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// Process that leads.
+    pub node: ids::Instance,
     /// Longest time that a worker takes to stop a run.
     pub stop: Duration,
 }
@@ -20,6 +22,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
+            node: ids::Instance::new(),
             stop: Duration::from_millis(900),
         }
     }
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -56,8 +56,9 @@
             let stop = reader.duration("stop", schedules.stop);
             let lease = reader.duration("holder_lease", upkeeps.lease);
             let maintenance = reader.duration("maintenance", upkeeps.upkeep);
+            let instance = instance?;
             Some(Self {
-                instance: instance?,
+                instance: instance.clone(),
                 zone: zone?,
                 listen: listen?,
                 ready: ready?,
@@ -67,8 +68,8 @@
                 advice: advice?.first().copied(),
                 shards: ids::Shard::try_from(shards?).ok()?,
                 sched: sched::Options {
+                    node: instance,
                     stop: stop?,
-                    ..schedules
                 },
                 upkeep: upkeep::Options {
                     lease: lease?,
--- a/crates/core/src/term/mod.rs
+++ b/crates/core/src/term/mod.rs
@@ -59,7 +59,7 @@
         term: ids::Term,
         /// Whether a leader came before, whose tasks may still run.
         succeeds: bool,
-        /// Whether that leader said that it sends nothing more.
+        /// Whether that leader sends nothing more: it said so, or was an earlier life of this process.
         resigned: bool,
     },
     /// The process leads no more.
@@ -152,7 +152,8 @@
             return;
         }
         let succeeds = self.term > 0;
-        let resigned = self.resigned && succeeds;
+        let before = self.leader.as_ref() == Some(&self.node) && !self.leads;
+        let resigned = (self.resigned || before) && succeeds;
         self.heard = now;
         if term > self.term {
             self.give_up(actions);
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -78,7 +78,9 @@
 }
 
 impl Planner {
-    /// Makes a planner for a new term; `succeeds` is false when no leader came before.
+    /// Makes a planner for a new term.
+    ///
+    /// `succeeds` is false when no leader came before that may have an order on its way.
     #[must_use]
     pub fn new(
         options: Options,
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -36,6 +36,8 @@
 const PATIENCE_MAX_MS: u64 = 250;
 /// Time between two rounds of a planner.
 const TICK: Duration = Duration::from_millis(250);
+/// Time between two log lines about the demand.
+const REPORT: Duration = Duration::from_secs(1);
 /// Time that an append of a leader may take before it is given up.
 const LIMIT: Duration = Duration::from_secs(5);
 
@@ -64,6 +66,7 @@
     sequence: u64,
     tick: SpawnHandle,
     beat: SpawnHandle,
+    report: SpawnHandle,
 }
 
 /// `Fleet` follows the records about hosts, and leads when it is this process's turn.
@@ -142,7 +145,11 @@
         for action in actions {
             match action {
                 Elected::Claim { at, nonce } => self.claim(at, nonce, ctx),
-                Elected::Lead { term, succeeds, .. } => self.take_over(term, succeeds, ctx),
+                Elected::Lead {
+                    term,
+                    succeeds,
+                    resigned,
+                } => self.take_over(term, succeeds && !resigned, ctx),
                 Elected::Yield => self.give_up(ctx),
             }
         }
@@ -175,6 +182,7 @@
             sequence: 0,
             tick: ctx.run_interval(TICK, |act, ctx| act.plan(Event::Tick, ctx)),
             beat: ctx.run_interval(BEAT, |act, ctx| act.beat(false, ctx)),
+            report: ctx.run_interval(REPORT, |act, _| act.report()),
         });
         let mut events: Vec<Event> = Vec::new();
         events.extend(self.config.clone().map(Event::Config));
@@ -199,10 +207,24 @@
         warn!(self.setup.logger, "leads fleet no more"; "term" => lead.term);
         ctx.cancel_future(lead.tick);
         ctx.cancel_future(lead.beat);
+        ctx.cancel_future(lead.report);
         self.setup.roster.do_send(Unsubscribe(SHARD));
         self.tell(false);
     }
 
+    /// Writes what decides about moves.
+    fn report(&self) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        for (has, needs, load) in lead.planner.demands() {
+            info!(self.setup.logger, "demand"; "service" => %load.service, "has" => has,
+                "needs" => needs, "used" => load.used, "lasting" => load.lasting,
+                "waiting" => load.waiting, "offered" => load.offered, "room" => load.room,
+                "spread" => load.spread, "idle" => load.idle.len(), "term" => lead.term);
+        }
+    }
+
     fn tell(&self, leads: bool) {
         self.setup.led.do_send(Led {
             shard: SHARD,
