Start nothing on workers whose host went

Ruled out: slow moves (0.1 s from the drain to the host service's answer). Drains are kept by worker for 12 s, and a worker whose host runs another one is over.

--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -14,8 +14,8 @@
     Beat,
     /// The wish of a caller to end a job.
     Canceled(ids::Job),
-    /// A host that is to be freed of tasks.
-    Drain(ids::Host),
+    /// A worker that is to be freed of tasks.
+    Drain(ids::Worker),
     /// The ends of a job's tasks.
     Progress(ids::Job),
     /// A worker that gets no more tasks from the shard.
@@ -33,8 +33,8 @@
     Beat(Beat),
     /// A caller ends a job.
     Canceled(ids::Job),
-    /// A host is to be freed of tasks, or no longer.
-    Drain(ids::Host, Option<Drain>),
+    /// A worker is to be freed of tasks, or no longer.
+    Drain(ids::Worker, Option<Drain>),
     /// Tasks of a job ended.
     Progress(ids::Job, Progress),
     /// A worker gets no more tasks.
@@ -86,8 +86,8 @@
 /// `Drain` asks the leader of a shard to free a worker of tasks.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Drain {
-    /// Worker to free.
-    pub worker: ids::Worker,
+    /// Host that the worker runs on.
+    pub host: ids::Host,
     /// Service that the worker belongs to.
     pub service: ids::Service,
 }
@@ -107,7 +107,7 @@
             Self::Accepted(job) => Key::Accepted(job.id.clone()),
             Self::Beat(_) => Key::Beat,
             Self::Canceled(job) => Key::Canceled(job.clone()),
-            Self::Drain(host, _) => Key::Drain(host.clone()),
+            Self::Drain(worker, _) => Key::Drain(worker.clone()),
             Self::Progress(job, _) => Key::Progress(job.clone()),
             Self::Vacated(worker, _) => Key::Vacated(worker.clone()),
             Self::Wave(wave, _) => Key::Wave(*wave),
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -148,8 +148,8 @@
     Listed(Report),
     /// A worker is no longer listed.
     Unlisted(ids::Worker),
-    /// Workers that hosts may run now, whether listed or not.
-    Hosts(Vec<ids::Worker>),
+    /// All hosts, with the worker of this shard that each runs.
+    Hosts(Vec<(ids::Host, Option<ids::Worker>)>),
     /// A job of the shard, with what is known of it.
     Job {
         /// The job.
--- a/crates/core/src/sched/load.rs
+++ b/crates/core/src/sched/load.rs
@@ -38,7 +38,8 @@
         let mut loads: Map<ids::Service, Load> = Map::default();
         for worker in self.workers.values() {
             let load = entry(&mut loads, &worker.report.service);
-            let stays = worker.listed && !worker.report.draining && !worker.vacating;
+            let stays =
+                worker.listed && !worker.ended && !worker.report.draining && !worker.vacating;
             if stays {
                 load.room += worker.report.room.cpu;
             }
--- a/crates/core/src/sched/settle.rs
+++ b/crates/core/src/sched/settle.rs
@@ -1,9 +1,10 @@
 use std::time::{Duration, Instant};
 
+use super::event::Action;
 use super::machine::Scheduler;
 use super::worker::LEASE_MS;
 use crate::ids;
-use crate::map::Set;
+use crate::map::{Map, Set};
 
 /// Time since the log was reached for which a leader still gives orders: outages of the log of this
 /// length cost no task its lease.
@@ -36,17 +37,46 @@
 }
 
 impl Scheduler {
-    /// Notes the workers that hosts may run.
-    pub(super) fn note_hosts(&mut self, workers: Vec<ids::Worker>) {
-        let known = |worker: &ids::Worker| self.workers.contains_key(worker);
-        let unlisted = workers.into_iter().filter(|worker| !known(worker));
+    /// Notes the workers that hosts run.
+    ///
+    /// A host that runs another worker, or none, has ended the life of the one that it ran.
+    pub(super) fn note_hosts(
+        &mut self,
+        hosts: &[(ids::Host, Option<ids::Worker>)],
+        actions: &mut Vec<Action>,
+    ) {
+        let runs = hosts.iter().filter_map(|(_, worker)| worker.clone());
+        let unlisted = runs.filter(|worker| !self.workers.contains_key(worker));
         self.settling.unlisted = Some(unlisted.collect());
+        let hosts: Map<&ids::Host, &Option<ids::Worker>> =
+            hosts.iter().map(|(host, worker)| (host, worker)).collect();
+        let mut ended = Vec::new();
+        for (id, worker) in &mut self.workers {
+            let Some(runs) = worker.report.host.as_ref().and_then(|host| hosts.get(host)) else {
+                continue;
+            };
+            let own = runs.as_ref() == Some(id);
+            worker.hosted |= own;
+            // The list of hosts may lag behind a worker that has just come.
+            if worker.hosted && !own && !worker.ended {
+                worker.ended = true;
+                ended.push((id.clone(), worker.runs.keys().cloned().collect::<Vec<_>>()));
+            }
+        }
+        for (id, tasks) in ended {
+            for task in tasks {
+                self.release(&id, &task, "host ended its worker", actions);
+            }
+        }
         self.stirred = true;
     }
 
     /// Counts the workers on which tasks of older terms may still run.
     pub(super) fn unsettled(&self) -> usize {
-        let open = self.workers.values().filter(|worker| !worker.settled);
+        let open = self
+            .workers
+            .values()
+            .filter(|worker| !worker.settled && !worker.ended);
         open.count() + self.settling.unlisted.as_ref().map_or(0, Set::len)
     }
 
--- a/crates/core/src/sched/step.rs
+++ b/crates/core/src/sched/step.rs
@@ -22,7 +22,7 @@
             }
             Event::Listed(report) => self.note_listed(now, report, actions),
             Event::Unlisted(worker) => self.note_unlisted(now, &worker, actions),
-            Event::Hosts(workers) => self.note_hosts(workers),
+            Event::Hosts(hosts) => self.note_hosts(&hosts, actions),
             Event::Job {
                 job,
                 offset,
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -78,6 +78,10 @@
     pub(super) report: Report,
     /// Whether the list has it.
     pub(super) listed: bool,
+    /// Whether the list of hosts has named it.
+    pub(super) hosted: bool,
+    /// Whether its host has ended its life.
+    pub(super) ended: bool,
     /// Whether it answered under the token of this term.
     pub(super) settled: bool,
     /// Time of its clock and when that was learned.
@@ -111,6 +115,8 @@
         Self {
             report,
             listed: true,
+            hosted: false,
+            ended: false,
             settled: false,
             clock: None,
             until: 0,
@@ -184,6 +190,7 @@
     /// Checks if new tasks may go to it.
     pub(super) fn is_usable(&self, now: Instant) -> bool {
         self.listed
+            && !self.ended
             && self.settled
             && !self.report.draining
             && !self.vacating
@@ -194,7 +201,7 @@
 
     /// Checks if questions about its runs are of use.
     pub(super) fn wants_look(&self) -> bool {
-        !self.settled || !self.runs.is_empty() || self.acked < self.ack
+        !self.ended && (!self.settled || !self.runs.is_empty() || self.acked < self.ack)
     }
 
     /// Gets its rack or kind labels.
--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -107,8 +107,13 @@
     /// Gets for each service the hosts that it has and needs, with its load, for the log lines.
     #[must_use]
     pub fn demands(&self) -> Vec<(usize, usize, &Load)> {
-        let served = self.loads.values().filter(|load| !self.is_spare(&load.service));
-        served.map(|load| (self.has(&load.service), self.needs(&load.service), load)).collect()
+        let served = self
+            .loads
+            .values()
+            .filter(|load| !self.is_spare(&load.service));
+        served
+            .map(|load| (self.has(&load.service), self.needs(&load.service), load))
+            .collect()
     }
 
     fn spare(&self) -> Option<ids::Service> {
--- a/crates/core/src/upkeep/event.rs
+++ b/crates/core/src/upkeep/event.rs
@@ -56,8 +56,8 @@
     Wave(Wave),
     /// Hosts of a wave that were maintained, as the log says.
     Maintained(ids::WaveNumber, Vec<ids::Host>),
-    /// A host that is to be freed, or no longer, as the log says.
-    Drain(ids::Host, Option<Drain>),
+    /// A worker that is to be freed, or no longer, as the log says.
+    Drain(ids::Worker, Option<Drain>),
     /// A worker that is free, as the log says.
     Vacated(ids::Worker),
     /// Loads of the services of a shard.
@@ -74,9 +74,9 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
     /// Ask the leader of a service's shard to free a worker of tasks.
-    Drain(ids::Host, Drain),
+    Drain(ids::Worker, Drain),
     /// Give a worker back to the leader of its shard.
-    Undrain(ids::Host, Drain),
+    Undrain(ids::Worker, Drain),
     /// Call the host service.
     Steer(Order),
     /// Record the hosts of a wave that were maintained.
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -21,6 +21,10 @@
 /// Time after which a drain that does not end is given up.
 const DRAIN_MAX: Duration = Duration::from_secs(9);
 
+/// Time after its host was told to go in which the list may still name a worker: its entry stays for
+/// some heartbeats.
+const UNLISTED: Duration = Duration::from_secs(12);
+
 /// `Options` holds the limits of a planner.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -43,7 +47,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Task {
     pub(super) kind: Kind,
-    pub(super) drain: Option<Drain>,
+    /// Worker that is freed, with its service; nothing for a host that runs none.
+    pub(super) drain: Option<(ids::Worker, Drain)>,
     pub(super) vacated: bool,
     pub(super) since: Instant,
     /// Whether an order is on its way.
@@ -71,7 +76,9 @@
     /// Hosts that were told to go down, with the time.
     down: Map<ids::Host, Instant>,
     /// Drains that the log has.
-    drains: Map<ids::Host, Drain>,
+    drains: Map<ids::Worker, Drain>,
+    /// Workers whose host was told to go, which the list may still have for a while.
+    ended: Map<ids::Worker, Instant>,
     confirmed: Instant,
     /// Time before which an older holder may have an order on its way.
     starts: Instant,
@@ -107,6 +114,7 @@
             tasks: Map::default(),
             down: Map::default(),
             drains: Map::default(),
+            ended: Map::default(),
             confirmed: now,
             starts: now + wait,
         }
@@ -131,16 +139,19 @@
                     tour.done.extend(hosts);
                 }
             }
-            Event::Drain(host, drain) => {
+            Event::Drain(worker, drain) => {
                 match drain {
-                    Some(drain) => self.drains.insert(host, drain),
-                    None => self.drains.remove(&host),
+                    Some(drain) => self.drains.insert(worker, drain),
+                    None => self.drains.remove(&worker),
                 };
                 return;
             }
             Event::Vacated(worker) => {
                 for task in self.tasks.values_mut() {
-                    task.vacated |= task.drain.as_ref().is_some_and(|d| d.worker == worker);
+                    task.vacated |= task
+                        .drain
+                        .as_ref()
+                        .is_some_and(|(known, _)| *known == worker);
                 }
             }
             Event::Loads(loads) => {
@@ -189,13 +200,7 @@
         };
         task.sent = false;
         match answer {
-            Answer::Done => {
-                let drain = task.drain.clone();
-                self.finish(now, &order.host, actions);
-                if let Some(drain) = drain {
-                    actions.push(Action::Undrain(order.host.clone(), drain));
-                }
-            }
+            Answer::Done => self.finish(now, &order.host, actions),
             Answer::Busy | Answer::Limited => task.after = now + AGAIN,
             Answer::Unknown => {
                 task.after = now + AGAIN;
@@ -203,14 +208,18 @@
                 self.down.insert(order.host.clone(), now);
             }
             Answer::Fenced => task.after = now + self.options.lease,
-            Answer::Refused => {
-                let drain = task.drain.clone();
-                // A host that can't be told is not maintained; operators see the wave running.
-                self.tasks.remove(&order.host);
-                if let Some(drain) = drain {
-                    actions.push(Action::Undrain(order.host.clone(), drain));
-                }
-            }
+            // A host that can't be told is not maintained; operators see the wave running.
+            Answer::Refused => self.drop_task(&order.host, actions),
+        }
+    }
+
+    /// Gives up what was planned for a host, and gives its worker back.
+    fn drop_task(&mut self, host: &ids::Host, actions: &mut Vec<Action>) {
+        if let Some(task) = self.tasks.remove(host)
+            && let Some((worker, drain)) = task.drain
+        {
+            self.drains.remove(&worker);
+            actions.push(Action::Undrain(worker, drain));
         }
     }
 
@@ -218,6 +227,11 @@
         let Some(task) = self.tasks.remove(host) else {
             return;
         };
+        if let Some((worker, drain)) = task.drain {
+            // Its life is over, but the list may go on naming it; nothing may start there.
+            self.ended.insert(worker.clone(), now);
+            self.drains.insert(worker, drain);
+        }
         match task.kind {
             Kind::Maintain(number) => self.finish_upkeep(now, host, number, actions),
             Kind::Move(service) => self.balance.note_move(now, host, &service),
@@ -279,29 +293,32 @@
             let other = task
                 .drain
                 .as_ref()
-                .is_some_and(|drain| worker.as_ref() != Some(&drain.worker));
+                .is_some_and(|(known, _)| worker.as_ref() != Some(known));
             let slow = !task.vacated && now.saturating_duration_since(task.since) > DRAIN_MAX;
             if !task.sent && !task.doubtful && (other || slow) {
                 stale.push(host.clone());
             }
         }
         for host in stale {
-            if let Some(task) = self.tasks.remove(&host)
-                && let Some(drain) = task.drain
-            {
-                actions.push(Action::Undrain(host, drain));
-            }
+            self.drop_task(&host, actions);
         }
-        let orphans = self
-            .drains
-            .iter()
-            .filter(|(host, _)| !self.tasks.contains_key(*host));
-        let orphans: Vec<(ids::Host, Drain)> = orphans
-            .map(|(host, drain)| (host.clone(), drain.clone()))
+        self.ended
+            .retain(|_, at| now.saturating_duration_since(*at) < UNLISTED);
+        let wanted = |worker: &ids::Worker| {
+            let task = |task: &Task| {
+                task.drain
+                    .as_ref()
+                    .is_some_and(|(known, _)| known == worker)
+            };
+            self.ended.contains_key(worker) || self.tasks.values().any(task)
+        };
+        let orphans = self.drains.iter().filter(|(worker, _)| !wanted(worker));
+        let orphans: Vec<(ids::Worker, Drain)> = orphans
+            .map(|(worker, drain)| (worker.clone(), drain.clone()))
             .collect();
-        for (host, drain) in orphans {
-            self.drains.remove(&host);
-            actions.push(Action::Undrain(host, drain));
+        for (worker, drain) in orphans {
+            self.drains.remove(&worker);
+            actions.push(Action::Undrain(worker, drain));
         }
     }
 
@@ -370,12 +387,16 @@
         };
         let spare = self.is_spare(&entry.service);
         let worker = entry.worker.clone().filter(|_| !spare);
-        let drain = worker.map(|worker| Drain {
-            worker,
-            service: entry.service.clone(),
+        let drain = worker.map(|worker| {
+            let drain = Drain {
+                host: host.clone(),
+                service: entry.service.clone(),
+            };
+            (worker, drain)
         });
-        if let Some(drain) = &drain {
-            actions.push(Action::Drain(host.clone(), drain.clone()));
+        if let Some((worker, drain)) = &drain {
+            self.drains.insert(worker.clone(), drain.clone());
+            actions.push(Action::Drain(worker.clone(), drain.clone()));
         }
         let task = Task {
             kind,
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -147,7 +147,8 @@
             self.tell(leader, event);
         }
         let reports: Vec<Report> = self.workers.values().map(|w| w.report.clone()).collect();
-        let names = reports.iter().map(|report| report.worker.clone()).collect();
+        let host = |report: &Report| (report.host.clone().unwrap(), Some(report.worker.clone()));
+        let names = reports.iter().map(host).collect();
         for report in reports {
             self.tell(leader, Event::Listed(report));
         }
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -21,8 +21,8 @@
     hosts: Vec<Host>,
     /// Hosts that are away, with the time of their return and their pool then.
     away: Vec<(Instant, ids::Host, ids::Service)>,
-    drains: Vec<(ids::Host, Drain)>,
-    undrained: Vec<ids::Host>,
+    drains: Vec<(ids::Worker, Drain)>,
+    undrained: Vec<ids::Worker>,
     orders: Vec<Order>,
     statuses: Vec<(ids::WaveNumber, bool)>,
     loads: Vec<Load>,
@@ -67,8 +67,8 @@
         self.planner.step(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Drain(host, drain) => self.drains.push((host, drain)),
-                Action::Undrain(host, _) => self.undrained.push(host),
+                Action::Drain(worker, drain) => self.drains.push((worker, drain)),
+                Action::Undrain(worker, _) => self.undrained.push(worker),
                 Action::Steer(order) => self.steer(order),
                 Action::Status(wave, complete) => self.statuses.push((wave, complete)),
                 Action::Record(..) => {}
@@ -124,8 +124,8 @@
             self.step(Event::Confirmed(now));
             self.step(Event::Hosts(self.hosts.clone()));
             self.step(Event::Loads(self.loads.clone()));
-            for (_, drain) in std::mem::take(&mut self.drains) {
-                self.step(Event::Vacated(drain.worker));
+            for (worker, _) in std::mem::take(&mut self.drains) {
+                self.step(Event::Vacated(worker));
             }
             while answered < self.orders.len() {
                 let order = self.orders[answered].clone();
@@ -282,10 +282,25 @@
 fn verify_drain_that_nobody_asked_for_is_given_back() {
     let mut stage = Stage::new(false);
     let drain = Drain {
-        worker: "w-one-0".into(),
+        host: "one-0".into(),
         service: "one".into(),
     };
-    stage.step(Event::Drain("one-0".into(), Some(drain)));
+    stage.step(Event::Drain("w-one-0".into(), Some(drain)));
     stage.pass(1);
-    assert_eq!(stage.undrained, ["one-0"]);
+    assert_eq!(stage.undrained, ["w-one-0"]);
+}
+
+#[test]
+fn verify_worker_of_a_host_that_went_is_not_given_back_while_it_may_be_listed() {
+    let mut stage = Stage::new(false);
+    stage.loads = vec![load("one", CPU, 0, &[])];
+    stage.step(Event::Wave(Wave {
+        hosts: vec!["one-0".into()],
+        ..wave(1)
+    }));
+    stage.pass(8);
+    assert!(stage.orders.iter().any(|order| order.kind == Kind::Maintain(1)));
+    assert!(!stage.undrained.contains(&"w-one-0".into()));
+    stage.pass(8);
+    assert!(stage.undrained.contains(&"w-one-0".into()));
 }
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -8,7 +8,7 @@
     Recipient, ResponseActFuture, SpawnHandle, WrapFuture,
 };
 use persimmongate_core::ids;
-use persimmongate_core::journal::{Beat, Drain, Load, Record};
+use persimmongate_core::journal::{Beat, Drain, Key, Load, Record};
 use persimmongate_core::map::Map;
 use persimmongate_core::queue::Config;
 use persimmongate_core::term::{self, Action as Elected, BEAT, Election};
@@ -75,7 +75,7 @@
     config: Option<Arc<Config>>,
     waves: Vec<Wave>,
     maintained: Map<ids::WaveNumber, Vec<ids::Host>>,
-    drains: Map<ids::Host, Drain>,
+    drains: Map<ids::Worker, Drain>,
     loads: Map<ids::Service, Load>,
     election: Election,
     lead: Option<Lead>,
@@ -188,7 +188,9 @@
         events.extend(self.config.clone().map(Event::Config));
         events.push(Event::Loads(self.loads.values().cloned().collect()));
         let drains = self.drains.iter();
-        events.extend(drains.map(|(host, drain)| Event::Drain(host.clone(), Some(drain.clone()))));
+        events.extend(
+            drains.map(|(worker, drain)| Event::Drain(worker.clone(), Some(drain.clone()))),
+        );
         events.extend(self.waves.iter().cloned().map(Event::Wave));
         let maintained = self.maintained.iter();
         events.extend(maintained.map(|(wave, hosts)| Event::Maintained(*wave, hosts.clone())));
@@ -290,19 +292,15 @@
 
     fn carry_out(&mut self, term: ids::Term, action: Action, ctx: &mut Context<Self>) {
         match action {
-            Action::Drain(host, drain) => {
-                info!(self.setup.logger, "drain"; "host" => %host, "worker" => %drain.worker);
-                self.request(
-                    &drain.service.clone(),
-                    &[Record::Drain(host, Some(drain))],
-                    ctx,
-                );
+            Action::Drain(worker, drain) => {
+                info!(self.setup.logger, "drain"; "host" => %drain.host, "worker" => %worker);
+                let service = drain.service.clone();
+                self.request(&service, &[Record::Drain(worker, Some(drain))], ctx);
             }
-            Action::Undrain(host, drain) => {
-                info!(self.setup.logger, "drain over"; "host" => %host, "worker" => %drain.worker);
-                let vacated = persimmongate_core::journal::Key::Vacated(drain.worker);
-                let records = [Record::Drain(host, None), Record::Dropped(vacated)];
-                self.request(&drain.service, &records, ctx);
+            Action::Undrain(worker, drain) => {
+                info!(self.setup.logger, "drain over"; "host" => %drain.host, "worker" => %worker);
+                let vacated = Record::Dropped(Key::Vacated(worker.clone()));
+                self.request(&drain.service, &[Record::Drain(worker, None), vacated], ctx);
             }
             Action::Steer(order) => {
                 let answered = self.setup.edge.steer(order.clone()).into_actor(self);
@@ -396,12 +394,12 @@
 
     fn handle(&mut self, seen: Seen, ctx: &mut Self::Context) {
         match seen {
-            Seen::Drain(host, drain) => {
+            Seen::Drain(worker, drain) => {
                 match &drain {
-                    Some(drain) => self.drains.insert(host.clone(), drain.clone()),
-                    None => self.drains.remove(&host),
+                    Some(drain) => self.drains.insert(worker.clone(), drain.clone()),
+                    None => self.drains.remove(&worker),
                 };
-                self.plan(Event::Drain(host, drain), ctx);
+                self.plan(Event::Drain(worker, drain), ctx);
             }
             Seen::Loads(loads) => {
                 for load in &loads {
--- a/crates/jobs/src/shard/lead.rs
+++ b/crates/jobs/src/shard/lead.rs
@@ -87,11 +87,7 @@
         if let Some(config) = self.config.clone() {
             self.schedule(Event::Config(config), ctx);
         }
-        let drains: Vec<_> = self
-            .drains
-            .values()
-            .map(|drain| drain.worker.clone())
-            .collect();
+        let drains: Vec<_> = self.drains.keys().cloned().collect();
         for worker in drains {
             self.schedule(Event::Drain(worker, true), ctx);
         }
@@ -310,8 +306,12 @@
                 }
             }
             News::Hosts(hosts) => {
-                let own = hosts.into_iter().filter(|host| self.owns(&host.service));
-                let workers = own.filter_map(|host| host.worker).collect();
+                // A host that moves is listed in another pool, but its worker may still be known here.
+                let workers = hosts.into_iter().map(|host| {
+                    let own = self.owns(&host.service);
+                    (host.host, host.worker.filter(|_| own))
+                });
+                let workers = workers.collect();
                 self.schedule(Event::Hosts(workers), ctx);
             }
         }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -48,8 +48,8 @@
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
 pub enum Seen {
-    /// A host is to be freed, or no longer.
-    Drain(ids::Host, Option<Drain>),
+    /// A worker is to be freed, or no longer.
+    Drain(ids::Worker, Option<Drain>),
     /// Loads of the shard's services.
     Loads(Vec<Load>),
     /// A worker is free.
@@ -110,7 +110,7 @@
     /// Whether the partition is read; it is once a service belongs to the shard.
     active: bool,
     book: Book,
-    drains: Map<ids::Host, Drain>,
+    drains: Map<ids::Worker, Drain>,
     loads: Vec<Load>,
     election: Election,
     /// Time at which the latest read that reached the end was sent.
@@ -232,20 +232,13 @@
                 self.elect(term::Event::Beat { offset, beat }, ctx);
             }
             Record::Canceled(job) => self.schedule(Event::Canceled(job.clone()), ctx),
-            Record::Drain(host, drain) => {
-                let before = match drain {
-                    Some(drain) => self.drains.insert(host.clone(), drain.clone()),
-                    None => self.drains.remove(host),
+            Record::Drain(worker, drain) => {
+                match drain {
+                    Some(drain) => self.drains.insert(worker.clone(), drain.clone()),
+                    None => self.drains.remove(worker),
                 };
-                if let Some(before) = before
-                    && drain.as_ref() != Some(&before)
-                {
-                    self.schedule(Event::Drain(before.worker, false), ctx);
-                }
-                if let Some(drain) = drain {
-                    self.schedule(Event::Drain(drain.worker.clone(), true), ctx);
-                }
-                let seen = Seen::Drain(host.clone(), drain.clone());
+                self.schedule(Event::Drain(worker.clone(), drain.is_some()), ctx);
+                let seen = Seen::Drain(worker.clone(), drain.clone());
                 self.setup.seen.do_send(seen);
             }
             Record::Progress(..) => self.elect(term::Event::Heard, ctx),
--- a/crates/wire/src/journal/mod.rs
+++ b/crates/wire/src/journal/mod.rs
@@ -21,7 +21,7 @@
         Key::Accepted(job) => join("a", job),
         Key::Beat => ByteString::from_static(BEAT),
         Key::Canceled(job) => join("c", job),
-        Key::Drain(host) => join("d", host),
+        Key::Drain(worker) => join("d", worker),
         Key::Progress(job) => join("p", job),
         Key::Vacated(worker) => join("v", worker),
         Key::Wave(wave) => join("w", wave),
@@ -82,7 +82,7 @@
     let key = decode_key(key)?;
     let Some(value) = value else {
         return Ok(match key {
-            Key::Drain(host) => Record::Drain(host, None),
+            Key::Drain(worker) => Record::Drain(worker, None),
             key => Record::Dropped(key),
         });
     };
@@ -90,7 +90,7 @@
         Key::Accepted(_) => Record::Accepted(unpack(value)?),
         Key::Beat => Record::Beat(unpack(value)?),
         Key::Canceled(job) => Record::Canceled(job),
-        Key::Drain(host) => Record::Drain(host, Some(unpack(value)?)),
+        Key::Drain(worker) => Record::Drain(worker, Some(unpack(value)?)),
         Key::Progress(job) => Record::Progress(job, unpack(value)?),
         Key::Vacated(worker) => Record::Vacated(worker, unpack(value)?),
         Key::Wave(wave) => Record::Wave(wave, unpack(value)?),
