--- a/crates/core/src/sched/rank.rs
+++ b/crates/core/src/sched/rank.rs
@@ -68,20 +68,20 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Gets the declared work of idle tasks of jobs that can be served in time, in thousandths of a
-    /// core times seconds.
+    /// Gets the declared work of tasks that could start now, of jobs that can be served in time, in
+    /// thousandths of a core times seconds.
     pub(super) fn waiting(&self, now: Instant) -> u64 {
         if self.chance(now) != Chance::InTime {
             return 0;
         }
-        let work = |stage: &super::work::Stage| {
-            let step = &self.job.steps[stage.step as usize];
-            if step.lasting {
+        let work = |stage: usize| {
+            let step = self.step_of(stage);
+            if step.lasting || !self.is_ready(stage) {
                 return 0;
             }
             let millis = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
-            u64::from(stage.idle) * step.cpu * millis / 1_000
+            u64::from(self.stages[stage].idle) * step.cpu * millis / 1_000
         };
-        self.stages.iter().map(work).sum()
+        (0..self.stages.len()).map(work).sum()
     }
 }
--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -14,14 +14,14 @@
 use crate::map::Map;
 
 /// Time in which waiting work should be done.
-const HORIZON: Duration = Duration::from_millis(700);
+const HORIZON: Duration = Duration::from_millis(400);
 /// Room beyond the demand seen, in percent: demand grows while hosts move.
-const GROWTH_PERCENT: u64 = 160;
+const GROWTH_PERCENT: u64 = 250;
 /// Hosts of a pool beyond what its lasting tasks need, so that a turn can begin.
-const RESERVE: usize = 2;
+const RESERVE: usize = 4;
 /// Time for which a pool must have too many hosts before one leaves it; a move costs about as much as
 /// a host that idles for a second.
-const IDLE: Duration = Duration::from_millis(2_500);
+const IDLE: Duration = Duration::from_millis(2500);
 
 /// Time after which a host that did not arrive counts where the list has it.
 const ARRIVAL: Duration = Duration::from_secs(5);
