--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -79,8 +79,8 @@
     pub offered: u64,
     /// Hosts without which a lasting step can't be spread as it asks.
     pub spread: u32,
-    /// Workers that run nothing.
-    pub idle: Vec<ids::Worker>,
+    /// Workers that run no lasting task, with the processor time in use there, the least first.
+    pub light: Vec<(ids::Worker, u64)>,
 }
 
 /// `Drain` asks the leader of a shard to free a worker of tasks.
--- a/crates/core/src/sched/load.rs
+++ b/crates/core/src/sched/load.rs
@@ -43,8 +43,9 @@
             if stays {
                 load.room += worker.report.room.cpu;
             }
-            if stays && worker.settled && worker.runs.is_empty() {
-                load.idle.push(worker.report.worker.clone());
+            if stays && worker.settled && !worker.runs.values().any(|run| run.lasting) {
+                load.light
+                    .push((worker.report.worker.clone(), worker.used().cpu));
             }
             for run in worker.runs.values() {
                 if run.lasting {
@@ -66,6 +67,7 @@
         }
         let mut loads: Vec<Load> = loads.into_values().collect();
         for load in &mut loads {
+            load.light.sort_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0)));
             let room = load.room.saturating_sub(load.lasting).max(1);
             load.delay = Duration::from_millis(load.waiting * 1_000 / room);
         }
--- a/crates/core/src/sched/rank.rs
+++ b/crates/core/src/sched/rank.rs
@@ -6,6 +6,11 @@
 /// Multiple of its objective after which a late job is of no use any more.
 const LATE_FACTOR: u32 = 3;
 
+/// Share of the declared run time, in percent, that tasks take at times: declarations are rough.
+const ROUGH_PERCENT: u32 = 120;
+/// Time that each further step takes beyond its tasks: an end is listed and the next start is sent.
+const STEP: Duration = Duration::from_millis(100);
+
 /// `Rank` is the place of a job in the order in which tasks are started.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct Rank {
@@ -63,7 +68,8 @@
             let start = after.max().copied().unwrap_or_default();
             let stage = self.stages.iter().find(|stage| stage.step == index);
             let open = stage.is_some_and(|stage| stage.idle > 0);
-            ends.push(start + if open { step.estimate } else { Duration::ZERO });
+            let own = step.estimate * ROUGH_PERCENT / 100 + STEP;
+            ends.push(start + if open { own } else { Duration::ZERO });
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -61,49 +61,81 @@
         };
         let served = self.loads.keys().filter(|service| !self.is_spare(service));
         let services: Vec<ids::Service> = served.cloned().collect();
-        let mut lacks: Vec<(u64, ids::Service, usize)> = Vec::new();
-        let mut extras: Vec<(ids::Service, usize)> = Vec::new();
-        for service in services {
-            let (has, needs) = (self.has(&service), self.needs(&service));
-            if has < needs {
-                self.balance.surplus.remove(&service);
-                lacks.push((self.press(&service), service, needs - has));
-            } else if has > needs {
-                self.balance.surplus.entry(service.clone()).or_insert(now);
-                extras.push((service, has - needs));
-            } else {
-                self.balance.surplus.remove(&service);
-            }
-        }
-        lacks.sort_by(|a, b| b.cmp(a));
+        let counts = services.iter().map(|service| self.count(service));
+        let mut counts: Vec<Count> = counts.collect();
+        // The service with the most work for its room comes first.
+        counts.sort_by_key(|count| {
+            std::cmp::Reverse((self.press(&count.service), count.service.clone()))
+        });
         let mut moves: Vec<(ids::Host, ids::Service)> = Vec::new();
         let mut free = self.spare_hosts(&spare);
-        let mut idle: Vec<ids::Host> = Vec::new();
-        for (service, count) in &extras {
-            idle.extend(self.idle_hosts(service).into_iter().take(*count));
-        }
-        for (_, service, count) in lacks {
-            for _ in 0..count {
-                let Some(host) = free.pop().or_else(|| idle.pop()) else {
-                    break;
-                };
-                moves.push((host, service.clone()));
+        for count in &counts {
+            for _ in count.has..count.wants {
+                moves.extend(free.pop().map(|host| (host, count.service.clone())));
             }
         }
-        for (service, count) in extras {
-            let since = self.balance.surplus.get(&service).copied().unwrap_or(now);
-            if now.saturating_duration_since(since) < IDLE {
-                continue;
+        // Hosts that another service only wants go where work waits now.
+        let mut lent: Map<ids::Service, usize> = Map::default();
+        for count in &counts {
+            let comes = moves
+                .iter()
+                .filter(|(_, service)| *service == count.service)
+                .count();
+            for _ in count.has + comes..count.needs {
+                let lender = counts.iter().rev().find(|other| {
+                    let gone = lent.get(&other.service).copied().unwrap_or(0);
+                    other.service != count.service && other.has > other.needs + gone
+                });
+                let Some(lender) = lender else { break };
+                let gone = lent.entry(lender.service.clone()).or_default();
+                let host = self
+                    .light_hosts(&lender.service, true)
+                    .into_iter()
+                    .nth(*gone);
+                *gone += 1;
+                moves.extend(host.map(|host| (host, count.service.clone())));
             }
-            let hosts = self.idle_hosts(&service).into_iter().take(count);
-            let hosts = hosts.filter(|host| idle.contains(host));
-            moves.extend(hosts.map(|host| (host, spare.clone())));
+        }
+        for count in &counts {
+            moves.extend(self.surplus(now, count, &lent, &spare));
         }
         for (host, service) in moves {
             self.begin(now, &host, Kind::Move(service), actions);
         }
     }
 
+    /// Gets the idle hosts that a service has had too many of for a while.
+    fn surplus(
+        &mut self,
+        now: Instant,
+        count: &Count,
+        lent: &Map<ids::Service, usize>,
+        spare: &ids::Service,
+    ) -> Vec<(ids::Host, ids::Service)> {
+        let gone = lent.get(&count.service).copied().unwrap_or(0);
+        let extra = count.has.saturating_sub(count.wants + gone);
+        if extra == 0 {
+            self.balance.surplus.remove(&count.service);
+            return Vec::new();
+        }
+        let since = *self
+            .balance
+            .surplus
+            .entry(count.service.clone())
+            .or_insert(now);
+        if now.saturating_duration_since(since) < IDLE {
+            return Vec::new();
+        }
+        let hosts = self
+            .light_hosts(&count.service, false)
+            .into_iter()
+            .skip(gone);
+        hosts
+            .take(extra)
+            .map(|host| (host, spare.clone()))
+            .collect()
+    }
+
     /// Gets for each service the hosts that it has and needs, with its load, for the log lines.
     #[must_use]
     pub fn demands(&self) -> Vec<(usize, usize, &Load)> {
@@ -112,7 +144,13 @@
             .values()
             .filter(|load| !self.is_spare(&load.service));
         served
-            .map(|load| (self.has(&load.service), self.needs(&load.service), load))
+            .map(|load| {
+                (
+                    self.has(&load.service),
+                    self.count(&load.service).wants,
+                    load,
+                )
+            })
             .collect()
     }
 
@@ -134,16 +172,29 @@
         stay + self.tasks.values().filter(|task| comes(&task.kind)).count()
     }
 
-    /// Gets the hosts that a pool needs.
-    fn needs(&self, service: &ids::Service) -> usize {
+    /// Gets the hosts that a pool has, needs and wants.
+    fn count(&self, service: &ids::Service) -> Count {
+        let has = self.has(service);
         let Some(load) = self.loads.get(service) else {
-            return 0;
+            return Count {
+                service: service.clone(),
+                has,
+                needs: has,
+                wants: has,
+            };
         };
         let size = self.size(service).max(1);
         let most = self.hosts.len();
-        let hosts = usize::try_from(demand(load).div_ceil(size)).unwrap_or(most);
-        let least = load.spread as usize + RESERVE;
-        hosts.max(least).min(most)
+        let hosts = |cpu: u64| usize::try_from(cpu.div_ceil(size)).unwrap_or(most);
+        let spread = load.spread as usize;
+        let needs = hosts(firm(load)).max(spread + 1).min(most);
+        let wants = hosts(growing(load)).max(spread + RESERVE).min(most);
+        Count {
+            service: service.clone(),
+            has,
+            needs,
+            wants: wants.max(needs),
+        }
     }
 
     /// Gets the processor time of a host of a pool.
@@ -173,36 +224,44 @@
         hosts
     }
 
-    /// Gets the hosts of a pool whose workers run nothing.
-    fn idle_hosts(&self, service: &ids::Service) -> Vec<ids::Host> {
+    /// Gets the hosts of a pool whose workers run no lasting task, the least busy first.
+    fn light_hosts(&self, service: &ids::Service, busy: bool) -> Vec<ids::Host> {
         let Some(load) = self.loads.get(service) else {
             return Vec::new();
         };
-        let idle = |host: &&Host| {
-            host.service == *service
-                && host.state == State::Up
-                && !self.balance.moving.contains_key(&host.host)
-                && !self.tasks.contains_key(&host.host)
-                && host
-                    .worker
-                    .as_ref()
-                    .is_some_and(|worker| load.idle.contains(worker))
+        let host = |worker: &ids::Worker| {
+            self.hosts.values().find(|host| {
+                host.service == *service
+                    && host.state == State::Up
+                    && host.worker.as_ref() == Some(worker)
+                    && !self.balance.moving.contains_key(&host.host)
+                    && !self.tasks.contains_key(&host.host)
+            })
         };
-        let mut hosts: Vec<ids::Host> = self
-            .hosts
-            .values()
-            .filter(idle)
-            .map(|host| host.host.clone())
-            .collect();
-        hosts.sort();
-        hosts
+        let light = load.light.iter().filter(|(_, used)| busy || *used == 0);
+        light
+            .filter_map(|(worker, _)| Some(host(worker)?.host.clone()))
+            .collect()
     }
 }
 
-/// Gets the processor time that a service should have, in thousandths of a core.
-fn demand(load: &Load) -> u64 {
+/// `Count` is the hosts of a pool: those that it has, those that its work needs now, and those that it
+/// wants as demand grows.
+struct Count {
+    service: ids::Service,
+    has: usize,
+    needs: usize,
+    wants: usize,
+}
+
+/// Gets the processor time that a service's work needs now, in thousandths of a core.
+fn firm(load: &Load) -> u64 {
     let horizon = u64::try_from(HORIZON.as_millis()).unwrap_or(1);
-    let backlog = load.used + load.waiting * 1_000 / horizon;
+    load.lasting + load.used + load.waiting * 1_000 / horizon
+}
+
+/// Gets the processor time that a service should have while its demand grows.
+fn growing(load: &Load) -> u64 {
     let passing = load.used.max(load.offered) * GROWTH_PERCENT / 100;
-    load.lasting + backlog.max(passing)
+    firm(load).max(load.lasting + passing)
 }
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -158,7 +158,6 @@
                 for load in loads {
                     self.loads.insert(load.service.clone(), load);
                 }
-                return;
             }
             Event::Answered(order, answer) => self.note_answer(now, &order, answer, actions),
             Event::Confirmed(at) => {
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -223,7 +223,7 @@
             info!(self.setup.logger, "demand"; "service" => %load.service, "has" => has,
                 "needs" => needs, "used" => load.used, "lasting" => load.lasting,
                 "waiting" => load.waiting, "offered" => load.offered, "room" => load.room,
-                "spread" => load.spread, "idle" => load.idle.len(), "term" => lead.term);
+                "spread" => load.spread, "idle" => load.light.iter().filter(|(_, used)| *used == 0).count(), "term" => lead.term);
         }
     }
 
--- a/crates/jobs/src/roster/mod.rs
+++ b/crates/jobs/src/roster/mod.rs
@@ -18,7 +18,7 @@
 /// Time that a read waits for a record.
 const WAIT: Duration = Duration::from_secs(1);
 /// Time between two reads, in which the workers' heartbeats gather.
-const PAUSE: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(120);
 /// Time between two looks at the host list.
 const HOSTS_EVERY: Duration = Duration::from_millis(700);
 
