--- a/crates/core/src/sched/rank.rs
+++ b/crates/core/src/sched/rank.rs
@@ -7,9 +7,9 @@
 const LATE_FACTOR: u32 = 3;
 
 /// Share of the declared run time, in percent, that tasks take at times: declarations are rough.
-const ROUGH_PERCENT: u32 = 120;
+const ROUGH_PERCENT: u32 = 100;
 /// Time that each further step takes beyond its tasks: an end is listed and the next start is sent.
-const STEP: Duration = Duration::from_millis(100);
+const STEP: Duration = Duration::from_millis(40);
 
 /// `Rank` is the place of a job in the order in which tasks are started.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -15,13 +15,18 @@
 
 /// Time in which waiting work should be done.
 const HORIZON: Duration = Duration::from_millis(400);
-/// Room beyond the demand seen, in percent: demand grows while hosts move.
-const GROWTH_PERCENT: u64 = 250;
+/// Room beyond the demand seen, in percent of it: a turn grows to several times its beginning while
+/// hosts move.
+const GROWTH_PERCENT: u64 = 150;
+/// Most hosts that a service gets for growth alone, in percent of the fleet.
+const GROWTH_MOST_PERCENT: usize = 20;
 /// Hosts of a pool beyond what its lasting tasks need, so that a turn can begin.
-const RESERVE: usize = 4;
+const RESERVE: usize = 3;
+/// Hosts of a pool beyond what its lasting tasks need that are never lent.
+const KEPT: usize = 2;
 /// Time for which a pool must have too many hosts before one leaves it; a move costs about as much as
 /// a host that idles for a second.
-const IDLE: Duration = Duration::from_millis(2500);
+const IDLE: Duration = Duration::from_secs(2);
 
 /// Time after which a host that did not arrive counts where the list has it.
 const ARRIVAL: Duration = Duration::from_secs(5);
@@ -69,8 +74,14 @@
         });
         let mut moves: Vec<(ids::Host, ids::Service)> = Vec::new();
         let mut free = self.spare_hosts(&spare);
+        // What each service needs and its reserve come before the growth of any.
         for count in &counts {
-            for _ in count.has..count.wants {
+            for _ in count.has..count.base {
+                moves.extend(free.pop().map(|host| (host, count.service.clone())));
+            }
+        }
+        for count in &counts {
+            for _ in count.has.max(count.base)..count.wants {
                 moves.extend(free.pop().map(|host| (host, count.service.clone())));
             }
         }
@@ -180,6 +191,7 @@
                 service: service.clone(),
                 has,
                 needs: has,
+                base: has,
                 wants: has,
             };
         };
@@ -187,13 +199,17 @@
         let most = self.hosts.len();
         let hosts = |cpu: u64| usize::try_from(cpu.div_ceil(size)).unwrap_or(most);
         let spread = load.spread as usize;
-        let needs = hosts(firm(load)).max(spread + 1).min(most);
-        let wants = hosts(growing(load)).max(spread + RESERVE).min(most);
+        let needs = hosts(firm(load)).max(spread + KEPT).min(most);
+        let base = needs.max(spread + RESERVE).min(most);
+        let growth = hosts(load.used.max(load.offered) * GROWTH_PERCENT / 100);
+        let growth = growth.min(most * GROWTH_MOST_PERCENT / 100);
+        let passing = hosts(load.lasting + load.used.max(load.offered)) + growth;
         Count {
             service: service.clone(),
             has,
             needs,
-            wants: wants.max(needs),
+            base,
+            wants: passing.max(base).min(most),
         }
     }
 
@@ -245,12 +261,16 @@
     }
 }
 
-/// `Count` is the hosts of a pool: those that it has, those that its work needs now, and those that it
-/// wants as demand grows.
+/// `Count` is the hosts of a pool.
 struct Count {
     service: ids::Service,
+    /// Hosts that it has, or soon has.
     has: usize,
+    /// Hosts that its work needs now.
     needs: usize,
+    /// Hosts that it needs now, and its reserve.
+    base: usize,
+    /// Hosts that it wants as its demand grows.
     wants: usize,
 }
 
@@ -259,9 +279,3 @@
     let horizon = u64::try_from(HORIZON.as_millis()).unwrap_or(1);
     load.lasting + load.used + load.waiting * 1_000 / horizon
 }
-
-/// Gets the processor time that a service should have while its demand grows.
-fn growing(load: &Load) -> u64 {
-    let passing = load.used.max(load.offered) * GROWTH_PERCENT / 100;
-    firm(load).max(load.lasting + passing)
-}
