--- a/crates/core/src/upkeep/event.rs
+++ b/crates/core/src/upkeep/event.rs
@@ -52,8 +52,8 @@
     Config(Arc<Config>),
     /// The hosts of the fleet.
     Hosts(Vec<Host>),
-    /// A wave that operators ask for.
-    Wave(Wave),
+    /// A wave that operators ask for, with the time at which this process learned of it.
+    Wave(Wave, Instant),
     /// Hosts of a wave that were maintained, as the log says.
     Maintained(ids::WaveNumber, Vec<ids::Host>),
     /// A worker that is to be freed, or no longer, as the log says.
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -59,6 +59,19 @@
     pub(super) doubtful: bool,
 }
 
+/// `Cost` is what it costs to take a host away, by how full its pool is.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Cost {
+    /// It is in the spare pool.
+    None,
+    /// It runs nothing.
+    Idle(u64),
+    /// It runs tasks that end.
+    Light(u64),
+    /// It runs lasting tasks, which must move.
+    Lasting(u64),
+}
+
 /// `Planner` decides for the hosts of the fleet in one term.
 #[derive(Debug)]
 pub struct Planner {
@@ -125,13 +138,13 @@
         match event {
             Event::Config(config) => self.config = config,
             Event::Hosts(hosts) => self.note_hosts(now, hosts),
-            Event::Wave(wave) => {
+            Event::Wave(wave, asked) => {
                 if !self
                     .tours
                     .iter()
                     .any(|tour| tour.wave.number == wave.number)
                 {
-                    self.tours.push(Tour::new(wave));
+                    self.tours.push(Tour::new(wave, asked));
                 }
             }
             Event::Maintained(number, hosts) => {
@@ -321,7 +334,8 @@
         }
     }
 
-    /// Starts to free the next hosts of the waves.
+    /// Starts to free the next hosts of the waves: those that nobody misses as soon as the cap lets
+    /// them, the others as late as the wave's time allows.
     fn plan_waves(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mut plans: Vec<(ids::Host, Kind)> = Vec::new();
         for tour in &self.tours {
@@ -331,33 +345,58 @@
                 .values()
                 .filter(|t| t.kind == Kind::Maintain(number))
                 .count();
-            // The next hosts are freed while others are down.
-            let most = tour.wave.cap + tour.wave.cap.div_ceil(2);
-            let mut open: Vec<(u64, &Host)> = tour
+            let down = tour
+                .wave
+                .hosts
+                .iter()
+                .filter(|host| self.down.contains_key(*host))
+                .count();
+            let mut open: Vec<(Cost, &Host)> = tour
                 .wave
                 .hosts
                 .iter()
                 .filter(|host| !tour.done.contains(*host) && !self.tasks.contains_key(*host))
                 .filter_map(|host| self.hosts.get(host))
                 .filter(|host| host.state == State::Up)
-                .map(|host| (self.press(&host.service), host))
+                .map(|host| (self.cost(host), host))
                 .collect();
-            open.sort_by_key(|(press, host)| (*press, host.host.clone()));
-            let down = tour
-                .wave
-                .hosts
-                .iter()
-                .filter(|host| self.down.contains_key(*host))
-                .count();
-            let room = most.saturating_sub(busy + down);
-            let next = open.into_iter().take(room);
-            plans.extend(next.map(|(_, host)| (host.host.clone(), Kind::Maintain(number))));
+            open.sort_by_key(|(cost, host)| (*cost, host.host.clone()));
+            let pace = tour.pace(now, open.len() + busy);
+            let mut under = busy + down;
+            for (cost, host) in open {
+                let most = if cost == Cost::None {
+                    tour.wave.cap
+                } else {
+                    pace
+                };
+                if under >= most {
+                    break;
+                }
+                under += 1;
+                plans.push((host.host.clone(), Kind::Maintain(number)));
+            }
         }
         for (host, kind) in plans {
             self.begin(now, &host, kind, actions);
         }
     }
 
+    /// Gets what it costs to take a host away now.
+    fn cost(&self, host: &Host) -> Cost {
+        if self.is_spare(&host.service) {
+            return Cost::None;
+        }
+        let light = self.loads.get(&host.service).and_then(|load| {
+            let own = |(worker, _): &&(ids::Worker, u64)| host.worker.as_ref() == Some(worker);
+            load.light.iter().find(own)
+        });
+        match light {
+            Some((_, 0)) => Cost::Idle(self.press(&host.service)),
+            Some(_) => Cost::Light(self.press(&host.service)),
+            None => Cost::Lasting(self.press(&host.service)),
+        }
+    }
+
     /// Gets how full a service is, in percent of its room; spare hosts come first.
     pub(super) fn press(&self, service: &ids::Service) -> u64 {
         if self.is_spare(service) {
--- a/crates/core/src/upkeep/wave.rs
+++ b/crates/core/src/upkeep/wave.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::ids;
 use crate::map::Set;
@@ -16,21 +16,38 @@
     pub cap: usize,
 }
 
+/// Time that a host takes to be freed of tasks and to be maintained.
+const CYCLE: Duration = Duration::from_secs(5);
+/// Share of a wave's time, in percent, in which it is planned to end; hosts fail meanwhile.
+const TIME_PERCENT: u32 = 80;
+
 /// `Tour` is a wave with how far it is.
 #[derive(Debug)]
 pub(super) struct Tour {
     pub(super) wave: Wave,
     pub(super) done: Set<ids::Host>,
+    /// Time at which it was asked for, as far as this process knows.
+    pub(super) asked: Instant,
     /// What operators were told: nothing, that it runs, or that it is complete.
     pub(super) told: Option<bool>,
 }
 
 impl Tour {
-    pub(super) fn new(wave: Wave) -> Self {
+    pub(super) fn new(wave: Wave, asked: Instant) -> Self {
         Self {
             wave,
             done: Set::default(),
+            asked,
             told: None,
         }
     }
+
+    /// Gets how many hosts must be under way at once for the wave to end in time.
+    pub(super) fn pace(&self, now: Instant, open: usize) -> usize {
+        let end = self.asked + self.wave.limit * TIME_PERCENT / 100;
+        let left = end.saturating_duration_since(now).max(CYCLE);
+        let cycles = open as f64 * CYCLE.as_secs_f64() / left.as_secs_f64();
+        // As many as fit into the time, and one that waits for its tasks meanwhile.
+        (cycles.ceil() as usize + 1).min(self.wave.cap + self.wave.cap.div_ceil(2))
+    }
 }
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Asks for a wave.
+    fn ask(&mut self, wave: Wave) {
+        self.step(Event::Wave(wave, self.now));
+    }
+
     /// Carries an order out; the answer comes with the next round.
     fn steer(&mut self, order: Order) {
         let pool = match &order.kind {
@@ -190,7 +195,7 @@
         load("one", 3 * CPU / 2, 0, &[]),
         load("two", 3 * CPU / 2, 0, &[]),
     ];
-    stage.step(Event::Wave(wave(2)));
+    stage.ask(wave(2));
     stage.pass(30);
     assert_eq!(stage.most, 2);
     let maintained = stage
@@ -205,7 +210,7 @@
 fn verify_host_is_freed_before_it_is_told() {
     let mut stage = Stage::new(false);
     stage.loads = vec![load("one", CPU, 0, &[])];
-    stage.step(Event::Wave(wave(1)));
+    stage.ask(wave(1));
     for _ in 0..10 {
         stage.now += Duration::from_millis(200);
         stage.step(Event::Confirmed(stage.now));
@@ -218,7 +223,7 @@
 #[test]
 fn verify_new_leader_waits_until_an_older_one_can_have_no_order_on_its_way() {
     let mut stage = Stage::new(true);
-    stage.step(Event::Wave(wave(1)));
+    stage.ask(wave(1));
     stage.pass(4);
     assert_eq!(stage.orders, []);
     stage.pass(3);
@@ -230,7 +235,7 @@
     let mut stage = Stage::new(false);
     stage.now += Duration::from_secs(5);
     stage.step(Event::Hosts(stage.hosts.clone()));
-    stage.step(Event::Wave(wave(1)));
+    stage.ask(wave(1));
     stage.step(Event::Tick);
     assert_eq!(stage.drains, []);
 }
@@ -295,10 +300,10 @@
 fn verify_worker_of_a_host_that_went_is_not_given_back_while_it_may_be_listed() {
     let mut stage = Stage::new(false);
     stage.loads = vec![load("one", CPU, 0, &[])];
-    stage.step(Event::Wave(Wave {
+    stage.ask(Wave {
         hosts: vec!["one-0".into()],
         ..wave(1)
-    }));
+    });
     stage.pass(8);
     assert!(
         stage
@@ -310,3 +315,17 @@
     stage.pass(8);
     assert!(stage.undrained.contains(&"w-one-0".into()));
 }
+
+#[test]
+fn verify_wave_takes_no_more_hosts_at_once_than_its_time_needs() {
+    let mut stage = Stage::new(false);
+    stage.loads = vec![load("one", 3 * CPU, 0, &[]), load("two", 3 * CPU, 0, &[])];
+    stage.ask(Wave {
+        limit: Duration::from_secs(100),
+        ..wave(8)
+    });
+    stage.pass(100);
+    assert_eq!(stage.statuses, [(1, false), (1, true)]);
+    // Eight hosts of 5 s each need one at a time; one more waits for its tasks.
+    assert_eq!(stage.most, 2);
+}
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! Waves of maintenance and moves of hosts, led by one process for the whole fleet.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix::{
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, MessageResult,
@@ -73,7 +73,8 @@
 pub struct Fleet<E: Edge, C: Copy + Send + Unpin + 'static> {
     setup: Setup<E, C>,
     config: Option<Arc<Config>>,
-    waves: Vec<Wave>,
+    /// Waves asked for, with the time at which this process learned of each.
+    waves: Vec<(Wave, Instant)>,
     maintained: Map<ids::WaveNumber, Vec<ids::Host>>,
     drains: Map<ids::Worker, Drain>,
     loads: Map<ids::Service, Load>,
@@ -191,7 +192,8 @@
         events.extend(
             drains.map(|(worker, drain)| Event::Drain(worker.clone(), Some(drain.clone()))),
         );
-        events.extend(self.waves.iter().cloned().map(Event::Wave));
+        let waves = self.waves.iter().cloned();
+        events.extend(waves.map(|(wave, asked)| Event::Wave(wave, asked)));
         let maintained = self.maintained.iter();
         events.extend(maintained.map(|(wave, hosts)| Event::Maintained(*wave, hosts.clone())));
         for event in events {
@@ -373,9 +375,10 @@
     type Result = ();
 
     fn handle(&mut self, Asked(wave): Asked, ctx: &mut Self::Context) {
-        self.waves.retain(|known| known.number != wave.number);
-        self.waves.push(wave.clone());
-        self.plan(Event::Wave(wave), ctx);
+        let now = clock::now();
+        self.waves.retain(|(known, _)| known.number != wave.number);
+        self.waves.push((wave.clone(), now));
+        self.plan(Event::Wave(wave, now), ctx);
     }
 }
 
