--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -37,6 +37,10 @@
 
 /// `Step` is a set of like tasks of a job.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "callers declare each property by itself"
+)]
 pub struct Step {
     /// Number of tasks.
     pub count: u32,
--- a/crates/core/src/sched/ends.rs
+++ b/crates/core/src/sched/ends.rs
@@ -1,8 +1,6 @@
 use std::time::{Duration, Instant};
 
-use bytestring::ByteString;
-
-use super::event::{Action, End};
+use super::event::{Action, End, Ending};
 use super::hold::note;
 use super::machine::Scheduler;
 use super::work::Place;
@@ -20,21 +18,19 @@
         &mut self,
         now: Instant,
         id: &ids::Worker,
-        number: u64,
-        (task, run): (&Task, ids::Run),
-        end: End,
-        saved: &ByteString,
+        ending: &Ending,
         actions: &mut Vec<Action>,
     ) {
+        let (task, run) = (&ending.task, ending.run);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if number <= worker.seen {
+        if ending.number <= worker.seen {
             return;
         }
-        worker.seen = number;
+        worker.seen = ending.number;
         let lasting = worker.runs.get(task).is_some_and(|known| known.lasting);
-        match end {
+        match ending.end {
             End::Done if !lasting => {
                 worker.failures = 0;
                 self.note_done(now, id, task, run, actions);
@@ -50,16 +46,16 @@
         }
         if let Some(work) = self.works.get_mut(&task.job)
             && let Some((stage, index)) = work.find(task)
-            && !saved.is_empty()
+            && !ending.saved.is_empty()
         {
-            work.stages[stage].items[index].saved = saved.clone();
+            work.stages[stage].items[index].saved = ending.saved.clone();
         }
         let current = self
             .workers
             .get(id)
             .and_then(|worker| worker.runs.get(task));
-        if current.is_some_and(|known| known.run <= run) {
-            let what = match end {
+        if current.is_some_and(|known| known.number <= run) {
+            let what = match ending.end {
                 End::Done => "done",
                 End::Failed => "failed",
                 End::Cut => "cut",
@@ -170,7 +166,7 @@
             return;
         };
         self.stirred = true;
-        actions.push(note(what, task, run.run, id));
+        actions.push(note(what, task, run.number, id));
         let Some(work) = self.works.get_mut(&task.job) else {
             return;
         };
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -57,6 +57,21 @@
     Cut,
 }
 
+/// `Ending` is the end of a run as a worker lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ending {
+    /// Number of the end in this life of the worker; it rises.
+    pub number: u64,
+    /// Task.
+    pub task: Task,
+    /// Run of the task.
+    pub run: ids::Run,
+    /// How it ended.
+    pub end: End,
+    /// Progress that was saved; empty for none.
+    pub saved: ByteString,
+}
+
 /// `Listing` is what a worker answers about its runs.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listing {
@@ -66,8 +81,8 @@
     pub clock: u64,
     /// Tasks that it runs.
     pub running: Vec<Row>,
-    /// Ends that were not acknowledged: number, task, run, how, saved progress.
-    pub ended: Vec<(u64, Task, ids::Run, End, ByteString)>,
+    /// Ends that were not acknowledged.
+    pub ended: Vec<Ending>,
 }
 
 /// `Ticket` allows a worker to run a step.
--- a/crates/core/src/sched/hold.rs
+++ b/crates/core/src/sched/hold.rs
@@ -118,8 +118,8 @@
             worker.settled = true;
             self.stirred = true;
         }
-        for (number, task, run, end, saved) in &listing.ended {
-            self.note_end(now, id, *number, (task, *run), *end, saved, actions);
+        for ending in &listing.ended {
+            self.note_end(now, id, ending, actions);
         }
         for row in &listing.running {
             let known = self
@@ -127,14 +127,14 @@
                 .get_mut(id)
                 .and_then(|w| w.runs.get_mut(&row.task));
             match known {
-                Some(run) if run.run == row.run => {
+                Some(run) if run.number == row.run => {
                     run.observe(row, now);
                     if run.stage == Stage::Starting {
                         run.stage = Stage::Running;
                     }
                     run.known.get_or_insert(now);
                 }
-                Some(run) if run.run > row.run => {}
+                Some(run) if run.number > row.run => {}
                 _ => self.adopt(now, id, &row.task, row.run, actions),
             }
         }
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -23,6 +23,6 @@
 mod work;
 mod worker;
 
-pub use event::{Action, Answer, Call, End, Event, Listing, Order, Report, Row, Ticket};
+pub use event::{Action, Answer, Call, End, Ending, Event, Listing, Order, Report, Row, Ticket};
 pub use machine::{Options, Scheduler};
 pub use worker::Room;
--- a/crates/core/src/sched/order.rs
+++ b/crates/core/src/sched/order.rs
@@ -63,7 +63,7 @@
         let Some(run) = worker.runs.get_mut(&call.task) else {
             return;
         };
-        if run.run != call.run {
+        if run.number != call.run {
             return;
         }
         match answer {
@@ -107,7 +107,7 @@
         let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&call.task)) else {
             return;
         };
-        if run.run != call.run {
+        if run.number != call.run {
             return;
         }
         run.stop_pending = false;
@@ -141,7 +141,7 @@
         }
         run.stop_sent = Some(now);
         run.stop_pending = true;
-        let number = run.run;
+        let number = run.number;
         actions.push(Action::Call(Call {
             worker: id.clone(),
             address,
--- a/crates/core/src/sched/pace.rs
+++ b/crates/core/src/sched/pace.rs
@@ -57,7 +57,9 @@
             };
             if pace != run.pace {
                 run.pace = pace;
-                actions.push(Action::Call(call(id, address, token, task, run.run, pace)));
+                actions.push(Action::Call(call(
+                    id, address, token, task, run.number, pace,
+                )));
             }
         }
     }
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -23,6 +23,21 @@
     fills: usize,
 }
 
+/// `Fit` is how well a worker suits a task; the least is the best.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Fit {
+    /// The task failed or stood still there.
+    avoided: bool,
+    /// The latest runs there failed.
+    failing: bool,
+    /// The task's data is elsewhere.
+    far: bool,
+    /// Processor time left, so that whole hosts come free.
+    left: u64,
+    /// Tasks that fill there already.
+    crowd: usize,
+}
+
 /// `Pick` is a task with the worker chosen for it.
 struct Pick {
     index: usize,
@@ -220,7 +235,7 @@
             index_of(index),
         );
         let room = Room::of(step);
-        let mut best: Option<((bool, bool, bool, u64, usize), usize)> = None;
+        let mut best: Option<(Fit, usize)> = None;
         for (at, seat) in seats.iter().enumerate() {
             let Some(worker) = self.workers.get(&seat.worker) else {
                 continue;
@@ -250,9 +265,15 @@
             let left = seat.free.cpu - room.cpu;
             // Tasks that fill go where most is left.
             let left = if step.fills { u64::MAX - left } else { left };
-            let key = (avoided, seat.failures > 0, far, left, crowd);
-            if best.is_none_or(|(known, _)| key < known) {
-                best = Some((key, at));
+            let fit = Fit {
+                avoided,
+                failing: seat.failures > 0,
+                far,
+                left,
+                crowd,
+            };
+            if best.is_none_or(|(known, _)| fit < known) {
+                best = Some((fit, at));
             }
         }
         let (_, at) = best?;
--- a/crates/core/src/sched/run.rs
+++ b/crates/core/src/sched/run.rs
@@ -20,8 +20,12 @@
 
 /// `Run` is one start of a task on a worker.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "two tell what the task is, two where its orders stand"
+)]
 pub(super) struct Run {
-    pub(super) run: ids::Run,
+    pub(super) number: ids::Run,
     pub(super) stage: Stage,
     pub(super) room: Room,
     /// Whether the scheduler still counts on it for its task.
@@ -51,9 +55,9 @@
 }
 
 impl Run {
-    pub(super) fn new(run: ids::Run, room: Room, now: Instant) -> Self {
+    pub(super) fn new(number: ids::Run, room: Room, now: Instant) -> Self {
         Self {
-            run,
+            number,
             stage: Stage::Starting,
             room,
             wanted: true,
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -74,6 +74,10 @@
 
 /// `Worker` is a worker as the leader knows it.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the lists, the hosts and the operators each say something by themselves"
+)]
 pub(super) struct Worker {
     pub(super) report: Report,
     /// Whether the list has it.
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -50,8 +50,8 @@
             let ready = reader.listen("ready");
             let admin = reader.listen("admin");
             let log = reader.address("log");
-            let hosts = reader.service("hosts");
-            let advice = reader.service("advice");
+            let hosts = reader.services("hosts");
+            let advice = reader.services("advice");
             let shards = reader.count("shards", SHARDS, SHARDS_RANGE);
             let stop = reader.duration("stop", schedules.stop);
             let lease = reader.duration("holder_lease", upkeeps.lease);
@@ -64,8 +64,8 @@
                 ready: ready?,
                 admin: admin?,
                 log: log?,
-                hosts: hosts?,
-                advice: advice?,
+                hosts: hosts?.first().copied(),
+                advice: advice?.first().copied(),
                 shards: ids::Shard::try_from(shards?).ok()?,
                 sched: sched::Options {
                     node: instance,
--- a/crates/core/src/settings/reader.rs
+++ b/crates/core/src/settings/reader.rs
@@ -170,9 +170,14 @@
         Some(taken.into_iter().map(|(_, address)| address).collect())
     }
 
-    /// Takes the address of a service outside, which may share it with another one.
-    pub(crate) fn service(&mut self, key: &str) -> Option<Option<SocketAddr>> {
-        Some(self.list(key)?.first().map(|(_, address)| *address))
+    /// Takes a list of addresses of services outside, which may share one.
+    pub(crate) fn services(&mut self, key: &str) -> Option<Vec<SocketAddr>> {
+        Some(
+            self.list(key)?
+                .into_iter()
+                .map(|(_, address)| address)
+                .collect(),
+        )
     }
 
     /// Takes a list of addresses, each with its line.
--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -52,8 +52,8 @@
             let late = now.saturating_duration_since(*at) > ARRIVAL;
             late || (host.state == State::Up && host.service == *service)
         };
-        if self.moving.get(&host.host).is_some_and(arrived) {
-            self.moving.remove(&host.host);
+        if self.moving.get(&host.name).is_some_and(arrived) {
+            self.moving.remove(&host.name);
         }
     }
 }
@@ -173,11 +173,11 @@
     /// Counts the hosts that a pool has, or soon has.
     fn has(&self, service: &ids::Service) -> usize {
         let moving = &self.balance.moving;
-        let pool = |host: &Host| match moving.get(&host.host) {
+        let pool = |host: &Host| match moving.get(&host.name) {
             Some((target, _)) => target == service,
             None => host.service == *service && host.state != State::Down,
         };
-        let stays = |host: &&Host| pool(host) && !self.tasks.contains_key(&host.host);
+        let stays = |host: &&Host| pool(host) && !self.tasks.contains_key(&host.name);
         let stay = self.hosts.values().filter(stays).count();
         let comes = |kind: &Kind| *kind == Kind::Move(service.clone());
         stay + self.tasks.values().filter(|task| comes(&task.kind)).count()
@@ -227,14 +227,14 @@
         let free = |host: &&Host| {
             host.service == *spare
                 && host.state == State::Up
-                && !self.balance.moving.contains_key(&host.host)
-                && !self.tasks.contains_key(&host.host)
+                && !self.balance.moving.contains_key(&host.name)
+                && !self.tasks.contains_key(&host.name)
         };
         let mut hosts: Vec<ids::Host> = self
             .hosts
             .values()
             .filter(free)
-            .map(|host| host.host.clone())
+            .map(|host| host.name.clone())
             .collect();
         hosts.sort();
         hosts
@@ -250,13 +250,13 @@
                 host.service == *service
                     && host.state == State::Up
                     && host.worker.as_ref() == Some(worker)
-                    && !self.balance.moving.contains_key(&host.host)
-                    && !self.tasks.contains_key(&host.host)
+                    && !self.balance.moving.contains_key(&host.name)
+                    && !self.tasks.contains_key(&host.name)
             })
         };
         let light = load.light.iter().filter(|(_, used)| busy || *used == 0);
         light
-            .filter_map(|(worker, _)| Some(host(worker)?.host.clone()))
+            .filter_map(|(worker, _)| Some(host(worker)?.name.clone()))
             .collect()
     }
 }
--- a/crates/core/src/upkeep/host.rs
+++ b/crates/core/src/upkeep/host.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Host {
     /// Name of the host.
-    pub host: ids::Host,
+    pub name: ids::Host,
     /// Service whose pool it is in.
     pub service: ids::Service,
     /// What it does.
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -184,12 +184,12 @@
 
     fn note_hosts(&mut self, now: Instant, hosts: Vec<Host>) {
         for host in hosts {
-            self.listed.insert(host.host.clone(), now);
+            self.listed.insert(host.name.clone(), now);
             self.balance.note_host(now, &host);
             if host.state == State::Upkeep {
-                self.down.insert(host.host.clone(), now);
+                self.down.insert(host.name.clone(), now);
             }
-            self.hosts.insert(host.host.clone(), host);
+            self.hosts.insert(host.name.clone(), host);
         }
         let listed = &self.listed;
         let fresh = |host: &ids::Host| {
@@ -360,10 +360,9 @@
                 .filter(|host| host.state == State::Up)
                 .map(|host| (self.cost(host), host))
                 .collect();
-            open.sort_by_key(|(cost, host)| (*cost, host.host.clone()));
+            open.sort_by_key(|(cost, host)| (*cost, host.name.clone()));
             let pace = tour.pace(now, open.len() + busy);
-            let mut under = busy + down;
-            for (cost, host) in open {
+            for (under, (cost, host)) in (busy + down..).zip(open) {
                 let most = if cost == Cost::None {
                     tour.wave.cap
                 } else {
@@ -372,8 +371,7 @@
                 if under >= most {
                     break;
                 }
-                under += 1;
-                plans.push((host.host.clone(), Kind::Maintain(number)));
+                plans.push((host.name.clone(), Kind::Maintain(number)));
             }
         }
         for (host, kind) in plans {
--- a/crates/core/src/upkeep/wave.rs
+++ b/crates/core/src/upkeep/wave.rs
@@ -46,8 +46,8 @@
     pub(super) fn pace(&self, now: Instant, open: usize) -> usize {
         let end = self.asked + self.wave.limit * TIME_PERCENT / 100;
         let left = end.saturating_duration_since(now).max(CYCLE);
-        let cycles = open as f64 * CYCLE.as_secs_f64() / left.as_secs_f64();
+        let rounds = usize::try_from(left.as_millis() / CYCLE.as_millis()).unwrap_or(1);
         // As many as fit into the time, and one that waits for its tasks meanwhile.
-        (cycles.ceil() as usize + 1).min(self.wave.cap + self.wave.cap.div_ceil(2))
+        (open.div_ceil(rounds) + 1).min(self.wave.cap + self.wave.cap.div_ceil(2))
     }
 }
--- a/crates/core/tests/sched/worker.rs
+++ b/crates/core/tests/sched/worker.rs
@@ -6,7 +6,7 @@
 use bytestring::ByteString;
 use persimmongate_core::ids;
 use persimmongate_core::job::Task;
-use persimmongate_core::sched::{Answer, Call, End, Listing, Order, Report, Room, Row};
+use persimmongate_core::sched::{Answer, Call, End, Ending, Listing, Order, Report, Room, Row};
 
 /// Time that a worker takes to stop a run.
 const STOP: Duration = Duration::from_millis(300);
@@ -36,7 +36,7 @@
     pub(crate) runs: BTreeMap<Task, Going>,
     /// Highest run of each task that ended or was stopped here.
     closed: BTreeMap<Task, ids::Run>,
-    pub(crate) ended: Vec<(u64, Task, ids::Run, End, ByteString)>,
+    pub(crate) ended: Vec<Ending>,
     /// Times of the ends, by number.
     times: BTreeMap<u64, Instant>,
     numbers: u64,
@@ -107,8 +107,13 @@
             self.numbers += 1;
             self.closed.insert(task.clone(), run);
             self.times.insert(self.numbers, now);
-            self.ended
-                .push((self.numbers, task.clone(), run, end, ByteString::new()));
+            self.ended.push(Ending {
+                number: self.numbers,
+                task: task.clone(),
+                run,
+                end,
+                saved: ByteString::new(),
+            });
             outcomes.push((self.numbers, task, run, end));
         }
         outcomes
@@ -128,15 +133,15 @@
         self.token = token;
         self.until = self.until.max(until.unwrap_or(0));
         let mut noted = Vec::new();
-        for (number, task, run, end, _) in &self.ended {
+        for ending in &self.ended {
             // An end counts as taken note of unless the lease ran out since.
-            let at = self.times.get(number);
+            let at = self.times.get(&ending.number);
             let stands = at.is_some_and(|at| self.lapsed.is_none_or(|lapsed| lapsed < *at));
-            if *number <= ack && stands {
-                noted.push((*number, task.clone(), *run, *end));
+            if ending.number <= ack && stands {
+                noted.push((ending.number, ending.task.clone(), ending.run, ending.end));
             }
         }
-        self.ended.retain(|(number, ..)| *number > ack);
+        self.ended.retain(|ending| ending.number > ack);
         let row = |(task, run): (&Task, &Going)| Row {
             task: task.clone(),
             run: run.run,
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -58,6 +58,9 @@
     pub(crate) up: bool,
 }
 
+/// `Known` is the end of a run of a task, and whether the task was done.
+type Known = (Task, ids::Run, bool);
+
 /// `World` is all of it, with its time.
 pub(crate) struct World {
     pub(crate) now: Instant,
@@ -77,11 +80,11 @@
     /// Tasks that ended as done on a worker.
     done: BTreeSet<Task>,
     /// Runs that ended as done or failed, and were taken note of.
-    noted: BTreeSet<(Task, ids::Run, bool)>,
+    noted: BTreeSet<Known>,
     /// Runs that ended as done or failed.
-    ended: BTreeSet<(Task, ids::Run, bool)>,
+    ended: BTreeSet<Known>,
     /// Starts, with the ends of the task that came before.
-    begun: Vec<(String, Vec<(Task, ids::Run, bool)>)>,
+    begun: Vec<(String, Vec<Known>)>,
     pub(crate) starts: u64,
     pub(crate) breaches: Vec<String>,
 }
@@ -421,7 +424,7 @@
         if leader == usize::MAX {
             return;
         }
-        let sent = now - HOP;
+        let sent = now.checked_sub(HOP).unwrap();
         let empty = answer
             .as_ref()
             .is_ok_and(|listing| listing.ended.is_empty());
@@ -489,7 +492,7 @@
         }
         let event = Event::Called {
             call,
-            sent: now - HOP,
+            sent: now.checked_sub(HOP).unwrap(),
             answer: if lost { Answer::Unknown } else { answer },
             clock: None,
         };
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -96,7 +96,7 @@
         let host = self
             .hosts
             .iter_mut()
-            .find(|host| host.host == order.host)
+            .find(|host| host.name == order.host)
             .unwrap();
         host.state = state;
         host.worker = None;
@@ -106,7 +106,7 @@
     }
 
     fn find(&self, host: &ids::Host) -> &Host {
-        self.hosts.iter().find(|entry| entry.host == *host).unwrap()
+        self.hosts.iter().find(|entry| entry.name == *host).unwrap()
     }
 
     /// Lets time pass; the shards free workers at once.
@@ -120,7 +120,7 @@
                 let entry = self
                     .hosts
                     .iter_mut()
-                    .find(|entry| entry.host == host)
+                    .find(|entry| entry.name == host)
                     .unwrap();
                 entry.state = State::Up;
                 entry.worker = (pool != "spare").then(|| format!("w-{host}").into());
@@ -161,7 +161,7 @@
             gpu: 0,
         },
         labels: Vec::new(),
-        host: name.into(),
+        name: name.into(),
     }
 }
 
--- a/crates/jobs/src/shard/lead.rs
+++ b/crates/jobs/src/shard/lead.rs
@@ -171,7 +171,7 @@
                 until,
                 wait,
             } => {
-                let hold = Hold {
+                let question = Hold {
                     worker: worker.clone(),
                     address,
                     token,
@@ -179,14 +179,14 @@
                     until,
                     wait,
                 };
-                let held = edge.hold(hold).into_actor(self);
-                ctx.spawn(held.map(move |answer, act, ctx| {
-                    let held = Event::Held {
+                let asked = edge.hold(question).into_actor(self);
+                ctx.spawn(asked.map(move |answer, act, ctx| {
+                    let event = Event::Held {
                         worker,
                         sent,
                         answer,
                     };
-                    act.schedule_for(term, held, ctx);
+                    act.schedule_for(term, event, ctx);
                 }));
             }
             Action::Call(call) => {
@@ -309,7 +309,7 @@
                 // A host that moves is listed in another pool, but its worker may still be known here.
                 let workers = hosts.into_iter().map(|host| {
                     let own = self.owns(&host.service);
-                    (host.host, host.worker.filter(|_| own))
+                    (host.name, host.worker.filter(|_| own))
                 });
                 let workers = workers.collect();
                 self.schedule(Event::Hosts(workers), ctx);
