--- a/crates/node/src/logger/mod.rs
+++ b/crates/node/src/logger/mod.rs
@@ -4,6 +4,9 @@
 use persimmongate_core::settings::{Format, Node};
 use slog::{Drain, Logger, o};
 
+/// Lines that wait to be written, at most; a burst of starts makes a few hundred at once.
+const QUEUE: usize = 4_096;
+
 /// Makes the root logger of a daemon.
 pub fn start(node: &Node) -> Logger {
     begin(node.log, &node.instance, &node.zone)
@@ -21,12 +24,24 @@
     match format {
         Format::Json => {
             let drain = slog_json::Json::default(std::io::stdout()).fuse();
-            Logger::root(slog_async::Async::new(drain).build().fuse(), values)
+            Logger::root(
+                slog_async::Async::new(drain)
+                    .chan_size(QUEUE)
+                    .build()
+                    .fuse(),
+                values,
+            )
         }
         Format::Terminal => {
             let decorator = slog_term::TermDecorator::new().stdout().build();
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
-            Logger::root(slog_async::Async::new(drain).build().fuse(), values)
+            Logger::root(
+                slog_async::Async::new(drain)
+                    .chan_size(QUEUE)
+                    .build()
+                    .fuse(),
+                values,
+            )
         }
     }
 }
