Split the planner and the fleet's actor, and ignore records of free workers from before a drain

A process that reads the newest records late could take the word of an older term that a worker is free for an answer to its own drain.

--- a/crates/core/src/upkeep/mod.rs
+++ b/crates/core/src/upkeep/mod.rs
@@ -7,6 +7,7 @@
 mod balance;
 mod event;
 mod host;
+mod maintain;
 mod planner;
 mod wave;
 
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -7,7 +7,7 @@
 use super::wave::Tour;
 use crate::ids;
 use crate::journal::{Drain, Load};
-use crate::map::{Map, Set};
+use crate::map::Map;
 use crate::queue::Config;
 
 /// Time since the log was reached for which orders are given; a new leader waits longer.
@@ -59,19 +59,6 @@
     pub(super) doubtful: bool,
 }
 
-/// `Cost` is what it costs to take a host away, by how full its pool is.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Cost {
-    /// It is in the spare pool.
-    None,
-    /// It runs nothing.
-    Idle(u64),
-    /// It runs tasks that end.
-    Light(u64),
-    /// It runs lasting tasks, which must move.
-    Lasting(u64),
-}
-
 /// `Planner` decides for the hosts of the fleet in one term.
 #[derive(Debug)]
 pub struct Planner {
@@ -83,11 +70,11 @@
     /// Time at which a host was last listed.
     listed: Map<ids::Host, Instant>,
     pub(super) loads: Map<ids::Service, Load>,
-    tours: Vec<Tour>,
+    pub(super) tours: Vec<Tour>,
     pub(super) balance: Balance,
     pub(super) tasks: Map<ids::Host, Task>,
     /// Hosts that were told to go down, with the time.
-    down: Map<ids::Host, Instant>,
+    pub(super) down: Map<ids::Host, Instant>,
     /// Drains that the log has.
     drains: Map<ids::Worker, Drain>,
     /// Workers whose host was told to go, which the list may still have for a while.
@@ -250,23 +237,6 @@
         }
     }
 
-    fn finish_upkeep(
-        &mut self,
-        now: Instant,
-        host: &ids::Host,
-        number: ids::WaveNumber,
-        actions: &mut Vec<Action>,
-    ) {
-        self.down.insert(host.clone(), now);
-        if let Some(entry) = self.hosts.get_mut(host) {
-            entry.state = State::Upkeep;
-        }
-        if let Some(tour) = self.tours.iter_mut().find(|t| t.wave.number == number) {
-            tour.done.insert(host.clone());
-            actions.push(Action::Record(number, tour.done.iter().cloned().collect()));
-        }
-    }
-
     fn act(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if now < self.starts || now.saturating_duration_since(self.confirmed) > FRESH {
             return;
@@ -282,20 +252,6 @@
         self.steer(now, actions);
     }
 
-    /// Tells operators how far the waves are.
-    fn tell(&mut self, actions: &mut Vec<Action>) {
-        let known = !self.hosts.is_empty();
-        for tour in &mut self.tours {
-            let open =
-                |host: &&ids::Host| !tour.done.contains(*host) && self.hosts.contains_key(*host);
-            let complete = known && !tour.wave.hosts.iter().any(|host| open(&host));
-            if tour.told.is_none() || (tour.told == Some(false) && complete) {
-                tour.told = Some(complete);
-                actions.push(Action::Status(tour.wave.number, complete));
-            }
-        }
-    }
-
     /// Gives up drains that nobody waits for, or whose worker is gone.
     fn drop_stale(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let hosts = &self.hosts;
@@ -334,67 +290,6 @@
         }
     }
 
-    /// Starts to free the next hosts of the waves: those that nobody misses as soon as the cap lets
-    /// them, the others as late as the wave's time allows.
-    fn plan_waves(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let mut plans: Vec<(ids::Host, Kind)> = Vec::new();
-        for tour in &self.tours {
-            let number = tour.wave.number;
-            let busy = self
-                .tasks
-                .values()
-                .filter(|t| t.kind == Kind::Maintain(number))
-                .count();
-            let down = tour
-                .wave
-                .hosts
-                .iter()
-                .filter(|host| self.down.contains_key(*host))
-                .count();
-            let mut open: Vec<(Cost, &Host)> = tour
-                .wave
-                .hosts
-                .iter()
-                .filter(|host| !tour.done.contains(*host) && !self.tasks.contains_key(*host))
-                .filter_map(|host| self.hosts.get(host))
-                .filter(|host| host.state == State::Up)
-                .map(|host| (self.cost(host), host))
-                .collect();
-            open.sort_by_key(|(cost, host)| (*cost, host.name.clone()));
-            let pace = tour.pace(now, open.len() + busy);
-            for (under, (cost, host)) in (busy + down..).zip(open) {
-                let most = if cost == Cost::None {
-                    tour.wave.cap
-                } else {
-                    pace
-                };
-                if under >= most {
-                    break;
-                }
-                plans.push((host.name.clone(), Kind::Maintain(number)));
-            }
-        }
-        for (host, kind) in plans {
-            self.begin(now, &host, kind, actions);
-        }
-    }
-
-    /// Gets what it costs to take a host away now.
-    fn cost(&self, host: &Host) -> Cost {
-        if self.is_spare(&host.service) {
-            return Cost::None;
-        }
-        let light = self.loads.get(&host.service).and_then(|load| {
-            let own = |(worker, _): &&(ids::Worker, u64)| host.worker.as_ref() == Some(worker);
-            load.light.iter().find(own)
-        });
-        match light {
-            Some((_, 0)) => Cost::Idle(self.press(&host.service)),
-            Some(_) => Cost::Light(self.press(&host.service)),
-            None => Cost::Lasting(self.press(&host.service)),
-        }
-    }
-
     /// Gets how full a service is, in percent of its room; spare hosts come first.
     pub(super) fn press(&self, service: &ids::Service) -> u64 {
         if self.is_spare(service) {
@@ -476,20 +371,4 @@
             actions.push(Action::Steer(order));
         }
     }
-
-    /// Checks if one more host of a wave may go down.
-    fn has_slot(&self, number: ids::WaveNumber, host: &ids::Host) -> bool {
-        let Some(tour) = self.tours.iter().find(|tour| tour.wave.number == number) else {
-            return false;
-        };
-        let sent = |host: &ids::Host| self.tasks.get(host).is_some_and(|task| task.sent);
-        let others: Set<&ids::Host> = tour
-            .wave
-            .hosts
-            .iter()
-            .filter(|other| *other != host)
-            .filter(|other| sent(other) || self.down.contains_key(*other))
-            .collect();
-        others.len() < tour.wave.cap
-    }
 }
--- /dev/null
+++ b/crates/jobs/src/fleet/lead.rs
@@ -0,0 +1,238 @@
+use actix::{ActorFutureExt, AsyncContext, Context, SpawnHandle, WrapFuture};
+use persimmongate_core::ids;
+use persimmongate_core::journal::{Beat, Key, Record};
+use persimmongate_core::term::{self, Action as Elected, BEAT};
+use persimmongate_core::upkeep::{Action, Event, Planner};
+use persimmongate_node::clock;
+use slog::{error, info, warn};
+
+use super::{Fleet, LIMIT, REPORT, SHARD, TICK};
+use crate::edge::{Append, Author, Edge, Failure, Topic};
+use crate::lead::{claim, encode, persist};
+use crate::roster::{Subscribe, Unsubscribe};
+use crate::shard::{Led, shard_of};
+
+/// `Lead` is the leadership in one term.
+pub(super) struct Lead {
+    term: ids::Term,
+    pub(super) planner: Planner,
+    sequence: u64,
+    tick: SpawnHandle,
+    beat: SpawnHandle,
+    report: SpawnHandle,
+}
+
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Fleet<E, C> {
+    pub(super) fn elect(&mut self, event: term::Event, ctx: &mut Context<Self>) {
+        let mut actions = Vec::new();
+        self.election.step(clock::now(), event, &mut actions);
+        for action in actions {
+            match action {
+                Elected::Claim { at, nonce } => self.claim(at, nonce, ctx),
+                Elected::Lead {
+                    term,
+                    succeeds,
+                    resigned,
+                } => self.take_over(term, succeeds && !resigned, ctx),
+                Elected::Yield => self.give_up(ctx),
+            }
+        }
+    }
+
+    fn claim(&mut self, at: ids::Offset, nonce: u64, ctx: &mut Context<Self>) {
+        let append = match claim(Topic::Jobs(SHARD), at, self.setup.node.clone(), nonce) {
+            Ok(append) => append,
+            Err(problem) => {
+                error!(self.setup.logger, "claim not encoded"; "error" => %problem);
+                return;
+            }
+        };
+        let appended = self.setup.edge.append(append).into_actor(self);
+        ctx.spawn(appended.map(move |appended, act, ctx| {
+            info!(act.setup.logger, "fleet claimed"; "at" => at, "outcome" => ?appended);
+            if appended.is_err_and(|failure| failure != Failure::Unknown) {
+                act.elect(term::Event::Refused, ctx);
+            }
+        }));
+    }
+
+    fn take_over(&mut self, term: ids::Term, succeeds: bool, ctx: &mut Context<Self>) {
+        info!(self.setup.logger, "leads fleet"; "term" => term, "succeeds" => succeeds);
+        let (options, node) = (self.setup.options.clone(), self.setup.node.clone());
+        let planner = Planner::new(options, node, term, succeeds, clock::now());
+        self.lead = Some(Lead {
+            term,
+            planner,
+            sequence: 0,
+            tick: ctx.run_interval(TICK, |act, ctx| act.plan(Event::Tick, ctx)),
+            beat: ctx.run_interval(BEAT, |act, ctx| act.beat(false, ctx)),
+            report: ctx.run_interval(REPORT, |act, _| act.report()),
+        });
+        let mut events: Vec<Event> = Vec::new();
+        events.extend(self.config.clone().map(Event::Config));
+        events.push(Event::Loads(self.loads.values().cloned().collect()));
+        let drains = self.drains.iter();
+        events.extend(
+            drains.map(|(worker, drain)| Event::Drain(worker.clone(), Some(drain.clone()))),
+        );
+        let waves = self.waves.iter().cloned();
+        events.extend(waves.map(|(wave, asked)| Event::Wave(wave, asked)));
+        let maintained = self.maintained.iter();
+        events.extend(maintained.map(|(wave, hosts)| Event::Maintained(*wave, hosts.clone())));
+        for event in events {
+            self.plan(event, ctx);
+        }
+        let recipient = ctx.address().recipient();
+        self.setup.roster.do_send(Subscribe(SHARD, recipient));
+        self.tell(true);
+    }
+
+    fn give_up(&mut self, ctx: &mut Context<Self>) {
+        let Some(lead) = self.lead.take() else {
+            return;
+        };
+        warn!(self.setup.logger, "leads fleet no more"; "term" => lead.term);
+        ctx.cancel_future(lead.tick);
+        ctx.cancel_future(lead.beat);
+        ctx.cancel_future(lead.report);
+        self.setup.roster.do_send(Unsubscribe(SHARD));
+        self.tell(false);
+    }
+
+    /// Writes what decides about moves.
+    fn report(&self) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        for (has, needs, load) in lead.planner.demands() {
+            info!(self.setup.logger, "demand"; "service" => %load.service, "has" => has,
+                "needs" => needs, "used" => load.used, "lasting" => load.lasting,
+                "waiting" => load.waiting, "offered" => load.offered, "room" => load.room,
+                "spread" => load.spread, "idle" => load.light.iter().filter(|(_, used)| *used == 0).count(), "term" => lead.term);
+        }
+    }
+
+    fn tell(&self, leads: bool) {
+        self.setup.led.do_send(Led {
+            shard: SHARD,
+            leads,
+        });
+    }
+
+    pub(super) fn beat(&mut self, resigned: bool, ctx: &mut Context<Self>) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let beat = Record::Beat(Beat {
+            term: lead.term,
+            node: self.setup.node.clone(),
+            resigned,
+            ..Beat::default()
+        });
+        self.record(beat, ctx);
+    }
+
+    /// Appends a record of the leader.
+    fn record(&mut self, record: Record, ctx: &mut Context<Self>) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Ok(records) = encode(&[record]) else {
+            error!(self.setup.logger, "record not encoded");
+            return;
+        };
+        lead.sequence += 1;
+        let term = lead.term;
+        let append = Append {
+            topic: Topic::Jobs(SHARD),
+            records,
+            at: None,
+            author: Some(Author {
+                term,
+                sequence: lead.sequence,
+            }),
+        };
+        let persisted = persist(self.setup.edge.clone(), append, Some(clock::now() + LIMIT));
+        ctx.spawn(persisted.into_actor(self).map(move |appended, act, ctx| {
+            if let Err(failure) = appended
+                && act.lead.as_ref().is_some_and(|lead| lead.term == term)
+            {
+                warn!(act.setup.logger, "leader's append refused"; "reason" => ?failure);
+                act.elect(term::Event::Fenced, ctx);
+            }
+        }));
+    }
+
+    pub(super) fn plan(&mut self, event: Event, ctx: &mut Context<Self>) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let mut actions = Vec::new();
+        lead.planner.step(clock::now(), event, &mut actions);
+        let term = lead.term;
+        for action in actions {
+            self.carry_out(term, action, ctx);
+        }
+    }
+
+    fn carry_out(&mut self, term: ids::Term, action: Action, ctx: &mut Context<Self>) {
+        match action {
+            Action::Drain(worker, drain) => {
+                info!(self.setup.logger, "drain"; "host" => %drain.host, "worker" => %worker);
+                let service = drain.service.clone();
+                self.request(&service, &[Record::Drain(worker, Some(drain))], ctx);
+            }
+            Action::Undrain(worker, drain) => {
+                info!(self.setup.logger, "drain over"; "host" => %drain.host, "worker" => %worker);
+                let vacated = Record::Dropped(Key::Vacated(worker.clone()));
+                self.request(&drain.service, &[Record::Drain(worker, None), vacated], ctx);
+            }
+            Action::Steer(order) => {
+                let answered = self.setup.edge.steer(order.clone()).into_actor(self);
+                ctx.spawn(answered.map(move |answer, act, ctx| {
+                    info!(act.setup.logger, "host told"; "host" => %order.host,
+                        "order" => ?order.kind, "token" => order.token, "answer" => ?answer);
+                    if act.lead.as_ref().is_some_and(|lead| lead.term == term) {
+                        act.plan(Event::Answered(order, answer), ctx);
+                    }
+                }));
+            }
+            Action::Record(wave, hosts) => self.record(Record::Wave(wave, hosts), ctx),
+            Action::Status(wave, completed) => {
+                info!(self.setup.logger, "wave"; "wave" => wave, "completed" => completed);
+                let (key, value) = self.setup.edge.status(wave, completed);
+                self.append(Topic::Status, vec![(key, Some(value))], ctx);
+            }
+        }
+    }
+
+    /// Appends records for the leader of a service's shard.
+    fn request(&self, service: &ids::Service, records: &[Record], ctx: &mut Context<Self>) {
+        let shard = shard_of(service, self.setup.shards);
+        match encode(records) {
+            Ok(records) => self.append(Topic::Jobs(shard), records, ctx),
+            Err(problem) => error!(self.setup.logger, "not encoded"; "error" => %problem),
+        }
+    }
+
+    fn append(
+        &self,
+        topic: Topic,
+        records: Vec<(bytestring::ByteString, Option<bytes::Bytes>)>,
+        ctx: &mut Context<Self>,
+    ) {
+        let append = Append {
+            topic,
+            records,
+            at: None,
+            author: None,
+        };
+        let persisted = persist(self.setup.edge.clone(), append, Some(clock::now() + LIMIT));
+        ctx.spawn(persisted.into_actor(self).map(move |appended, act, _| {
+            if let Err(failure) = appended {
+                warn!(act.setup.logger, "request not recorded"; "topic" => ?topic,
+                    "reason" => ?failure);
+            }
+        }));
+    }
+}
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -242,9 +242,11 @@
                 self.setup.seen.do_send(seen);
             }
             Record::Progress(..) => self.elect(term::Event::Heard, ctx),
-            Record::Vacated(worker, _) => {
+            // A record from before the drain says nothing about the worker's tasks now.
+            Record::Vacated(worker, _) if self.drains.contains_key(worker) => {
                 self.setup.seen.do_send(Seen::Vacated(worker.clone()));
             }
+            Record::Vacated(..) => {}
             Record::Dropped(_) | Record::Wave(..) => {}
         }
     }
--- a/crates/wire/src/journal/mod.rs
+++ b/crates/wire/src/journal/mod.rs
@@ -13,10 +13,14 @@
 /// Key of the leader's records.
 const BEAT: &str = "beat";
 
+/// Joins the kind and the name of a key.
+fn join(kind: &str, name: &impl Display) -> ByteString {
+    format!("{kind}/{name}").into()
+}
+
 /// Encodes what a record is about.
 #[must_use]
 pub fn encode_key(key: &Key) -> ByteString {
-    let join = |kind: &str, name: &dyn Display| ByteString::from(format!("{kind}/{name}"));
     match key {
         Key::Accepted(job) => join("a", job),
         Key::Beat => ByteString::from_static(BEAT),
