--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -246,8 +246,7 @@
             Record::Vacated(worker, _) if self.drains.contains_key(worker) => {
                 self.setup.seen.do_send(Seen::Vacated(worker.clone()));
             }
-            Record::Vacated(..) => {}
-            Record::Dropped(_) | Record::Wave(..) => {}
+            Record::Dropped(_) | Record::Vacated(..) | Record::Wave(..) => {}
         }
     }
 
