--- a/crates/core/src/sched/flush.rs
+++ b/crates/core/src/sched/flush.rs
@@ -78,10 +78,4 @@
             }
         }
     }
-
-    /// Gets the time since the latest beat was planned, for operators.
-    #[must_use]
-    pub fn beat_age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.beat)
-    }
 }
--- a/crates/core/src/sched/machine.rs
+++ b/crates/core/src/sched/machine.rs
@@ -5,7 +5,7 @@
 use super::load::Offers;
 use super::settle::Settling;
 use super::work::Work;
-use super::worker::{Room, Worker};
+use super::worker::Worker;
 use crate::ids;
 use crate::map::{Map, Set};
 use crate::queue::Config;
@@ -131,10 +131,4 @@
             ("unsettled", self.unsettled()),
         ]
     }
-
-    /// Gets the room of a worker that is free, for operators.
-    #[must_use]
-    pub fn free(&self, worker: &ids::Worker) -> Option<Room> {
-        self.workers.get(worker).map(Worker::free)
-    }
 }
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use persimmongate_core::job::Outcome;
+use persimmongate_core::job::{Outcome, Step};
 use persimmongate_core::sched::Event;
 
 use world::{Faults, World, lasting, step};
@@ -191,3 +191,92 @@
     assert!(world.workers[&busy[0]].runs.is_empty() || world.workers[&busy[1]].runs.is_empty());
     none(&world);
 }
+
+#[test]
+fn verify_gang_starts_together_or_not_at_all() {
+    let gang = Step {
+        gang: true,
+        ..step(5, 500, &[])
+    };
+    // A worker has room for four tasks.
+    let mut world = World::new(1, 1);
+    world.submit("job", vec![gang.clone()]);
+    world.run(seconds(2));
+    assert_eq!(world.starts, 0);
+    let mut world = World::new(2, 1);
+    world.submit("job", vec![gang]);
+    world.run(Duration::from_millis(300));
+    let runs = world
+        .workers
+        .values()
+        .flat_map(|worker| worker.runs.values());
+    let numbers: Vec<_> = runs.map(|run| run.run).collect();
+    assert_eq!(numbers.len(), 5);
+    assert!(numbers.iter().all(|number| *number == numbers[0]));
+    world.run(seconds(2));
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+    none(&world);
+}
+
+#[test]
+fn verify_tasks_go_where_their_label_is() {
+    let mut world = World::new(4, 1);
+    let labelled = Step {
+        label: Some("r1".into()),
+        ..lasting(2, 0)
+    };
+    world.submit("job", vec![labelled]);
+    world.run(seconds(1));
+    assert_eq!(world.running("job"), ["w2", "w3"]);
+    none(&world);
+}
+
+#[test]
+fn verify_occurrences_start_when_they_are_due() {
+    let mut world = World::new(2, 1);
+    world.submit_at("job", vec![step(1, 300, &[])], Some((seconds(2), 2)));
+    world.run(Duration::from_millis(1_900));
+    assert_eq!(world.starts, 0);
+    world.run(seconds(1));
+    assert_eq!(world.starts, 1);
+    world.run(seconds(3));
+    assert_eq!(world.starts, 2);
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+    none(&world);
+}
+
+#[test]
+fn verify_tasks_that_fill_give_way_to_one_that_nears_its_target() {
+    let mut world = World::new(1, 1);
+    let serving = Step {
+        target: Some(Duration::from_millis(100)),
+        ..lasting(1, 0)
+    };
+    let filling = Step {
+        fills: true,
+        ..lasting(1, 0)
+    };
+    world.submit("job", vec![serving, filling]);
+    world.run(seconds(1));
+    assert_eq!(world.workers["w0"].paces, []);
+    world.workers.get_mut("w0").unwrap().figure = 120;
+    world.run(seconds(2));
+    assert_eq!(world.workers["w0"].paces, [0]);
+    // The room is given back in steps.
+    world.workers.get_mut("w0").unwrap().figure = 20;
+    world.run(seconds(5));
+    assert!(world.workers["w0"].paces.starts_with(&[0, 20]));
+}
+
+#[test]
+fn verify_policy_service_chooses_the_workers() {
+    let mut world = World::new(3, 1);
+    world.allowed = Some(vec!["w1".into()]);
+    world.leaders[0].up = false;
+    world.lead();
+    world.run(seconds(1));
+    world.submit("job", vec![lasting(1, 0)]);
+    world.run(seconds(1));
+    assert_eq!(world.running("job"), ["w1"]);
+    none(&world);
+}
--- a/crates/core/tests/sched/worker.rs
+++ b/crates/core/tests/sched/worker.rs
@@ -40,6 +40,10 @@
     /// Times of the ends, by number.
     times: BTreeMap<u64, Instant>,
     numbers: u64,
+    /// Response time that its serving tasks show, in milliseconds.
+    pub(crate) figure: u64,
+    /// Shares that tasks were limited to.
+    pub(crate) paces: Vec<u32>,
     /// Time at which its lease was last over.
     lapsed: Option<Instant>,
 }
@@ -62,6 +66,8 @@
             ended: Vec::new(),
             times: BTreeMap::new(),
             numbers: 0,
+            figure: 0,
+            paces: Vec::new(),
             lapsed: None,
         }
     }
@@ -153,7 +159,7 @@
                     u32::try_from((now - run.since).as_millis() * 100 / whole).unwrap()
                 }
             },
-            figure: 0,
+            figure: self.figure,
         };
         let listing = Listing {
             born: self.report.born,
@@ -208,7 +214,10 @@
                 }
                 (Answer::Done, false)
             }
-            Order::Pace(_) => (Answer::Done, false),
+            Order::Pace(percent) => {
+                self.paces.push(*percent);
+                (Answer::Done, false)
+            }
         }
     }
 }
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -5,17 +5,19 @@
 use std::time::{Duration, Instant};
 
 use persimmongate_core::ids;
-use persimmongate_core::job::{Job, Outcome, Progress, Step, Task};
+use persimmongate_core::job::{Job, Outcome, Progress, Schedule, Step, Task};
 use persimmongate_core::journal::{Book, Record};
-use persimmongate_core::queue::{Config, Queue, Service};
+use persimmongate_core::queue::{Advice, Config, Queue, Service};
 use persimmongate_core::sched::{
-    Action, Answer, Call, End, Event, Options, Order, Report, Room, Scheduler,
+    Action, Answer, Call, End, Event, Options, Order, Report, Room, Scheduler, Ticket,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, RngExt, SeedableRng};
 
 use crate::worker::{Going, Worker};
 
+/// Time for which a ticket holds.
+const VALID: Duration = Duration::from_secs(3);
 /// Time that a message takes one way.
 const HOP: Duration = Duration::from_millis(2);
 /// Time after which an order without an answer counts as lost.
@@ -87,6 +89,8 @@
     begun: Vec<(String, Vec<Known>)>,
     /// Jobs of which the log keeps the name only.
     pub(crate) stubs: usize,
+    /// Workers that the policy service allows; nothing for queues without it.
+    pub(crate) allowed: Option<Vec<ids::Worker>>,
     pub(crate) starts: u64,
     pub(crate) breaches: Vec<String>,
 }
@@ -113,6 +117,7 @@
             ended: BTreeSet::new(),
             begun: Vec::new(),
             stubs: 0,
+            allowed: None,
             starts: 0,
             breaches: Vec::new(),
         };
@@ -141,7 +146,12 @@
             up: true,
         });
         let leader = self.leaders.len() - 1;
-        self.tell(leader, Event::Config(Arc::new(config())));
+        let advice = self.allowed.as_ref().map(|_| Advice {
+            decide: HOP,
+            each: Duration::ZERO,
+            valid: VALID,
+        });
+        self.tell(leader, Event::Config(Arc::new(config(advice))));
         let jobs: Vec<_> = self
             .book
             .jobs()
@@ -172,13 +182,31 @@
 
     /// Hands a job in.
     pub(crate) fn submit(&mut self, id: &str, steps: Vec<Step>) {
+        self.submit_at(id, steps, None);
+    }
+
+    /// Hands a job in that runs at set times, from the beginning of the world on.
+    pub(crate) fn submit_at(
+        &mut self,
+        id: &str,
+        steps: Vec<Step>,
+        schedule: Option<(Duration, u32)>,
+    ) {
+        let schedule = schedule.map(|(interval, times)| {
+            let interval = u64::try_from(interval.as_millis()).unwrap();
+            Schedule {
+                first: 1_000_000 + interval,
+                interval,
+                times,
+            }
+        });
         let job = Arc::new(Job {
             id: id.into(),
             queue: "queue".into(),
             service: SERVICE.into(),
             text: "text".into(),
             steps,
-            schedule: None,
+            schedule,
             accepted: self.wall(),
         });
         let offset = self.offset;
@@ -249,7 +277,31 @@
                     self.plan(self.now + HOP, Item::Arrive(leader, action));
                 }
                 Action::Fenced => self.leaders[leader].up = false,
-                Action::Advise { .. } | Action::Note { .. } => {}
+                Action::Advise {
+                    job,
+                    occurrence,
+                    step,
+                    workers,
+                    ..
+                } => {
+                    let allowed = self.allowed.clone().unwrap_or_default();
+                    let good = workers
+                        .into_iter()
+                        .filter(|worker| allowed.contains(worker));
+                    let ticket = |worker: ids::Worker| Ticket {
+                        ticket: format!("ticket-{worker}").into(),
+                        worker,
+                    };
+                    let event = Event::Advised {
+                        job,
+                        occurrence,
+                        step,
+                        sent: self.now,
+                        answer: Some((good.map(ticket).collect(), VALID)),
+                    };
+                    self.plan(self.now + HOP, Item::Deliver(leader, Box::new(event)));
+                }
+                Action::Note { .. } => {}
             }
         }
     }
@@ -650,7 +702,7 @@
     }
 }
 
-fn config() -> Config {
+fn config(advice: Option<Advice>) -> Config {
     let queue = Queue {
         name: "queue".into(),
         host: "host".into(),
@@ -661,7 +713,7 @@
         stretch: 2.0,
         allowance: Duration::from_secs(1),
         timeout: Duration::from_secs(3),
-        advice: None,
+        advice,
     };
     let service = Service {
         name: SERVICE.into(),
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -26,20 +26,23 @@
 #[rtype(result = "()")]
 pub struct Register {
     /// Name in the dump.
-    pub name: &'static str,
+    pub name: String,
     /// Actor to ask.
     pub actor: Recipient<Dump>,
 }
 
 /// Registers the actors that run; an actor that is registered already is replaced.
-pub fn register<C: Copy + Send + Unpin + 'static>(
+pub fn register<C: Copy + Send + Unpin + 'static, N: Into<String>>(
     directory: Option<&Addr<Directory<C>>>,
-    actors: impl IntoIterator<Item = (&'static str, Option<Recipient<Dump>>)>,
+    actors: impl IntoIterator<Item = (N, Option<Recipient<Dump>>)>,
 ) {
     let Some(directory) = directory else { return };
     for (name, actor) in actors {
         if let Some(actor) = actor {
-            directory.do_send(Register { name, actor });
+            directory.do_send(Register {
+                name: name.into(),
+                actor,
+            });
         }
     }
 }
@@ -51,7 +54,7 @@
 
 /// `Directory` knows the actors of a process.
 pub struct Directory<C: Copy + Send + 'static> {
-    actors: BTreeMap<&'static str, Recipient<Dump>>,
+    actors: BTreeMap<String, Recipient<Dump>>,
     _guard: Guard<C>,
 }
 
@@ -87,7 +90,7 @@
             let mut dump = serde_json::Map::new();
             for (name, actor) in actors {
                 let state = actor.send(Dump).await.unwrap_or(Value::Null);
-                dump.insert(name.to_owned(), state);
+                dump.insert(name, state);
             }
             Value::Object(dump)
         })
