Stay up on SIGHUP

Cause: the signal had no handler, so a process that was told of changed settings ended at once, with requests in flight. Settings hold for one run; the signal is logged.

--- a/crates/node/src/boot/mod.rs
+++ b/crates/node/src/boot/mod.rs
@@ -6,6 +6,7 @@
 
 use actix::Addr;
 use persimmongate_core::errors::Error as Refusal;
+use slog::{Logger, info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::errors::{Result, io_error};
@@ -84,6 +85,27 @@
     });
 }
 
+/// Notes that the settings file has changed, without an end of the process.
+///
+/// Settings hold for one run of a process; new ones are read at its next start.
+pub fn note_hangups(logger: Logger) {
+    actix_rt::spawn(async move {
+        let mut hangups = match signal(SignalKind::hangup()) {
+            Ok(hangups) => hangups,
+            Err(problem) => {
+                warn!(logger, "hangups end the process"; "error" => %problem);
+                return;
+            }
+        };
+        while hangups.recv().await.is_some() {
+            info!(
+                logger,
+                "settings have changed; they hold from the next start on"
+            );
+        }
+    });
+}
+
 /// `Signals` waits for signals to end, from the service manager or the terminal.
 struct Signals {
     terminate: Signal,
