--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -76,6 +76,20 @@
     none(&world);
 }
 
+#[test]
+fn verify_task_that_ended_unheard_does_not_start_again() {
+    let mut world = World::new(3, 1);
+    world.run(seconds(1));
+    // The leader is too slow to take the answers in; the worker is alive and listed all the while.
+    world.faults.silent = 1_000;
+    world.submit("job", vec![step(1, 600, &[])]);
+    world.run(seconds(4));
+    world.faults.silent = 0;
+    world.run(seconds(4));
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+    assert_eq!(world.starts, 1);
+}
+
 #[test]
 fn verify_canceled_job_is_stopped() {
     let mut world = World::new(2, 1);
@@ -95,6 +109,7 @@
         lost: 300,
         late: 200,
         failed: 0,
+        silent: 0,
     };
     for number in 0..20 {
         world.submit(&format!("job-{number}"), vec![step(4, 400, &[])]);
--- a/crates/core/tests/sched/soak.rs
+++ b/crates/core/tests/sched/soak.rs
@@ -22,6 +22,7 @@
         lost: 20,
         late: 20,
         failed: 30,
+        silent: 0,
     };
     let mut jobs = 0;
     world.submit("lasting", vec![lasting(3, 1)]);
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -36,6 +36,8 @@
     pub(crate) late: u32,
     /// Runs that end as failed.
     pub(crate) failed: u32,
+    /// Answers about runs that are lost.
+    pub(crate) silent: u32,
 }
 
 /// `Item` is something that happens at a time.
@@ -431,7 +433,10 @@
                 until,
                 wait,
                 ..
-            } => self.hold(&name, leader, (token, ack, until, wait), lost),
+            } => {
+                let lost = lost || self.rng.random_range(0..1_000) < self.faults.silent;
+                self.hold(&name, leader, (token, ack, until, wait), lost);
+            }
             Action::Call(call) => self.call(&name, leader, call, lost),
             _ => {}
         }
