--- a/crates/core/src/sched/advice.rs
+++ b/crates/core/src/sched/advice.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
-use super::event::{Action, Ticket};
+use super::ends::index_of;
+use super::event::{Action, Question, Ticket};
 use super::machine::Scheduler;
 use super::work::Advised;
 use super::worker::Room;
@@ -64,13 +65,13 @@
         let count = u32::try_from(workers.len()).unwrap_or(u32::MAX);
         let turn = advice.decide + advice.each * count;
         let (occurrence, number) = (work.stages[stage].occurrence, work.stages[stage].step);
-        actions.push(Action::Advise {
+        actions.push(Action::Advise(Question {
             job: job.clone(),
             occurrence,
             step: number,
             workers: workers.into_iter().map(|(.., worker)| worker).collect(),
-            limit: turn * (index(self.asked) + 1) + SLACK,
-        });
+            limit: turn * (index_of(self.asked) + 1) + SLACK,
+        }));
         self.asked += 1;
         if let Some(work) = self.works.get_mut(job) {
             work.stages[stage].advised = Advised::Asked;
@@ -100,7 +101,3 @@
         }
     }
 }
-
-fn index(count: usize) -> u32 {
-    u32::try_from(count).unwrap_or(u32::MAX)
-}
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -154,6 +154,38 @@
     pub order: Order,
 }
 
+/// `Hold` is a question to a worker about its runs, which extends its lease.
+#[derive(Clone, Debug)]
+pub struct Hold {
+    /// Worker to ask.
+    pub worker: ids::Worker,
+    /// Address of its interface.
+    pub address: SocketAddr,
+    /// Token of the leader.
+    pub token: ids::Term,
+    /// Number up to which ends are acknowledged.
+    pub ack: u64,
+    /// End of the lease on the worker's clock, in milliseconds.
+    pub until: Option<u64>,
+    /// Time that the worker may wait for an end.
+    pub wait: Duration,
+}
+
+/// `Question` asks the policy service about a step.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// Job asked about.
+    pub job: ids::Job,
+    /// Occurrence asked about.
+    pub occurrence: u32,
+    /// Step asked about.
+    pub step: u32,
+    /// Workers asked about.
+    pub workers: Vec<ids::Worker>,
+    /// Time after which the answer counts as lost.
+    pub limit: Duration,
+}
+
 /// `Event` is what the scheduler learns.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -227,35 +259,11 @@
 #[derive(Clone, Debug)]
 pub enum Action {
     /// Ask a worker about its runs, and extend its lease.
-    Hold {
-        /// Worker to ask.
-        worker: ids::Worker,
-        /// Address of its interface.
-        address: SocketAddr,
-        /// Token of the leader.
-        token: ids::Term,
-        /// Number up to which ends are acknowledged.
-        ack: u64,
-        /// End of the lease on the worker's clock, in milliseconds.
-        until: Option<u64>,
-        /// Time that the worker may wait for an end.
-        wait: Duration,
-    },
+    Hold(Hold),
     /// Give an order.
     Call(Call),
     /// Ask the policy service which workers may run a step.
-    Advise {
-        /// Job to ask about.
-        job: ids::Job,
-        /// Occurrence to ask about.
-        occurrence: u32,
-        /// Step to ask about.
-        step: u32,
-        /// Workers to ask about.
-        workers: Vec<ids::Worker>,
-        /// Time after which the answer counts as lost.
-        limit: Duration,
-    },
+    Advise(Question),
     /// Append records; the next append follows when this one is known to have taken effect.
     Append(Vec<Record>),
     /// Look at a worker after a time.
--- a/crates/core/src/sched/hold.rs
+++ b/crates/core/src/sched/hold.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::event::{Action, Answer, Listing};
+use super::event::{Action, Answer, Hold, Listing};
 use super::machine::Scheduler;
 use super::run::{Run, Stage};
 use super::work::Place;
@@ -42,14 +42,14 @@
             worker.grant(now)
         };
         let waits = worker.settled && until.is_some();
-        actions.push(Action::Hold {
+        actions.push(Action::Hold(Hold {
             worker: id.clone(),
             address: worker.report.address,
             token: self.term,
             ack: worker.ack,
             until,
             wait: if waits { WAIT } else { Duration::ZERO },
-        });
+        }));
     }
 
     pub(super) fn plan_done(&mut self, id: &ids::Worker) {
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -23,6 +23,8 @@
 mod work;
 mod worker;
 
-pub use event::{Action, Answer, Call, End, Ending, Event, Listing, Order, Report, Row, Ticket};
+pub use event::{
+    Action, Answer, Call, End, Ending, Event, Hold, Listing, Order, Question, Report, Row, Ticket,
+};
 pub use machine::{Options, Scheduler};
 pub use worker::Room;
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -9,7 +9,8 @@
 use persimmongate_core::journal::{Book, Record};
 use persimmongate_core::queue::{Advice, Config, Queue, Service};
 use persimmongate_core::sched::{
-    Action, Answer, Call, End, Event, Options, Order, Report, Room, Scheduler, Ticket,
+    Action, Answer, Call, End, Event, Hold, Options, Order, Question, Report, Room, Scheduler,
+    Ticket,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, RngExt, SeedableRng};
@@ -275,17 +276,17 @@
                     let event = Box::new(Event::Due(worker));
                     self.plan(self.now + wait, Item::Deliver(leader, event));
                 }
-                Action::Hold { .. } | Action::Call(_) => {
+                Action::Hold(_) | Action::Call(_) => {
                     self.plan(self.now + HOP, Item::Arrive(leader, action));
                 }
                 Action::Fenced => self.leaders[leader].up = false,
-                Action::Advise {
+                Action::Advise(Question {
                     job,
                     occurrence,
                     step,
                     workers,
                     ..
-                } => {
+                }) => {
                     let allowed = self.allowed.clone().unwrap_or_default();
                     let good = workers
                         .into_iter()
@@ -427,13 +428,13 @@
         self.advance_worker(&name);
         let lost = self.rng.random_range(0..1_000) < self.faults.lost;
         match action {
-            Action::Hold {
+            Action::Hold(Hold {
                 token,
                 ack,
                 until,
                 wait,
                 ..
-            } => {
+            }) => {
                 let lost = lost || self.rng.random_range(0..1_000) < self.faults.silent;
                 self.hold(&name, leader, (token, ack, until, wait), lost);
             }
@@ -445,13 +446,13 @@
     /// Tells a leader that a call had no answer.
     fn lose(&mut self, leader: usize, action: &Action, sent: Instant) {
         let (event, limit) = match action {
-            Action::Hold { worker, wait, .. } => {
+            Action::Hold(hold) => {
                 let event = Event::Held {
-                    worker: worker.clone(),
+                    worker: hold.worker.clone(),
                     sent,
                     answer: Err(Answer::Unknown),
                 };
-                (event, *wait + LIMIT)
+                (event, hold.wait + LIMIT)
             }
             Action::Call(call) => {
                 let event = Event::Called {
@@ -684,7 +685,7 @@
 /// Gets the worker that a call goes to.
 fn called(action: &Action) -> String {
     match action {
-        Action::Hold { worker, .. } => worker.to_string(),
+        Action::Hold(hold) => hold.worker.to_string(),
         Action::Call(call) => call.worker.to_string(),
         _ => String::new(),
     }
--- a/crates/jobs/src/edge/mod.rs
+++ b/crates/jobs/src/edge/mod.rs
@@ -1,6 +1,5 @@
 //! What a deployment's platform gives, as the actors call it.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,7 +7,7 @@
 use futures_util::future::LocalBoxFuture;
 use persimmongate_core::ids;
 use persimmongate_core::queue::Config;
-use persimmongate_core::sched::{Answer, Call, Listing, Report, Ticket};
+use persimmongate_core::sched::{Answer, Call, Hold, Listing, Question, Report, Ticket};
 use persimmongate_core::upkeep::{self, Host, Wave};
 
 /// `Topic` is a partition of the platform's log.
@@ -137,35 +136,3 @@
     /// Encodes how far a wave is, for operators.
     fn status(&self, wave: ids::WaveNumber, completed: bool) -> (ByteString, Bytes);
 }
-
-/// `Hold` is a question to a worker about its runs, which extends its lease.
-#[derive(Clone, Debug)]
-pub struct Hold {
-    /// Worker to ask.
-    pub worker: ids::Worker,
-    /// Address of its interface.
-    pub address: SocketAddr,
-    /// Token of the leader.
-    pub token: ids::Term,
-    /// Number up to which ends are acknowledged.
-    pub ack: u64,
-    /// End of the lease on the worker's clock, in milliseconds.
-    pub until: Option<u64>,
-    /// Time that the worker may wait for an end.
-    pub wait: Duration,
-}
-
-/// `Question` asks the policy service about a step.
-#[derive(Clone, Debug)]
-pub struct Question {
-    /// Job asked about.
-    pub job: ids::Job,
-    /// Occurrence asked about.
-    pub occurrence: u32,
-    /// Step asked about.
-    pub step: u32,
-    /// Workers asked about.
-    pub workers: Vec<ids::Worker>,
-    /// Time after which the answer counts as lost.
-    pub limit: Duration,
-}
--- a/crates/jobs/src/fleet/lead.rs
+++ b/crates/jobs/src/fleet/lead.rs
@@ -7,8 +7,8 @@
 use slog::{error, info, warn};
 
 use super::{Fleet, LIMIT, REPORT, SHARD, TICK};
-use crate::edge::{Append, Author, Edge, Failure, Topic};
-use crate::lead::{claim, encode, persist};
+use crate::edge::{Append, Edge, Failure, Topic};
+use crate::lead::{Pen, claim, persist, plain};
 use crate::roster::{Subscribe, Unsubscribe};
 use crate::shard::{Led, shard_of};
 
@@ -16,7 +16,7 @@
 pub(super) struct Lead {
     term: ids::Term,
     pub(super) planner: Planner,
-    sequence: u64,
+    pen: Pen,
     tick: SpawnHandle,
     beat: SpawnHandle,
     report: SpawnHandle,
@@ -63,7 +63,7 @@
         self.lead = Some(Lead {
             term,
             planner,
-            sequence: 0,
+            pen: Pen::new(Topic::Jobs(SHARD), term),
             tick: ctx.run_interval(TICK, |act, ctx| act.plan(Event::Tick, ctx)),
             beat: ctx.run_interval(BEAT, |act, ctx| act.beat(false, ctx)),
             report: ctx.run_interval(REPORT, |act, _| act.report()),
@@ -105,10 +105,11 @@
             return;
         };
         for (has, needs, load) in lead.planner.demands() {
+            let idle = load.light.iter().filter(|(_, used)| *used == 0).count();
             info!(self.setup.logger, "demand"; "service" => %load.service, "has" => has,
                 "needs" => needs, "used" => load.used, "lasting" => load.lasting,
                 "waiting" => load.waiting, "offered" => load.offered, "room" => load.room,
-                "spread" => load.spread, "idle" => load.light.iter().filter(|(_, used)| *used == 0).count(), "term" => lead.term);
+                "spread" => load.spread, "idle" => idle, "term" => lead.term);
         }
     }
 
@@ -137,20 +138,13 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let Ok(records) = encode(&[record]) else {
-            error!(self.setup.logger, "record not encoded");
-            return;
-        };
-        lead.sequence += 1;
         let term = lead.term;
-        let append = Append {
-            topic: Topic::Jobs(SHARD),
-            records,
-            at: None,
-            author: Some(Author {
-                term,
-                sequence: lead.sequence,
-            }),
+        let append = match lead.pen.append(&[record]) {
+            Ok(append) => append,
+            Err(problem) => {
+                error!(self.setup.logger, "record not encoded"; "error" => %problem);
+                return;
+            }
         };
         let persisted = persist(self.setup.edge.clone(), append, Some(clock::now() + LIMIT));
         ctx.spawn(persisted.into_actor(self).map(move |appended, act, ctx| {
@@ -201,7 +195,13 @@
             Action::Status(wave, completed) => {
                 info!(self.setup.logger, "wave"; "wave" => wave, "completed" => completed);
                 let (key, value) = self.setup.edge.status(wave, completed);
-                self.append(Topic::Status, vec![(key, Some(value))], ctx);
+                let append = Append {
+                    topic: Topic::Status,
+                    records: vec![(key, Some(value))],
+                    at: None,
+                    author: None,
+                };
+                self.append(append, ctx);
             }
         }
     }
@@ -209,24 +209,14 @@
     /// Appends records for the leader of a service's shard.
     fn request(&self, service: &ids::Service, records: &[Record], ctx: &mut Context<Self>) {
         let shard = shard_of(service, self.setup.shards);
-        match encode(records) {
-            Ok(records) => self.append(Topic::Jobs(shard), records, ctx),
+        match plain(Topic::Jobs(shard), records) {
+            Ok(append) => self.append(append, ctx),
             Err(problem) => error!(self.setup.logger, "not encoded"; "error" => %problem),
         }
     }
 
-    fn append(
-        &self,
-        topic: Topic,
-        records: Vec<(bytestring::ByteString, Option<bytes::Bytes>)>,
-        ctx: &mut Context<Self>,
-    ) {
-        let append = Append {
-            topic,
-            records,
-            at: None,
-            author: None,
-        };
+    fn append(&self, append: Append, ctx: &mut Context<Self>) {
+        let topic = append.topic;
         let persisted = persist(self.setup.edge.clone(), append, Some(clock::now() + LIMIT));
         ctx.spawn(persisted.into_actor(self).map(move |appended, act, _| {
             if let Err(failure) = appended {
--- a/crates/jobs/src/lead/mod.rs
+++ b/crates/jobs/src/lead/mod.rs
@@ -23,11 +23,62 @@
 /// # Errors
 ///
 /// Returns an error when a record can't be encoded.
-pub(crate) fn encode(records: &[Record]) -> Coded<Vec<(ByteString, Option<Bytes>)>> {
+fn encode(records: &[Record]) -> Coded<Vec<(ByteString, Option<Bytes>)>> {
     let pair = |record: &Record| Ok((journal::encode_key(&record.key()), journal::encode(record)?));
     records.iter().map(pair).collect()
 }
 
+/// Makes an append that any process may make.
+///
+/// # Errors
+///
+/// Returns an error when a record can't be encoded.
+pub(crate) fn plain(topic: Topic, records: &[Record]) -> Coded<Append> {
+    Ok(Append {
+        topic,
+        records: encode(records)?,
+        at: None,
+        author: None,
+    })
+}
+
+/// `Pen` numbers the appends of a leader in one term.
+#[derive(Debug)]
+pub(crate) struct Pen {
+    topic: Topic,
+    term: ids::Term,
+    /// Number of the latest append; the claim has 0.
+    sequence: u64,
+}
+
+impl Pen {
+    /// Makes the pen of a leader that has just claimed a partition.
+    pub(crate) fn new(topic: Topic, term: ids::Term) -> Self {
+        Self {
+            topic,
+            term,
+            sequence: 0,
+        }
+    }
+
+    /// Makes the leader's next append.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a record can't be encoded; it uses up no number.
+    pub(crate) fn append(&mut self, records: &[Record]) -> Coded<Append> {
+        let append = plain(self.topic, records)?;
+        self.sequence += 1;
+        Ok(Append {
+            author: Some(Author {
+                term: self.term,
+                sequence: self.sequence,
+            }),
+            ..append
+        })
+    }
+}
+
 /// Makes the append that claims a partition.
 ///
 /// # Errors
@@ -45,13 +96,12 @@
         ..Beat::default()
     };
     Ok(Append {
-        topic,
-        records: encode(&[Record::Beat(beat)])?,
         at: Some(at),
         author: Some(Author {
             term: at + 1,
             sequence: 0,
         }),
+        ..plain(topic, &[Record::Beat(beat)])?
     })
 }
 
--- a/crates/jobs/src/shard/lead.rs
+++ b/crates/jobs/src/shard/lead.rs
@@ -11,8 +11,8 @@
 use slog::{error, info, warn};
 
 use super::{Leave, Led, Shard};
-use crate::edge::{Append, Author, Edge, Failure, Hold, Question};
-use crate::lead::{claim, encode, persist};
+use crate::edge::{Append, Edge, Failure};
+use crate::lead::{Pen, claim, persist};
 use crate::roster::{News, Subscribe, Unsubscribe};
 
 /// Time between two rounds of upkeep of a scheduler.
@@ -24,8 +24,7 @@
 pub(super) struct Lead {
     pub(super) term: ids::Term,
     pub(super) scheduler: Scheduler,
-    /// Number of the latest append.
-    sequence: u64,
+    pen: Pen,
     tick: SpawnHandle,
 }
 
@@ -81,7 +80,7 @@
         self.lead = Some(Lead {
             term,
             scheduler,
-            sequence: 0,
+            pen: Pen::new(self.topic(), term),
             tick,
         });
         if let Some(config) = self.config.clone() {
@@ -163,23 +162,9 @@
         let edge = self.setup.edge.clone();
         let sent = clock::now();
         match action {
-            Action::Hold {
-                worker,
-                address,
-                token,
-                ack,
-                until,
-                wait,
-            } => {
-                let question = Hold {
-                    worker: worker.clone(),
-                    address,
-                    token,
-                    ack,
-                    until,
-                    wait,
-                };
-                let asked = edge.hold(question).into_actor(self);
+            Action::Hold(hold) => {
+                let worker = hold.worker.clone();
+                let asked = edge.hold(hold).into_actor(self);
                 ctx.spawn(asked.map(move |answer, act, ctx| {
                     let event = Event::Held {
                         worker,
@@ -201,20 +186,9 @@
                     act.schedule_for(term, called, ctx);
                 }));
             }
-            Action::Advise {
-                job,
-                occurrence,
-                step,
-                workers,
-                limit,
-            } => {
-                let question = Question {
-                    job: job.clone(),
-                    occurrence,
-                    step,
-                    workers,
-                    limit,
-                };
+            Action::Advise(question) => {
+                let (job, occurrence, step) =
+                    (question.job.clone(), question.occurrence, question.step);
                 let advised = edge.advise(question).into_actor(self);
                 ctx.spawn(advised.map(move |answer, act, ctx| {
                     let advised = Event::Advised {
@@ -266,25 +240,14 @@
 
     /// Makes the leader's next append.
     fn authored(&mut self, records: &[Record]) -> Option<Append> {
-        let topic = self.topic();
         let lead = self.lead.as_mut()?;
-        let records = match encode(records) {
-            Ok(records) => records,
+        match lead.pen.append(records) {
+            Ok(append) => Some(append),
             Err(problem) => {
                 error!(self.setup.logger, "records not encoded"; "error" => %problem);
-                return None;
+                None
             }
-        };
-        lead.sequence += 1;
-        Some(Append {
-            topic,
-            records,
-            at: None,
-            author: Some(Author {
-                term: lead.term,
-                sequence: lead.sequence,
-            }),
-        })
+        }
     }
 }
 
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -9,8 +9,8 @@
 use slog::{error, info};
 
 use super::Shard;
-use crate::edge::{Append, Edge, Failure};
-use crate::lead::{encode, persist};
+use crate::edge::{Edge, Failure};
+use crate::lead::{persist, plain};
 
 /// Time before a caller should come back when the log is away: about one outage's length is unknown,
 /// so callers come back soon and to another process.
@@ -120,13 +120,8 @@
     }
 
     fn persist(&self, record: Record, end: Instant) -> ResponseActFuture<Self, Answer> {
-        let append = match encode(std::slice::from_ref(&record)) {
-            Ok(records) => Append {
-                topic: self.topic(),
-                records,
-                at: None,
-                author: None,
-            },
+        let append = match plain(self.topic(), std::slice::from_ref(&record)) {
+            Ok(append) => append,
             Err(problem) => {
                 error!(self.setup.logger, "record not encoded"; "error" => %problem);
                 return Box::pin(std::future::ready(Answer::Refused(AWAY)).into_actor(self));
