Keep tasks of a listed worker until it answers, and let larger hosts lead

Leaders on hosts with 0.12 of a core fell behind first. Ruled out: a lease that ends late; has_lapsed counts the slowest clock. Change: a listed worker's tasks that end wait 5 s beyond the lease for its answer; lasting tasks don't. Processes on hosts under a quarter of a core leave claims to others. One log line an end in place of two.

--- a/crates/core/src/sched/ends.rs
+++ b/crates/core/src/sched/ends.rs
@@ -33,7 +33,7 @@
         match ending.end {
             End::Done if !lasting => {
                 worker.failures = 0;
-                self.note_done(now, id, task, run, actions);
+                self.note_done(now, id, task, actions);
             }
             End::Failed if !lasting => {
                 worker.failures += 1;
@@ -54,13 +54,15 @@
             .workers
             .get(id)
             .and_then(|worker| worker.runs.get(task));
+        let what = match ending.end {
+            End::Done => "done",
+            End::Failed => "failed",
+            End::Cut => "cut",
+        };
         if current.is_some_and(|known| known.number <= run) {
-            let what = match ending.end {
-                End::Done => "done",
-                End::Failed => "failed",
-                End::Cut => "cut",
-            };
             self.release(id, task, what, actions);
+        } else {
+            actions.push(note(what, task, run, id));
         }
     }
 
@@ -69,7 +71,6 @@
         now: Instant,
         id: &ids::Worker,
         task: &Task,
-        run: ids::Run,
         actions: &mut Vec<Action>,
     ) {
         let Some(work) = self.works.get_mut(&task.job) else {
@@ -107,7 +108,6 @@
         for (other, member) in elsewhere {
             self.stop_run(now, &other, &member, actions);
         }
-        actions.push(note("task done", task, run, id));
         self.stirred = true;
     }
 
@@ -147,7 +147,6 @@
             let job = task.job.clone();
             self.stop_job(now, &job, actions);
         }
-        actions.push(note("task failed", task, run, id));
         self.stirred = true;
     }
 
--- a/crates/core/src/sched/hold.rs
+++ b/crates/core/src/sched/hold.rs
@@ -14,6 +14,9 @@
 const PAUSE: Duration = Duration::from_millis(40);
 /// Time before a worker that did not answer is asked again.
 const RETRY: Duration = Duration::from_millis(250);
+/// Time beyond the end of its lease for which the tasks of a listed worker wait for its answer, as they
+/// may be done: the list drops a silent worker after three heartbeats of 1.5 s.
+const UNHEARD: Duration = Duration::from_secs(5);
 /// Longest time before a worker that does not answer is asked again.
 const RETRY_MAX: Duration = Duration::from_secs(2);
 
@@ -75,6 +78,7 @@
         let wait = match answer {
             Ok(listing) => {
                 worker.misses = 0;
+                worker.lapsed = None;
                 if listing.born < worker.report.born {
                     RETRY
                 } else {
@@ -233,10 +237,15 @@
     /// Drops the runs of workers whose lease has ended for sure.
     pub(super) fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mut lost = Vec::new();
-        for (id, worker) in &self.workers {
-            if worker.misses > 0 && worker.lapsed(now) {
-                lost.extend(worker.runs.keys().map(|task| (id.clone(), task.clone())));
+        for (id, worker) in &mut self.workers {
+            if worker.misses == 0 || !worker.has_lapsed(now) {
+                continue;
             }
+            let since = *worker.lapsed.get_or_insert(now);
+            let alive = worker.listed && !worker.ended;
+            let waits = alive && now.saturating_duration_since(since) < UNHEARD;
+            let runs = worker.runs.iter().filter(|(_, run)| run.lasting || !waits);
+            lost.extend(runs.map(|(task, _)| (id.clone(), task.clone())));
         }
         for (id, task) in lost {
             self.release(&id, &task, "lease ended", actions);
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -95,6 +95,8 @@
     pub(super) look: Look,
     /// Questions in a row without an answer.
     pub(super) misses: u32,
+    /// Time at which its lease was found to have ended without an answer.
+    pub(super) lapsed: Option<Instant>,
     pub(super) runs: Map<Task, Run>,
     /// Highest end taken in.
     pub(super) seen: u64,
@@ -126,6 +128,7 @@
             until: 0,
             look: Look::None,
             misses: 0,
+            lapsed: None,
             runs: Map::default(),
             seen: 0,
             ack: 0,
@@ -169,7 +172,7 @@
     }
 
     /// Checks if the lease has ended for sure, so that nothing runs there any more.
-    pub(super) fn lapsed(&self, now: Instant) -> bool {
+    pub(super) fn has_lapsed(&self, now: Instant) -> bool {
         let Some((clock, at)) = self.clock else {
             // Without a clock no lease was given.
             return true;
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -8,6 +8,8 @@
 
 /// Shards of the fleet if the settings don't say.
 const SHARDS: usize = 24;
+/// Processor time of the host if the settings don't say, in thousandths of a core.
+const PROCESSOR: u32 = 1_000;
 /// Shards accepted.
 const SHARDS_RANGE: std::ops::RangeInclusive<usize> = 2..=1_024;
 
@@ -32,6 +34,8 @@
     pub advice: Option<SocketAddr>,
     /// Shards of the fleet; every process must have the same number.
     pub shards: ids::Shard,
+    /// Processor time of the host, in thousandths of a core.
+    pub processor: u32,
     /// Limits of the schedulers.
     pub sched: sched::Options,
     /// Limits of the planner of hosts.
@@ -53,6 +57,7 @@
             let hosts = reader.services("hosts");
             let advice = reader.services("advice");
             let shards = reader.count("shards", SHARDS, SHARDS_RANGE);
+            let processor = reader.cores("processor", PROCESSOR);
             let stop = reader.duration("stop", schedules.stop);
             let lease = reader.duration("holder_lease", upkeeps.lease);
             let maintenance = reader.duration("maintenance", upkeeps.upkeep);
@@ -67,6 +72,7 @@
                 hosts: hosts?.first().copied(),
                 advice: advice?.first().copied(),
                 shards: ids::Shard::try_from(shards?).ok()?,
+                processor: processor?,
                 sched: sched::Options {
                     node: instance,
                     stop: stop?,
--- a/crates/core/src/settings/reader.rs
+++ b/crates/core/src/settings/reader.rs
@@ -15,6 +15,9 @@
 
 /// What an address may look like, as findings describe it.
 const ADDRESS_FORM: &str = "an IP number with a port above 0, such as \"127.0.0.1:8080\"";
+/// Least and most processor time accepted, in cores.
+const CORES_MIN: f64 = 0.01;
+const CORES_MAX: f64 = 1_024.0;
 /// What is wrong with a value of another TOML type.
 const WRONG_TYPE: &str = "value has another type";
 
@@ -263,6 +266,22 @@
         })
     }
 
+    /// Takes processor time in cores; gets it in thousandths of a core.
+    pub(crate) fn cores(&mut self, key: &str, default: u32) -> Option<u32> {
+        let accepted = format!("a number of cores from {CORES_MIN} to {CORES_MAX}");
+        self.take(key, Some(default), &accepted, |value| {
+            let number = value.as_float().map(|float| float.as_str());
+            let number = number.or_else(|| value.as_integer().map(|integer| integer.as_str()));
+            let cores: f64 = number
+                .and_then(|text| text.parse().ok())
+                .ok_or(WRONG_TYPE)?;
+            if !(CORES_MIN..=CORES_MAX).contains(&cores) {
+                return Err("number is out of range");
+            }
+            Ok(unit::thousandths(cores))
+        })
+    }
+
     pub(crate) fn choice<T: Copy>(&mut self, key: &str, choices: &[(&str, T)]) -> Option<T> {
         let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
         let default = choices.first().map(|(_, value)| *value);
--- a/crates/core/src/settings/unit.rs
+++ b/crates/core/src/settings/unit.rs
@@ -33,6 +33,16 @@
     unit.checked_mul(count).ok_or("number is too large")
 }
 
+/// Turns a small number that is not negative into thousandths.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the number is small and not negative"
+)]
+pub(super) fn thousandths(number: f64) -> u32 {
+    (number * 1_000.0).round() as u32
+}
+
 /// Splits a whole number from its unit.
 fn split<T: Copy>(text: &str, units: &[(&str, T)]) -> Result<(u64, T), &'static str> {
     let end = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(0);
--- a/crates/core/src/term/mod.rs
+++ b/crates/core/src/term/mod.rs
@@ -16,6 +16,29 @@
 /// Time without an answer after which a claim is tried again.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Processor time of a host, in thousandths of a core, on which a leader of a service keeps up at its
+/// peak.
+const AMPLE_PROCESSOR: u32 = 250;
+/// Time that a process without any processor time would leave to others on larger hosts: longer than
+/// the jitter, and shorter than a leader's silence.
+const SMALL_HOST: Duration = Duration::from_secs(1);
+/// Time that a process leaves to others for each leadership that it has already.
+const EACH: Duration = Duration::from_millis(300);
+/// Longest time, in milliseconds, by which equal processes differ.
+const JITTER_MAX_MS: u64 = 250;
+
+/// Gets the time that a process leaves to others before it claims, so that leaders spread over the
+/// processes and prefer larger hosts.
+///
+/// `processor` is the processor time of its host in thousandths of a core, `burden` the number of
+/// leaderships that it has, and `random` any number.
+#[must_use]
+pub fn patience(processor: u32, burden: u32, random: u64) -> Duration {
+    let jitter = Duration::from_millis(random % JITTER_MAX_MS);
+    let lacking = AMPLE_PROCESSOR.saturating_sub(processor);
+    jitter + EACH * burden + SMALL_HOST * lacking / AMPLE_PROCESSOR
+}
+
 /// `Event` is what an election learns.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/core/tests/term/main.rs
+++ b/crates/core/tests/term/main.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use persimmongate_core::journal::Beat;
-use persimmongate_core::term::{Action, Election, Event, SILENCE};
+use persimmongate_core::term::{Action, Election, Event, SILENCE, patience};
 use test_case::test_case;
 
 fn beat(term: u64, node: &str, nonce: u64, resigned: bool) -> Beat {
@@ -118,3 +118,13 @@
     // A claim that took effect late makes no leader any more.
     assert_eq!(stage.beat(7, beat(0, "own", 5, false)), []);
 }
+
+#[test]
+fn verify_larger_hosts_claim_first() {
+    let longest = |processor, burden| (0..1_000).map(|n| patience(processor, burden, n)).max();
+    let shortest = |processor, burden| (0..1_000).map(|n| patience(processor, burden, n)).min();
+    assert!(longest(500, 0) < shortest(120, 0));
+    assert!(longest(250, 0) < shortest(500, 1));
+    // Hosts that are all large enough differ by chance only.
+    assert_eq!(longest(250, 0), longest(4_000, 0));
+}
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -34,8 +34,6 @@
 const SHARD: ids::Shard = 0;
 /// Time that a read waits for a record.
 const WAIT: Duration = Duration::from_millis(500);
-/// Longest time that a process leaves to others before it claims.
-const PATIENCE_MAX_MS: u64 = 250;
 /// Time between two rounds of a planner.
 const TICK: Duration = Duration::from_millis(250);
 /// Time between two log lines about the demand.
@@ -51,6 +49,8 @@
     pub edge: E,
     /// Name of the process.
     pub node: ids::Instance,
+    /// Processor time of the host, in thousandths of a core.
+    pub processor: u32,
     /// Limits of the planner.
     pub options: Options,
     /// Workers and hosts.
@@ -78,7 +78,7 @@
 impl<E: Edge, C: Copy + Send + Unpin + 'static> Fleet<E, C> {
     /// Makes the actor; it starts to read when it is started.
     pub fn new(setup: Setup<E, C>, guard: Guard<C>) -> Self {
-        let patience = Duration::from_millis(rand::random_range(0..PATIENCE_MAX_MS));
+        let patience = term::patience(setup.processor, 0, random());
         let election = Election::new(setup.node.clone(), random(), patience, clock::now());
         Self {
             setup,
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -37,10 +37,6 @@
 const LEADER_PAUSE: Duration = Duration::from_millis(25);
 /// Time between two reads of the others, who only tell callers what became of their jobs.
 const FOLLOWER_PAUSE: Duration = Duration::from_millis(150);
-/// Longest time that a process leaves to others before it claims a shard that nobody leads.
-const PATIENCE_MAX_MS: u64 = 250;
-/// Time that a process leaves to others for each shard that it leads already.
-const PATIENCE_EACH: Duration = Duration::from_millis(300);
 /// Age of the latest read above which the fold is not trusted to know all jobs.
 const FRESH: Duration = Duration::from_millis(2_500);
 
@@ -91,6 +87,8 @@
     pub edge: E,
     /// Name of the process.
     pub node: ids::Instance,
+    /// Processor time of the host, in thousandths of a core.
+    pub processor: u32,
     /// Limits of the scheduler.
     pub options: Options,
     /// Workers and hosts.
@@ -136,7 +134,7 @@
 impl<E: Edge, C: Copy + Send + Unpin + 'static> Shard<E, C> {
     /// Makes a shard; it reads nothing until a service belongs to it.
     pub fn new(setup: Setup<E, C>, guard: Guard<C>) -> Self {
-        let patience = Duration::from_millis(rand::random_range(0..PATIENCE_MAX_MS));
+        let patience = term::patience(setup.processor, 0, rand::random());
         let now = clock::now();
         let election = Election::new(setup.node.clone(), rand::random(), patience, now);
         Self {
@@ -249,12 +247,6 @@
             Record::Dropped(_) | Record::Vacated(..) | Record::Wave(..) => {}
         }
     }
-
-    /// Gets the time that this process leaves to others before it claims the shard.
-    fn patience(burden: u32) -> Duration {
-        let jitter = Duration::from_millis(rand::random_range(0..PATIENCE_MAX_MS));
-        jitter + PATIENCE_EACH * burden
-    }
 }
 
 impl<E: Edge, C: Copy + Send + Unpin + 'static> Actor for Shard<E, C> {
@@ -283,7 +275,8 @@
     type Result = ();
 
     fn handle(&mut self, burden: Burden, _: &mut Self::Context) {
-        self.election.set_patience(Self::patience(burden.0));
+        let patience = term::patience(self.setup.processor, burden.0, rand::random());
+        self.election.set_patience(patience);
     }
 }
 
