--- a/crates/core/src/term/mod.rs
+++ b/crates/core/src/term/mod.rs
@@ -101,7 +101,8 @@
     leader: Option<ids::Instance>,
     resigned: bool,
     leads: bool,
-    heard: Instant,
+    /// Time of the leader's latest record, or of the first read; nothing before.
+    heard: Option<Instant>,
     claimed: Option<Instant>,
     leaving: bool,
 }
@@ -109,7 +110,7 @@
 impl Election {
     /// Makes an election that knows of no leader.
     #[must_use]
-    pub fn new(node: ids::Instance, nonce: u64, patience: Duration, now: Instant) -> Self {
+    pub fn new(node: ids::Instance, nonce: u64, patience: Duration) -> Self {
         Self {
             node,
             nonce,
@@ -118,7 +119,7 @@
             leader: None,
             resigned: true,
             leads: false,
-            heard: now,
+            heard: None,
             claimed: None,
             leaving: false,
         }
@@ -145,7 +146,7 @@
     pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Read { end, .. } => self.consider(now, end, actions),
-            Event::Heard => self.heard = now,
+            Event::Heard => self.heard = Some(now),
             Event::Beat { offset, beat } => self.note_beat(now, offset, &beat, actions),
             Event::Refused => self.claimed = None,
             Event::Fenced => self.give_up(actions),
@@ -177,7 +178,7 @@
         let succeeds = self.term > 0;
         let before = self.leader.as_ref() == Some(&self.node) && !self.leads;
         let resigned = (self.resigned || before) && succeeds;
-        self.heard = now;
+        self.heard = Some(now);
         if term > self.term {
             self.give_up(actions);
             self.term = term;
@@ -196,6 +197,28 @@
         self.resigned = beat.resigned;
     }
 
+    /// Gets the silence of the leader after which this process claims.
+    fn silence(&self) -> Duration {
+        // A process that led before it started again knows that nobody leads now.
+        let own = self.leader.as_ref() == Some(&self.node);
+        let silence = if self.resigned || own {
+            Duration::ZERO
+        } else {
+            SILENCE
+        };
+        silence + self.patience
+    }
+
+    /// Gets the time after which this process claims if it hears of no leader; nothing while it leads.
+    #[must_use]
+    pub fn due(&self, now: Instant) -> Option<Duration> {
+        let silent = self
+            .heard
+            .map_or(Duration::ZERO, |heard| now.saturating_duration_since(heard));
+        let waits = !self.leads && !self.leaving && self.claimed.is_none();
+        waits.then(|| self.silence().saturating_sub(silent))
+    }
+
     /// Claims the shard when nobody leads it.
     fn consider(&mut self, now: Instant, end: ids::Offset, actions: &mut Vec<Action>) {
         if self.leads || self.leaving {
@@ -205,14 +228,8 @@
         if self.claimed.is_some_and(waits) {
             return;
         }
-        // The process itself led before it started again, so nobody leads now.
-        let own = self.leader.as_ref() == Some(&self.node);
-        let silence = if self.resigned || own {
-            Duration::ZERO
-        } else {
-            SILENCE
-        };
-        if now.saturating_duration_since(self.heard) < silence + self.patience {
+        let heard = *self.heard.get_or_insert(now);
+        if now.saturating_duration_since(heard) < self.silence() {
             return;
         }
         self.claimed = Some(now);
--- a/crates/jobs/src/fleet/lead.rs
+++ b/crates/jobs/src/fleet/lead.rs
@@ -8,7 +8,7 @@
 
 use super::{Fleet, LIMIT, REPORT, SHARD, TICK};
 use crate::edge::{Append, Edge, Failure, Topic};
-use crate::lead::{Pen, claim, persist, plain};
+use crate::lead::{Pen, claim, persist, plain, resignation};
 use crate::roster::{Subscribe, Unsubscribe};
 use crate::shard::{Led, shard_of};
 
@@ -17,6 +17,10 @@
     term: ids::Term,
     pub(super) planner: Planner,
     pen: Pen,
+    /// Records for the next append; appends follow each other, as the log checks their order.
+    queue: Vec<Record>,
+    /// Whether an append is under way.
+    writing: bool,
     tick: SpawnHandle,
     beat: SpawnHandle,
     report: SpawnHandle,
@@ -64,8 +68,10 @@
             term,
             planner,
             pen: Pen::new(Topic::Jobs(SHARD), term),
+            queue: Vec::new(),
+            writing: false,
             tick: ctx.run_interval(TICK, |act, ctx| act.plan(Event::Tick, ctx)),
-            beat: ctx.run_interval(BEAT, |act, ctx| act.beat(false, ctx)),
+            beat: ctx.run_interval(BEAT, |act, ctx| act.beat(ctx)),
             report: ctx.run_interval(REPORT, |act, _| act.report()),
         });
         let mut events: Vec<Event> = Vec::new();
@@ -120,39 +126,71 @@
         });
     }
 
-    pub(super) fn beat(&mut self, resigned: bool, ctx: &mut Context<Self>) {
+    fn beat(&mut self, ctx: &mut Context<Self>) {
         let Some(lead) = &self.lead else {
             return;
         };
         let beat = Record::Beat(Beat {
             term: lead.term,
             node: self.setup.node.clone(),
-            resigned,
             ..Beat::default()
         });
         self.record(beat, ctx);
     }
 
-    /// Appends a record of the leader.
+    /// Makes the append with which the leadership ends, with the records that still wait.
+    pub(super) fn last_append(&mut self) -> Option<Append> {
+        let node = self.setup.node.clone();
+        let lead = self.lead.as_mut()?;
+        lead.queue.push(resignation(lead.term, node));
+        match lead.pen.append(&lead.queue) {
+            Ok(append) => Some(append),
+            Err(problem) => {
+                error!(self.setup.logger, "records not encoded"; "error" => %problem);
+                None
+            }
+        }
+    }
+
+    /// Appends a record of the leader, after those that are on their way.
     fn record(&mut self, record: Record, ctx: &mut Context<Self>) {
+        if let Some(lead) = &mut self.lead {
+            // The newest record of a key says all that the ones before it said.
+            lead.queue.retain(|queued| queued.key() != record.key());
+            lead.queue.push(record);
+        }
+        self.write(ctx);
+    }
+
+    /// Appends the records that wait, unless an append is under way.
+    fn write(&mut self, ctx: &mut Context<Self>) {
         let Some(lead) = &mut self.lead else {
             return;
         };
+        if lead.writing || lead.queue.is_empty() {
+            return;
+        }
         let term = lead.term;
-        let append = match lead.pen.append(&[record]) {
+        let append = match lead.pen.append(&std::mem::take(&mut lead.queue)) {
             Ok(append) => append,
             Err(problem) => {
-                error!(self.setup.logger, "record not encoded"; "error" => %problem);
+                error!(self.setup.logger, "records not encoded"; "error" => %problem);
                 return;
             }
         };
+        lead.writing = true;
         let persisted = persist(self.setup.edge.clone(), append, Some(clock::now() + LIMIT));
         ctx.spawn(persisted.into_actor(self).map(move |appended, act, ctx| {
-            if let Err(failure) = appended
-                && act.lead.as_ref().is_some_and(|lead| lead.term == term)
-            {
-                warn!(act.setup.logger, "leader's append refused"; "reason" => ?failure);
-                act.elect(term::Event::Fenced, ctx);
+            let Some(lead) = act.lead.as_mut().filter(|lead| lead.term == term) else {
+                return;
+            };
+            lead.writing = false;
+            match appended {
+                Ok(_) => act.write(ctx),
+                Err(failure) => {
+                    warn!(act.setup.logger, "leader's append refused"; "reason" => ?failure);
+                    act.elect(term::Event::Fenced, ctx);
+                }
             }
         }));
     }
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::edge::{Edge, Topic};
 use crate::follow::{Batch, Cursor};
+use crate::lead::{READ_WAIT, read_wait, resign};
 use crate::operator::{Asked, Configured};
 use crate::roster::{News, Roster};
 use crate::shard::{Leave, Led, Seen, Stop};
@@ -32,8 +33,6 @@
 
 /// Shard whose partition holds the records about hosts.
 const SHARD: ids::Shard = 0;
-/// Time that a read waits for a record.
-const WAIT: Duration = Duration::from_millis(500);
 /// Time between two rounds of a planner.
 const TICK: Duration = Duration::from_millis(250);
 /// Time between two log lines about the demand.
@@ -79,7 +78,7 @@
     /// Makes the actor; it starts to read when it is started.
     pub fn new(setup: Setup<E, C>, guard: Guard<C>) -> Self {
         let patience = term::patience(setup.processor, 0, random());
-        let election = Election::new(setup.node.clone(), random(), patience, clock::now());
+        let election = Election::new(setup.node.clone(), random(), patience);
         Self {
             setup,
             config: None,
@@ -94,7 +93,9 @@
     }
 
     fn read_on(&self, cursor: Cursor, ctx: &mut Context<Self>) {
-        let read = cursor.read(self.setup.edge.clone()).into_actor(self);
+        let wait = read_wait(&self.election);
+        let read = cursor.within(wait).read(self.setup.edge.clone());
+        let read = read.into_actor(self);
         ctx.spawn(read.map(|(cursor, batch), act, ctx| {
             match batch {
                 Ok(batch) => act.apply(&cursor, &batch, ctx),
@@ -137,7 +138,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        self.read_on(Cursor::new(Topic::Jobs(SHARD), WAIT), ctx);
+        self.read_on(Cursor::new(Topic::Jobs(SHARD), READ_WAIT), ctx);
     }
 }
 
@@ -198,9 +199,15 @@
     type Result = ResponseActFuture<Self, ()>;
 
     fn handle(&mut self, _: Leave, ctx: &mut Self::Context) -> Self::Result {
-        self.beat(true, ctx);
+        let append = self.last_append();
         self.elect(term::Event::Leave, ctx);
-        Box::pin(std::future::ready(()).into_actor(self))
+        let (edge, logger) = (self.setup.edge.clone(), self.setup.logger.clone());
+        let resign = async move {
+            if let Some(append) = append {
+                resign(edge, append, logger).await;
+            }
+        };
+        Box::pin(resign.into_actor(self))
     }
 }
 
--- a/crates/jobs/src/follow/mod.rs
+++ b/crates/jobs/src/follow/mod.rs
@@ -42,6 +42,12 @@
         }
     }
 
+    /// Sets how long the next read waits for a record.
+    #[must_use]
+    pub fn within(self, wait: Duration) -> Self {
+        Self { wait, ..self }
+    }
+
     /// Reads on; gets nothing when the log did not answer.
     pub async fn read<E: Edge>(mut self, edge: E) -> (Self, Result<Batch, Failure>) {
         let sent = clock::now();
--- a/crates/jobs/src/lead/mod.rs
+++ b/crates/jobs/src/lead/mod.rs
@@ -6,18 +6,35 @@
 use bytestring::ByteString;
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Beat, Record};
+use persimmongate_core::term::Election;
 use persimmongate_node::clock;
 use persimmongate_wire::errors::Result as Coded;
 use persimmongate_wire::journal;
 
+use slog::{Logger, info};
+
 use crate::edge::{Append, Author, Edge, Failure, Topic};
 
 /// Time before an append is tried again after the log failed.
 const RETRY: Duration = Duration::from_millis(150);
 
+/// Time that the last append of a leader may take.
+const RESIGN: Duration = Duration::from_secs(2);
+
 /// Tries of an append whose forerunner is not there, before the author's sequence counts as broken.
 const DISORDER_MAX: u32 = 20;
 
+/// Longest time that a read of a candidate's partition waits for a record.
+pub(crate) const READ_WAIT: Duration = Duration::from_millis(500);
+/// Shortest time that such a read waits: a claim follows at the earliest after it.
+const READ_WAIT_MIN: Duration = Duration::from_millis(10);
+
+/// Gets how long a read of a partition waits for a record, so that a candidate looks when it is due.
+pub(crate) fn read_wait(election: &Election) -> Duration {
+    let due = election.due(clock::now()).unwrap_or(READ_WAIT);
+    due.clamp(READ_WAIT_MIN, READ_WAIT)
+}
+
 /// Encodes records for the log.
 ///
 /// # Errors
@@ -79,6 +96,22 @@
     }
 }
 
+/// Makes the record with which a leader gives up its term: it sends nothing more.
+pub(crate) fn resignation(term: ids::Term, node: ids::Instance) -> Record {
+    Record::Beat(Beat {
+        term,
+        node,
+        resigned: true,
+        ..Beat::default()
+    })
+}
+
+/// Appends the last records of a leader.
+pub(crate) async fn resign<E: Edge>(edge: E, append: Append, logger: Logger) {
+    let outcome = persist(edge, append, Some(clock::now() + RESIGN)).await;
+    info!(logger, "leadership given up"; "outcome" => ?outcome);
+}
+
 /// Makes the append that claims a partition.
 ///
 /// # Errors
--- a/crates/jobs/src/shard/lead.rs
+++ b/crates/jobs/src/shard/lead.rs
@@ -4,7 +4,7 @@
     ActorFutureExt, AsyncContext, Context, Handler, ResponseActFuture, SpawnHandle, WrapFuture,
 };
 use persimmongate_core::ids;
-use persimmongate_core::journal::{Beat, Record};
+use persimmongate_core::journal::Record;
 use persimmongate_core::sched::{Action, Event, Scheduler};
 use persimmongate_core::term::{self, Action as Elected};
 use persimmongate_node::clock;
@@ -12,13 +12,11 @@
 
 use super::{Leave, Led, Shard};
 use crate::edge::{Append, Edge, Failure};
-use crate::lead::{Pen, claim, persist};
+use crate::lead::{Pen, claim, persist, resign, resignation};
 use crate::roster::{News, Subscribe, Unsubscribe};
 
 /// Time between two rounds of upkeep of a scheduler.
 const TICK: Duration = Duration::from_millis(200);
-/// Time that the last append of a leader may take.
-const RESIGN: Duration = Duration::from_secs(2);
 
 /// `Lead` is the leadership of a shard in one term.
 pub(super) struct Lead {
@@ -286,22 +284,14 @@
 
     /// Gives the shard up at once: the record says that this leader sends nothing more.
     fn handle(&mut self, _: Leave, ctx: &mut Self::Context) -> Self::Result {
-        let resignation = self.lead.as_ref().map(|lead| {
-            Record::Beat(Beat {
-                term: lead.term,
-                node: self.setup.node.clone(),
-                resigned: true,
-                ..Beat::default()
-            })
-        });
-        let append = resignation.and_then(|record| self.authored(&[record]));
+        let node = self.setup.node.clone();
+        let record = self.lead.as_ref().map(|lead| resignation(lead.term, node));
+        let append = record.and_then(|record| self.authored(&[record]));
         self.elect(term::Event::Leave, ctx);
-        let edge = self.setup.edge.clone();
-        let logger = self.setup.logger.clone();
+        let (edge, logger) = (self.setup.edge.clone(), self.setup.logger.clone());
         let resign = async move {
             if let Some(append) = append {
-                let outcome = persist(edge, append, Some(clock::now() + RESIGN)).await;
-                info!(logger, "leadership given up"; "outcome" => ?outcome);
+                resign(edge, append, logger).await;
             }
         };
         Box::pin(resign.into_actor(self))
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -27,12 +27,11 @@
 
 use crate::edge::{Edge, Topic};
 use crate::follow::{Batch, Cursor};
+use crate::lead::{READ_WAIT, read_wait};
 use crate::operator::Configured;
 use crate::roster::Roster;
 use lead::Lead;
 
-/// Time that a read waits for a record; candidates look after each.
-const WAIT: Duration = Duration::from_millis(500);
 /// Time between two reads of a leader, in which records gather: a small part of a task's run time.
 const LEADER_PAUSE: Duration = Duration::from_millis(25);
 /// Time between two reads of the others, who only tell callers what became of their jobs.
@@ -135,8 +134,7 @@
     /// Makes a shard; it reads nothing until a service belongs to it.
     pub fn new(setup: Setup<E, C>, guard: Guard<C>) -> Self {
         let patience = term::patience(setup.processor, 0, rand::random());
-        let now = clock::now();
-        let election = Election::new(setup.node.clone(), rand::random(), patience, now);
+        let election = Election::new(setup.node.clone(), rand::random(), patience);
         Self {
             setup,
             config: None,
@@ -167,7 +165,9 @@
     }
 
     fn read_on(&self, cursor: Cursor, ctx: &mut Context<Self>) {
-        let read = cursor.read(self.setup.edge.clone()).into_actor(self);
+        let wait = read_wait(&self.election);
+        let read = cursor.within(wait).read(self.setup.edge.clone());
+        let read = read.into_actor(self);
         ctx.spawn(read.map(|(cursor, batch), act, ctx| {
             let pause = if batch.as_ref().is_ok_and(|batch| batch.records.is_empty()) {
                 Duration::ZERO
@@ -265,7 +265,7 @@
         if owns && !self.active {
             info!(self.setup.logger, "shard in use"; "shard" => self.setup.shard);
             self.active = true;
-            self.read_on(Cursor::new(self.topic(), WAIT), ctx);
+            self.read_on(Cursor::new(self.topic(), READ_WAIT), ctx);
         }
         self.schedule(Event::Config(config), ctx);
     }
