--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -85,34 +85,52 @@
                 moves.extend(free.pop().map(|host| (host, count.service.clone())));
             }
         }
-        // Hosts that another service only wants go where work waits now.
-        let mut lent: Map<ids::Service, usize> = Map::default();
+        // Hosts that another service only wants go where work waits now, and idle ones that it doesn't
+        // want go where demand grows.
+        let mut lent = Loans::default();
+        self.lend(&counts, Reason::Waiting, &mut lent, &mut moves);
+        self.lend(&counts, Reason::Growing, &mut lent, &mut moves);
         for count in &counts {
-            let comes = moves
-                .iter()
-                .filter(|(_, service)| *service == count.service)
-                .count();
-            for _ in count.has + comes..count.needs {
-                let lender = counts.iter().rev().find(|other| {
+            moves.extend(self.surplus(now, count, &lent, &spare));
+        }
+        for (host, service) in moves {
+            self.begin(now, &host, Kind::Move(service), actions);
+        }
+    }
+
+    /// Moves hosts from pools that can do without to pools that lack some.
+    fn lend(
+        &self,
+        counts: &[Count],
+        reason: Reason,
+        lent: &mut Loans,
+        moves: &mut Vec<(ids::Host, ids::Service)>,
+    ) {
+        let keeps = |count: &Count| match reason {
+            Reason::Waiting => count.needs,
+            Reason::Growing => count.wants,
+        };
+        for count in counts {
+            let comes = moves.iter().filter(|(_, to)| *to == count.service).count();
+            for _ in count.has + comes..keeps(count) {
+                let lends = |other: &&Count| {
                     let gone = lent.get(&other.service).copied().unwrap_or(0);
-                    other.service != count.service && other.has > other.needs + gone
-                });
-                let Some(lender) = lender else { break };
+                    other.service != count.service && other.has > keeps(other) + gone
+                };
+                // The service with the least work for its room lends first.
+                let Some(lender) = counts.iter().rev().find(lends) else {
+                    break;
+                };
                 let gone = lent.entry(lender.service.clone()).or_default();
+                let busy = reason == Reason::Waiting;
                 let host = self
-                    .light_hosts(&lender.service, true)
+                    .light_hosts(&lender.service, busy)
                     .into_iter()
                     .nth(*gone);
                 *gone += 1;
                 moves.extend(host.map(|host| (host, count.service.clone())));
             }
         }
-        for count in &counts {
-            moves.extend(self.surplus(now, count, &lent, &spare));
-        }
-        for (host, service) in moves {
-            self.begin(now, &host, Kind::Move(service), actions);
-        }
     }
 
     /// Gets the idle hosts that a service has had too many of for a while.
@@ -120,7 +138,7 @@
         &mut self,
         now: Instant,
         count: &Count,
-        lent: &Map<ids::Service, usize>,
+        lent: &Loans,
         spare: &ids::Service,
     ) -> Vec<(ids::Host, ids::Service)> {
         let gone = lent.get(&count.service).copied().unwrap_or(0);
@@ -261,6 +279,18 @@
     }
 }
 
+/// `Loans` is how many hosts each service lends in a round.
+type Loans = Map<ids::Service, usize>;
+
+/// `Reason` is why hosts move between two pools.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reason {
+    /// Work waits, so hosts that are at work move too.
+    Waiting,
+    /// Demand grows, so idle hosts move.
+    Growing,
+}
+
 /// `Count` is the hosts of a pool.
 struct Count {
     service: ids::Service,
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -268,6 +268,27 @@
     assert_eq!(stage.pool("one"), 6);
 }
 
+/// Load pattern: the turn of one service ends as that of another begins.
+#[test]
+fn verify_idle_hosts_go_straight_to_a_service_whose_demand_grows() {
+    let mut stage = Stage::new(false);
+    stage.hosts.retain(|host| host.service != *"spare");
+    let rests = Load {
+        spread: 0,
+        ..load("two", 0, 0, &["w-two-0", "w-two-1", "w-two-2", "w-two-3"])
+    };
+    // Nothing waits yet, but the jobs that came lately need more than the pool has.
+    let grows = Load {
+        offered: 4 * CPU,
+        ..load("one", 3 * CPU, 0, &[])
+    };
+    stage.loads = vec![grows, rests];
+    stage.pass(4);
+    let moves: Vec<&Kind> = stage.orders.iter().map(|order| &order.kind).collect();
+    assert_eq!(moves, [&Kind::Move("one".into())]);
+    assert_eq!(stage.pool("one"), 5);
+}
+
 #[test]
 fn verify_idle_hosts_go_to_the_spare_pool_after_a_while() {
     let mut stage = Stage::new(false);
