Keep apart the lives of a worker that starts again under its name

A worker that had started again unnoticed was sent the acknowledgement of its earlier life, whose numbers its new ends have too, so that ends were forgotten unseen and tasks started again; and starts that the new life had answered counted as lost with the earlier one. Now a question after a miss or a rest acknowledges nothing, and starts that no list of the earlier life had stay until a list of the new one tells, under the longest lease. Ruled out: the list of workers (it told of both restarts within 30 ms of the log's return). Tests first: two of the scheduler failed with 6 and 10 starts in place of 5 and 9; now they pass.

--- a/crates/core/src/sched/hold.rs
+++ b/crates/core/src/sched/hold.rs
@@ -49,7 +49,7 @@
             worker: id.clone(),
             address: worker.report.address,
             token: self.term,
-            ack: worker.ack,
+            ack: worker.acknowledgement(now),
             until,
             wait: if waits { WAIT } else { Duration::ZERO },
         }));
@@ -111,13 +111,17 @@
             return;
         };
         if listing.born > worker.report.born {
-            self.lose_life(id, listing.born, actions);
+            self.lose_life(now, id, listing.born, actions);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.note_clock(listing.clock, now);
-        worker.acked = worker.acked.max(worker.ack);
+        if let Some((lease, _)) = worker.unclocked.take() {
+            worker.until = worker.until.max(listing.clock + millis(lease));
+        }
+        worker.acked = worker.acked.max(worker.told);
+        worker.heard = Some(now);
         if !worker.settled {
             worker.settled = true;
             self.stirred = true;
@@ -162,6 +166,7 @@
         let mut run = Run::new(number, worker.report.room, now);
         run.stage = Stage::Running;
         run.known = Some(now);
+        run.listed = true;
         run.wanted = false;
         if let Some(work) = self.works.get_mut(&task.job)
             && let Some((stage, index)) = work.find(task)
@@ -217,8 +222,18 @@
         }
     }
 
-    /// Drops what another life of a worker ran; starts that were not answered may still arrive.
-    pub(super) fn lose_life(&mut self, id: &ids::Worker, born: u64, actions: &mut Vec<Action>) {
+    /// Drops what an earlier life of a worker ran.
+    ///
+    /// The new life may have carried out starts that no list of the earlier one had: they stay until a
+    /// list of the new life tells.
+    pub(super) fn lose_life(
+        &mut self,
+        now: Instant,
+        id: &ids::Worker,
+        born: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let longest = self.options.lease_max;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -226,9 +241,16 @@
         let lost: Vec<Task> = worker
             .runs
             .iter()
-            .filter(|(_, run)| run.known.is_some())
+            .filter(|(_, run)| run.listed)
             .map(|(task, _)| task.clone())
             .collect();
+        if lost.len() < worker.runs.len() {
+            // Their leases ended on the clock of the earlier life.
+            worker.unclocked = Some((longest, now));
+        }
+        for run in worker.runs.values_mut().filter(|run| !run.listed) {
+            run.known = run.known.map(|_| now);
+        }
         for task in lost {
             self.release(id, &task, "worker started again", actions);
         }
@@ -253,6 +275,10 @@
     }
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Makes the line about what became of a run.
 pub(super) fn note(what: &'static str, task: &Task, run: ids::Run, worker: &ids::Worker) -> Action {
     Action::Note {
--- a/crates/core/src/sched/machine.rs
+++ b/crates/core/src/sched/machine.rs
@@ -15,6 +15,8 @@
 pub struct Options {
     /// Process that leads.
     pub node: ids::Instance,
+    /// Longest lease that a worker accepts.
+    pub lease_max: Duration,
     /// Longest time that a worker takes to stop a run.
     pub stop: Duration,
 }
@@ -23,6 +25,7 @@
     fn default() -> Self {
         Self {
             node: ids::Instance::new(),
+            lease_max: Duration::from_secs(10),
             stop: Duration::from_millis(900),
         }
     }
--- a/crates/core/src/sched/run.rs
+++ b/crates/core/src/sched/run.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug)]
 #[expect(
     clippy::struct_excessive_bools,
-    reason = "two tell what the task is, two where its orders stand"
+    reason = "two tell what the task is, three where its orders stand"
 )]
 pub(super) struct Run {
     pub(super) number: ids::Run,
@@ -34,6 +34,8 @@
     pub(super) since: Instant,
     /// Time of the answer from which on the worker's list must have it.
     pub(super) known: Option<Instant>,
+    /// Whether a list of the worker's present life has had it.
+    pub(super) listed: bool,
     /// Time at which the latest stop was sent.
     pub(super) stop_sent: Option<Instant>,
     /// Whether a stop is on its way.
@@ -63,6 +65,7 @@
             wanted: true,
             since: now,
             known: None,
+            listed: false,
             stop_sent: None,
             stop_pending: false,
             lasting: false,
@@ -88,6 +91,7 @@
 
     /// Notes what the worker's list says of it.
     pub(super) fn observe(&mut self, row: &Row, now: Instant) {
+        self.listed = true;
         if self.percent != row.percent {
             self.percent = row.percent;
             self.moved = now;
--- a/crates/core/src/sched/step.rs
+++ b/crates/core/src/sched/step.rs
@@ -81,7 +81,7 @@
         worker.listed = true;
         if report.born > worker.report.born {
             worker.report = report.clone();
-            self.lose_life(&id, report.born, actions);
+            self.lose_life(now, &id, report.born, actions);
         } else {
             worker.report = report;
         }
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
@@ -12,8 +12,11 @@
 pub(super) const LEASE_MS: u64 = 2_800;
 /// Slack for a worker's clock, in milliseconds: the resolution of its times and of a late timer.
 const SLACK_MS: u64 = 50;
-/// Share by which a worker's clock may run slow, in percent.
-const SLOW_PERCENT: u64 = 2;
+/// Share by which a worker's clock may run slow: one in this many.
+const SLOW_SHARE: u32 = 50;
+
+/// Time since an answer in which a worker does not end, start again and finish a task.
+const SAME_LIFE: Duration = Duration::from_secs(1);
 
 /// `Room` is processor time, memory and accelerators.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -92,6 +95,8 @@
     pub(super) clock: Option<(u64, Instant)>,
     /// End of its lease on its own clock, as granted by this leader.
     pub(super) until: u64,
+    /// Longest lease that runs may have whose end is not known on its clock, and since when.
+    pub(super) unclocked: Option<(Duration, Instant)>,
     pub(super) look: Look,
     /// Questions in a row without an answer.
     pub(super) misses: u32,
@@ -102,8 +107,12 @@
     pub(super) seen: u64,
     /// Highest end that is recorded and may be acknowledged.
     pub(super) ack: u64,
-    /// Highest end acknowledged in an answered call.
+    /// Highest end acknowledged in the latest question.
+    pub(super) told: u64,
+    /// Highest end acknowledged in an answered question.
     pub(super) acked: u64,
+    /// Time of the latest answer.
+    pub(super) heard: Option<Instant>,
     /// Failed runs in a row.
     pub(super) failures: u32,
     /// Time until which it gets no task after failures.
@@ -126,13 +135,16 @@
             settled: false,
             clock: None,
             until: 0,
+            unclocked: None,
             look: Look::None,
             misses: 0,
             lapsed: None,
             runs: Map::default(),
             seen: 0,
             ack: 0,
+            told: 0,
             acked: 0,
+            heard: None,
             failures: 0,
             suspended: None,
             vacating: false,
@@ -149,11 +161,21 @@
         self.until = 0;
         self.seen = 0;
         self.ack = 0;
+        self.told = 0;
         self.acked = 0;
         self.failures = 0;
         self.suspended = None;
     }
 
+    /// Gets the end up to which the next question acknowledges: none while another life of the worker
+    /// may answer, whose ends have the same numbers.
+    pub(super) fn acknowledgement(&mut self, now: Instant) -> u64 {
+        let recent = |heard| now.saturating_duration_since(heard) < SAME_LIFE;
+        let same = self.misses == 0 && self.heard.is_some_and(recent);
+        self.told = if same { self.ack } else { 0 };
+        self.told
+    }
+
     /// Notes the time of the worker's clock, which was read before now.
     pub(super) fn note_clock(&mut self, clock: u64, now: Instant) {
         // Answers on different connections overtake each other.
@@ -174,12 +196,15 @@
     /// Checks if the lease has ended for sure, so that nothing runs there any more.
     pub(super) fn has_lapsed(&self, now: Instant) -> bool {
         let Some((clock, at)) = self.clock else {
-            // Without a clock no lease was given.
-            return true;
+            // Without a clock no lease was given in this life, but an order for an earlier one may
+            // have arrived.
+            return self.unclocked.is_none_or(|(lease, since)| {
+                now.saturating_duration_since(since) > lease + lease / SLOW_SHARE
+            });
         };
         let elapsed = now.saturating_duration_since(at).as_millis();
         let elapsed = u64::try_from(elapsed).unwrap_or(u64::MAX);
-        let least = elapsed - elapsed * SLOW_PERCENT / 100;
+        let least = elapsed - elapsed / u64::from(SLOW_SHARE);
         clock + least > self.until + SLACK_MS
     }
 
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -58,6 +58,7 @@
             let advice = reader.services("advice");
             let shards = reader.count("shards", SHARDS, SHARDS_RANGE);
             let processor = reader.cores("processor", PROCESSOR);
+            let lease_max = reader.duration("lease_max", schedules.lease_max);
             let stop = reader.duration("stop", schedules.stop);
             let lease = reader.duration("holder_lease", upkeeps.lease);
             let maintenance = reader.duration("maintenance", upkeeps.upkeep);
@@ -75,6 +76,7 @@
                 processor: processor?,
                 sched: sched::Options {
                     node: instance,
+                    lease_max: lease_max?,
                     stop: stop?,
                 },
                 upkeep: upkeep::Options {
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -90,6 +90,46 @@
     assert_eq!(world.starts, 1);
 }
 
+#[test]
+fn verify_ends_of_a_new_life_are_not_acknowledged_unseen() {
+    let mut world = World::new(1, 1);
+    world.submit("before", vec![step(4, 300, &[])]);
+    world.run(seconds(2));
+    assert_eq!(world.outcome("before"), Some(Outcome::Completed));
+    // The worker starts again before its next task, and its first answers are lost.
+    let now = world.now;
+    world.workers.get_mut("w0").unwrap().restart(now);
+    world.faults.silent = 1_000;
+    world.submit("job", vec![step(1, 100, &[])]);
+    world.run(Duration::from_millis(2_500));
+    world.faults.silent = 0;
+    world.run(seconds(8));
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+    assert_eq!(world.starts, 5);
+    none(&world);
+}
+
+#[test]
+fn verify_start_that_a_new_life_answered_before_it_was_listed_runs_once() {
+    let mut world = World::new(2, 1);
+    world.submit("before", vec![step(8, 300, &[])]);
+    world.run(seconds(2));
+    for name in ["w0", "w1"] {
+        let now = world.now;
+        world.workers.get_mut(name).unwrap().restart(now);
+    }
+    // The lists tell of the new lives only after these have taken the start.
+    world.submit("job", vec![step(1, 1_500, &[])]);
+    world.run(Duration::from_millis(20));
+    assert_eq!(world.running("job").len(), 1);
+    world.list("w0", true);
+    world.list("w1", true);
+    world.run(seconds(4));
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+    assert_eq!(world.starts, 9);
+    none(&world);
+}
+
 #[test]
 fn verify_canceled_job_is_stopped() {
     let mut world = World::new(2, 1);
