--- a/crates/core/src/sched/machine.rs
+++ b/crates/core/src/sched/machine.rs
@@ -3,6 +3,7 @@
 
 use super::event::{Action, Event};
 use super::load::Offers;
+use super::rank::Rank;
 use super::settle::Settling;
 use super::work::Work;
 use super::worker::Worker;
@@ -50,6 +51,9 @@
     pub(super) freed: Vec<ids::Worker>,
     /// Questions to the policy service under way.
     pub(super) asked: usize,
+    /// Jobs that wait, in the order of rank, with the time at which the order was made.
+    pub(super) order: Vec<(Rank, ids::Job)>,
+    pub(super) ordered: Instant,
     /// Whether something changed that may let a task start.
     pub(super) stirred: bool,
     /// Time of day at the latest event, in milliseconds since the epoch.
@@ -88,6 +92,8 @@
             pending: None,
             freed: Vec::new(),
             asked: 0,
+            order: Vec::new(),
+            ordered: now,
             stirred: false,
             wall: 0,
             beat: now,
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytestring::ByteString;
 
@@ -23,6 +23,19 @@
     fills: usize,
 }
 
+/// `Seats` is the workers of a service that may take tasks.
+#[derive(Debug, Default)]
+struct Seats {
+    list: Vec<Seat>,
+    /// Jobs in a row that found no room.
+    passed: usize,
+}
+
+/// Jobs in a row that find no room after which the later ones of their service are not looked at.
+const BACKFILL: usize = 24;
+/// Time for which an order of jobs stays, for each job in it: making it costs about a hundredth.
+const ORDER_EACH: Duration = Duration::from_micros(100);
+
 /// `Fit` is how well a worker suits a task; the least is the best.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Fit {
@@ -48,8 +61,34 @@
 impl Scheduler {
     /// Starts what has room, in the order of rank.
     pub(super) fn place(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut queue = self.queue(now);
+        let mut seats: Map<ids::Service, Seats> = Map::default();
+        for worker in self.workers.values().filter(|w| w.is_usable(now)) {
+            let seat = Seat {
+                worker: worker.report.worker.clone(),
+                free: worker.free(),
+                failures: worker.failures,
+                fills: worker.runs.values().filter(|run| run.fills).count(),
+            };
+            let seats = seats.entry(worker.report.service.clone()).or_default();
+            seats.list.push(seat);
+        }
+        queue.retain(|(_, job)| self.place_job(now, job, &mut seats, actions));
+        self.order = queue;
+    }
+
+    /// Gets the jobs that wait, in the order of rank.
+    ///
+    /// The order is made anew at intervals that grow with its length, as it changes little meanwhile.
+    fn queue(&mut self, now: Instant) -> Vec<(Rank, ids::Job)> {
+        let order = std::mem::take(&mut self.order);
+        let interval = ORDER_EACH * index_of(order.len());
+        if now.saturating_duration_since(self.ordered) < interval {
+            return order;
+        }
+        self.ordered = now;
         let settled = self.is_settled(now);
-        let mut queue: Vec<(Rank, ids::Job)> = Vec::new();
+        let mut queue: Vec<(Rank, ids::Job)> = Vec::with_capacity(order.len());
         for work in self.works.values() {
             let waits = work.stages.iter().any(|stage| stage.idle > 0);
             if waits && !work.is_over() && (settled || !work.old) {
@@ -59,59 +98,55 @@
             }
         }
         queue.sort();
-        let mut seats: Map<ids::Service, Vec<Seat>> = Map::default();
-        for worker in self.workers.values().filter(|w| w.is_usable(now)) {
-            let seat = Seat {
-                worker: worker.report.worker.clone(),
-                free: worker.free(),
-                failures: worker.failures,
-                fills: worker.runs.values().filter(|run| run.fills).count(),
-            };
-            seats
-                .entry(worker.report.service.clone())
-                .or_default()
-                .push(seat);
-        }
-        for (_, job) in queue {
-            self.place_job(now, &job, &mut seats, actions);
-        }
+        queue
     }
 
+    /// Starts what has room of a job; gets whether the job still waits.
     fn place_job(
         &mut self,
         now: Instant,
         job: &ids::Job,
-        seats: &mut Map<ids::Service, Vec<Seat>>,
+        seats: &mut Map<ids::Service, Seats>,
         actions: &mut Vec<Action>,
-    ) {
-        let Some(work) = self.works.get(job) else {
-            return;
+    ) -> bool {
+        let Some(work) = self.works.get(job).filter(|work| !work.is_over()) else {
+            return false;
         };
-        let service = self.service_of(work);
-        let Some(seats) = seats.get_mut(&service) else {
-            return;
+        let Some(seats) = seats.get_mut(&self.service_of(work)) else {
+            return true;
         };
-        for stage in 0..work.stages.len() {
+        if seats.passed >= BACKFILL {
+            return true;
+        }
+        let declared = work.job.clone();
+        let stages = work.stages.len();
+        let mut started = false;
+        for stage in 0..stages {
             let Some(work) = self.works.get(job) else {
-                return;
+                return false;
             };
             if work.stages[stage].idle == 0 || !work.is_ready(stage) {
                 continue;
             }
-            let step = work.step_of(stage).clone();
-            if !seats.iter().any(|seat| seat.free.holds(Room::of(&step))) {
+            let step = &declared.steps[work.stages[stage].step as usize];
+            let room = Room::of(step);
+            if !seats.list.iter().any(|seat| seat.free.holds(room)) {
                 continue;
             }
             if !self.has_advice(now, job, stage, actions) {
                 continue;
             }
             let picks = if step.gang {
-                self.pick_gang(job, stage, &step, seats)
+                self.pick_gang(job, stage, step, &mut seats.list)
             } else {
-                self.pick_each(job, stage, &step, seats)
+                self.pick_each(job, stage, step, &mut seats.list)
             };
-            self.start(now, job, stage, &step, picks, actions);
+            started |= !picks.is_empty();
+            self.start(now, job, stage, step, picks, actions);
         }
+        seats.passed = if started { 0 } else { seats.passed + 1 };
+        let work = self.works.get(job);
+        work.is_some_and(|work| work.stages.iter().any(|stage| stage.idle > 0))
     }
 
     /// Chooses workers for as many idle tasks as have room.
@@ -125,7 +160,7 @@
         let Some(work) = self.works.get(job) else {
             return Vec::new();
         };
-        let mut counts = self.counts_of(job, stage);
+        let mut counts = self.counts_of(job, stage, step);
         let mut picks = Vec::new();
         for (index, item) in work.stages[stage].items.iter().enumerate() {
             if item.place != Place::Idle {
@@ -176,7 +211,7 @@
         racks.push(None);
         for rack in racks {
             let mut trial = seats.to_vec();
-            let mut counts = self.counts_of(job, stage);
+            let mut counts = self.counts_of(job, stage, step);
             let mut picks = Vec::with_capacity(whole);
             for index in 0..whole {
                 let rack = rack.as_ref();
@@ -193,9 +228,12 @@
         Vec::new()
     }
 
-    /// Counts the tasks of a stage on each worker.
-    fn counts_of(&self, job: &ids::Job, stage: usize) -> Map<ids::Worker, u32> {
+    /// Counts the tasks of a stage on each worker, if their number there is limited.
+    fn counts_of(&self, job: &ids::Job, stage: usize, step: &Step) -> Map<ids::Worker, u32> {
         let mut counts = Map::default();
+        if step.per_worker.is_none() {
+            return counts;
+        }
         if let Some(work) = self.works.get(job) {
             let own = &work.stages[stage];
             for (id, worker) in &self.workers {
--- a/crates/jobs/src/lead/mod.rs
+++ b/crates/jobs/src/lead/mod.rs
@@ -18,7 +18,7 @@
 /// Time before an append is tried again after the log failed.
 const RETRY: Duration = Duration::from_millis(150);
 
-/// Time that the last append of a leader may take.
+/// Time that the last append of a leader may take: shorter than the balancer takes to notice its end.
 const RESIGN: Duration = Duration::from_secs(2);
 
 /// Tries of an append whose forerunner is not there, before the author's sequence counts as broken.
@@ -108,7 +108,8 @@
 
 /// Appends the last records of a leader.
 pub(crate) async fn resign<E: Edge>(edge: E, append: Append, logger: Logger) {
-    let outcome = persist(edge, append, Some(clock::now() + RESIGN)).await;
+    let last = persist(edge, append, Some(clock::now() + RESIGN));
+    let outcome = actix_rt::time::timeout(RESIGN, last).await;
     info!(logger, "leadership given up"; "outcome" => ?outcome);
 }
 
--- a/crates/jobs/src/shard/lead.rs
+++ b/crates/jobs/src/shard/lead.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
 use actix::{
-    ActorFutureExt, AsyncContext, Context, Handler, ResponseActFuture, SpawnHandle, WrapFuture,
+    ActorFutureExt, AsyncContext, Context, Handler, Message, ResponseActFuture, SpawnHandle,
+    WrapFuture,
 };
 use persimmongate_core::ids;
 use persimmongate_core::journal::Record;
@@ -18,6 +19,14 @@
 /// Time between two rounds of upkeep of a scheduler.
 const TICK: Duration = Duration::from_millis(200);
 
+/// `Told` is an event for the scheduler of a term.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(super) struct Told {
+    term: ids::Term,
+    event: Event,
+}
+
 /// `Lead` is the leadership of a shard in one term.
 pub(super) struct Lead {
     pub(super) term: ids::Term,
@@ -156,55 +165,71 @@
         }
     }
 
+    /// Tells the scheduler of an event that a task of its own waits for.
+    ///
+    /// Futures that an actor spawns are all polled whenever one of them is woken.
+    fn tell_later(
+        term: ids::Term,
+        ctx: &mut Context<Self>,
+        event: impl Future<Output = Event> + 'static,
+    ) {
+        let shard = ctx.address();
+        actix_rt::spawn(async move {
+            let event = event.await;
+            shard.do_send(Told { term, event });
+        });
+    }
+
     fn carry_out(&mut self, term: ids::Term, action: Action, ctx: &mut Context<Self>) {
         let edge = self.setup.edge.clone();
         let sent = clock::now();
         match action {
             Action::Hold(hold) => {
                 let worker = hold.worker.clone();
-                let asked = edge.hold(hold).into_actor(self);
-                ctx.spawn(asked.map(move |answer, act, ctx| {
-                    let event = Event::Held {
+                let asked = edge.hold(hold);
+                Self::tell_later(term, ctx, async move {
+                    let answer = asked.await;
+                    Event::Held {
                         worker,
                         sent,
                         answer,
-                    };
-                    act.schedule_for(term, event, ctx);
-                }));
+                    }
+                });
             }
             Action::Call(call) => {
-                let called = edge.call(call.clone()).into_actor(self);
-                ctx.spawn(called.map(move |(answer, clock), act, ctx| {
-                    let called = Event::Called {
+                let called = edge.call(call.clone());
+                Self::tell_later(term, ctx, async move {
+                    let (answer, clock) = called.await;
+                    Event::Called {
                         call,
                         sent,
                         answer,
                         clock,
-                    };
-                    act.schedule_for(term, called, ctx);
-                }));
+                    }
+                });
             }
             Action::Advise(question) => {
                 let (job, occurrence, step) =
                     (question.job.clone(), question.occurrence, question.step);
-                let advised = edge.advise(question).into_actor(self);
-                ctx.spawn(advised.map(move |answer, act, ctx| {
-                    let advised = Event::Advised {
+                let advised = edge.advise(question);
+                Self::tell_later(term, ctx, async move {
+                    let answer = advised.await;
+                    Event::Advised {
                         job,
                         occurrence,
                         step,
                         sent,
                         answer,
-                    };
-                    act.schedule_for(term, advised, ctx);
-                }));
+                    }
+                });
             }
-            Action::Append(records) => self.append(term, &records, ctx),
             Action::Later(worker, wait) => {
-                ctx.run_later(wait, move |act, ctx| {
-                    act.schedule_for(term, Event::Due(worker), ctx);
+                Self::tell_later(term, ctx, async move {
+                    actix_rt::time::sleep(wait).await;
+                    Event::Due(worker)
                 });
             }
+            Action::Append(records) => self.append(term, &records, ctx),
             Action::Fenced => self.elect(term::Event::Fenced, ctx),
             Action::Note {
                 what,
@@ -249,6 +274,14 @@
     }
 }
 
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Handler<Told> for Shard<E, C> {
+    type Result = ();
+
+    fn handle(&mut self, told: Told, ctx: &mut Self::Context) {
+        self.schedule_for(told.term, told.event, ctx);
+    }
+}
+
 impl<E: Edge, C: Copy + Send + Unpin + 'static> Handler<News> for Shard<E, C> {
     type Result = ();
 
