Count a job as begun only once a worker has it

Ruled out: a stale read; the same process answered 2.5 s after its latest read at most. Test first: verify_job_waits_until_a_worker_has_begun_it.

--- a/crates/core/src/sched/ends.rs
+++ b/crates/core/src/sched/ends.rs
@@ -46,9 +46,11 @@
         }
         if let Some(work) = self.works.get_mut(&task.job)
             && let Some((stage, index)) = work.find(task)
-            && !ending.saved.is_empty()
         {
-            work.stages[stage].items[index].saved = ending.saved.clone();
+            work.note_begun();
+            if !ending.saved.is_empty() {
+                work.stages[stage].items[index].saved = ending.saved.clone();
+            }
         }
         let current = self
             .workers
--- a/crates/core/src/sched/hold.rs
+++ b/crates/core/src/sched/hold.rs
@@ -141,6 +141,9 @@
                         run.stage = Stage::Running;
                     }
                     run.known.get_or_insert(now);
+                    if let Some(work) = self.works.get_mut(&row.task.job) {
+                        work.note_begun();
+                    }
                 }
                 Some(run) if run.number > row.run => {}
                 _ => self.adopt(now, id, &row.task, row.run, actions),
@@ -179,10 +182,7 @@
             if !work.is_over() && work.stages[stage].items[index].place == Place::Idle {
                 work.put(stage, index, Place::On(id.clone()));
                 run.wanted = true;
-                if !work.progress.started {
-                    work.progress.started = true;
-                    work.dirty = true;
-                }
+                work.note_begun();
             }
         }
         let wanted = run.wanted;
--- a/crates/core/src/sched/order.rs
+++ b/crates/core/src/sched/order.rs
@@ -72,6 +72,9 @@
                 if run.stage == Stage::Starting {
                     run.stage = Stage::Running;
                 }
+                if let Some(work) = self.works.get_mut(&call.task.job) {
+                    work.note_begun();
+                }
                 self.look(now, &call.worker, actions);
             }
             Answer::Unknown => {
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -367,10 +367,6 @@
             item.run = run;
             let saved = saved.clone().unwrap_or_else(|| item.saved.clone());
             work.put(stage, pick.index, Place::On(pick.worker.clone()));
-            if !work.progress.started {
-                work.progress.started = true;
-                work.dirty = true;
-            }
             let mut known = Run::new(run, Room::of(step), now);
             known.describe(step);
             worker.runs.insert(task.clone(), known);
--- a/crates/core/src/sched/work.rs
+++ b/crates/core/src/sched/work.rs
@@ -105,6 +105,12 @@
         self.canceled || self.progress.outcome.is_some()
     }
 
+    /// Notes that a worker has begun a task.
+    pub(super) fn note_begun(&mut self) {
+        self.dirty |= !self.progress.started;
+        self.progress.started = true;
+    }
+
     /// Opens the occurrences that are due at a time of day; gets whether any was.
     pub(super) fn open(&mut self, wall: u64) -> bool {
         if self.is_over() {
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -130,6 +130,20 @@
     none(&world);
 }
 
+#[test]
+fn verify_job_waits_until_a_worker_has_begun_it() {
+    let mut world = World::new(1, 1);
+    world.run(Duration::from_millis(500));
+    world.workers.get_mut("w0").unwrap().reachable = false;
+    world.submit("job", vec![step(1, 300, &[])]);
+    world.run(Duration::from_millis(600));
+    assert!(!world.progress("job").started);
+    world.workers.get_mut("w0").unwrap().reachable = true;
+    world.run(seconds(4));
+    assert!(world.progress("job").started);
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+}
+
 #[test]
 fn verify_canceled_job_is_stopped() {
     let mut world = World::new(2, 1);
