--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -4,6 +4,7 @@
 use super::machine::Scheduler;
 use super::run::Stage;
 use super::work::{Place, Work};
+use super::worker::Worker;
 use crate::ids;
 use crate::job::Task;
 use crate::map::Map;
@@ -95,11 +96,14 @@
 
     /// Goes on freeing workers, and notes those that are free.
     pub(super) fn free_hosts(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let leaving = |(id, worker): (&ids::Worker, &super::worker::Worker)| {
-            (worker.vacating || worker.report.draining).then(|| id.clone())
+        let leaving = |(id, worker): (&ids::Worker, &Worker)| {
+            let lasting = worker.runs.values().filter(|run| run.lasting).count();
+            (worker.vacating || worker.report.draining).then(|| (lasting, id.clone()))
         };
-        let ids: Vec<ids::Worker> = self.workers.iter().filter_map(leaving).collect();
-        for id in ids {
+        // What a step may miss goes to the worker that is free soonest, not a little to each.
+        let mut ids: Vec<(usize, ids::Worker)> = self.workers.iter().filter_map(leaving).collect();
+        ids.sort();
+        for (_, id) in ids {
             self.evacuate(now, &id, actions);
             let Some(worker) = self.workers.get_mut(&id) else {
                 continue;
--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -4,6 +4,7 @@
 //! more than its own pool holds, while the others are idle. Hosts that run nothing go to the pool that
 //! lacks room, from the spare pool first, and back to it when nobody needs them.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use super::event::{Action, Kind};
@@ -15,9 +16,12 @@
 
 /// Time in which waiting work should be done.
 const HORIZON: Duration = Duration::from_millis(400);
-/// Room beyond the demand seen, in percent of it: a turn grows to several times its beginning while
-/// hosts move.
-const GROWTH_PERCENT: u64 = 150;
+/// Room beyond the demand seen, in percent of it: jobs come unevenly.
+const MARGIN_PERCENT: u64 = 20;
+/// Time over which the growth of demand is seen.
+const SEEN: Duration = Duration::from_millis(1_200);
+/// Time for which demand is taken to grow on as it does: a host that is told to move is at work then.
+const AHEAD: Duration = Duration::from_millis(2_200);
 /// Most hosts that a service gets for growth alone, in percent of the fleet.
 const GROWTH_MOST_PERCENT: usize = 20;
 /// Hosts of a pool beyond what its lasting tasks need, so that a turn can begin.
@@ -38,6 +42,8 @@
     surplus: Map<ids::Service, Instant>,
     /// Hosts on their way to a pool, with the time of the order.
     moving: Map<ids::Host, (ids::Service, Instant)>,
+    /// Latest demands of each service, in thousandths of a core.
+    demands: Map<ids::Service, VecDeque<(Instant, u64)>>,
 }
 
 impl Balance {
@@ -46,6 +52,29 @@
         self.moving.insert(host.clone(), (service.clone(), now));
     }
 
+    /// Notes the demand that a leader tells of.
+    pub(super) fn note_load(&mut self, now: Instant, load: &Load) {
+        let demands = self.demands.entry(load.service.clone()).or_default();
+        demands.push_back((now, demand(load)));
+        while demands.len() > 1 && now.saturating_duration_since(demands[1].0) >= SEEN {
+            demands.pop_front();
+        }
+    }
+
+    /// Gets by how much the demand of a service is going to grow while hosts move, in thousandths of a
+    /// core.
+    fn growth(&self, service: &ids::Service) -> u64 {
+        let demands = self.demands.get(service);
+        let ends = demands.and_then(|demands| demands.front().zip(demands.back()));
+        let Some(((from, before), (to, after))) = ends else {
+            return 0;
+        };
+        let took = to.saturating_duration_since(*from).as_millis();
+        let grown = u128::from(after.saturating_sub(*before));
+        let growth = grown * AHEAD.as_millis() / took.max(SEEN.as_millis() / 2);
+        u64::try_from(growth).unwrap_or(u64::MAX)
+    }
+
     /// Notes what the list says; a host that has arrived is no longer on its way.
     pub(super) fn note_host(&mut self, now: Instant, host: &Host) {
         let arrived = |(service, at): &(ids::Service, Instant)| {
@@ -219,9 +248,10 @@
         let spread = load.spread as usize;
         let needs = hosts(firm(load)).max(spread + KEPT).min(most);
         let base = needs.max(spread + RESERVE).min(most);
-        let growth = hosts(load.used.max(load.offered) * GROWTH_PERCENT / 100);
+        let growth = hosts(self.balance.growth(service));
         let growth = growth.min(most * GROWTH_MOST_PERCENT / 100);
-        let passing = hosts(load.lasting + load.used.max(load.offered)) + growth;
+        let margin = demand(load) * MARGIN_PERCENT / 100;
+        let passing = hosts(load.lasting + demand(load) + margin) + growth;
         Count {
             service: service.clone(),
             has,
@@ -304,6 +334,11 @@
     wants: usize,
 }
 
+/// Gets the processor time that tasks which end ask of a service, in thousandths of a core.
+fn demand(load: &Load) -> u64 {
+    load.used.max(load.offered)
+}
+
 /// Gets the processor time that a service's work needs now, in thousandths of a core.
 fn firm(load: &Load) -> u64 {
     let horizon = u64::try_from(HORIZON.as_millis()).unwrap_or(1);
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -18,8 +18,10 @@
 const LAG: Duration = Duration::from_millis(1_500);
 /// Time before a host that was busy is tried again.
 const AGAIN: Duration = Duration::from_millis(400);
-/// Time after which a drain that does not end is given up.
-const DRAIN_MAX: Duration = Duration::from_secs(9);
+/// Time after which a drain for a move is given up: by then the demand has changed.
+const MOVE_DRAIN_MAX: Duration = Duration::from_secs(9);
+/// Time after which a drain for maintenance is given up: lasting tasks leave one by one.
+const MAINTAIN_DRAIN_MAX: Duration = Duration::from_secs(20);
 
 /// Time after its host was told to go in which the list may still name a worker: its entry stays for
 /// some heartbeats.
@@ -156,6 +158,7 @@
             }
             Event::Loads(loads) => {
                 for load in loads {
+                    self.balance.note_load(now, &load);
                     self.loads.insert(load.service.clone(), load);
                 }
             }
@@ -262,7 +265,11 @@
                 .drain
                 .as_ref()
                 .is_some_and(|(known, _)| worker.as_ref() != Some(known));
-            let slow = !task.vacated && now.saturating_duration_since(task.since) > DRAIN_MAX;
+            let most = match task.kind {
+                Kind::Maintain(_) => MAINTAIN_DRAIN_MAX,
+                Kind::Move(_) => MOVE_DRAIN_MAX,
+            };
+            let slow = !task.vacated && now.saturating_duration_since(task.since) > most;
             if !task.sent && !task.doubtful && (other || slow) {
                 stale.push(host.clone());
             }
--- a/crates/jobs/src/lead/mod.rs
+++ b/crates/jobs/src/lead/mod.rs
@@ -151,7 +151,17 @@
     let mut doubtful = false;
     let mut disorder = 0;
     loop {
-        match edge.append(append.clone()).await {
+        let tried = edge.append(append.clone());
+        let tried = match end {
+            // A try that is given up may still take effect.
+            Some(end) => {
+                let left = end.saturating_duration_since(clock::now());
+                let tried = actix_rt::time::timeout(left, tried).await;
+                tried.unwrap_or(Err(Failure::Unknown))
+            }
+            None => tried.await,
+        };
+        match tried {
             Ok(offset) => return Ok(offset),
             Err(Failure::Busy) => {}
             Err(Failure::Unknown) => doubtful = true,
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -34,11 +34,19 @@
 
 /// Time between two reads of a leader, in which records gather: a small part of a task's run time.
 const LEADER_PAUSE: Duration = Duration::from_millis(25);
-/// Time between two reads of the others, who only tell callers what became of their jobs.
+/// Time between two reads of the others while callers ask for jobs that are not over.
 const FOLLOWER_PAUSE: Duration = Duration::from_millis(150);
+/// Time between two reads of the others while nobody asks: callers may be told a state that is 2 s old.
+const IDLE_PAUSE: Duration = Duration::from_millis(700);
+/// Time since a caller's request for which it counts as waiting for its job.
+const INTEREST: Duration = Duration::from_secs(4);
 /// Age of the latest read above which the fold is not trusted to know all jobs.
 const FRESH: Duration = Duration::from_millis(2_500);
 
+/// Time after a failure of the log for which callers are refused at once, unless it answers: a read's
+/// time limit, so that the next failure is known by then.
+const TROUBLE: Duration = Duration::from_millis(2_500);
+
 /// `Seen` tells the fleet's leader what a shard's log says.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
@@ -112,6 +120,10 @@
     election: Election,
     /// Time at which the latest read that reached the end was sent.
     read: Option<Instant>,
+    /// Time at which a caller last asked for a job that was not over.
+    asked: Option<Instant>,
+    /// Time at which a call to the log failed, if none was answered since.
+    trouble: Option<Instant>,
     lead: Option<Lead>,
     _guard: Guard<C>,
 }
@@ -144,6 +156,8 @@
             loads: Vec::new(),
             election,
             read: None,
+            asked: None,
+            trouble: None,
             lead: None,
             _guard: guard,
         }
@@ -164,6 +178,20 @@
             .is_some_and(|at| now.saturating_duration_since(at) < FRESH)
     }
 
+    /// Checks if callers wait for jobs of the shard.
+    fn is_asked(&self) -> bool {
+        let now = clock::now();
+        self.asked
+            .is_some_and(|at| now.saturating_duration_since(at) < INTEREST)
+    }
+
+    /// Checks if the log failed lately and has not answered since.
+    fn is_in_trouble(&self) -> bool {
+        let now = clock::now();
+        self.trouble
+            .is_some_and(|at| now.saturating_duration_since(at) < TROUBLE)
+    }
+
     fn read_on(&self, cursor: Cursor, ctx: &mut Context<Self>) {
         let wait = read_wait(&self.election);
         let read = cursor.within(wait).read(self.setup.edge.clone());
@@ -173,12 +201,18 @@
                 Duration::ZERO
             } else if act.lead.is_some() {
                 LEADER_PAUSE
-            } else {
+            } else if act.is_asked() {
                 FOLLOWER_PAUSE
+            } else {
+                IDLE_PAUSE
             };
             match batch {
-                Ok(batch) => act.apply(&cursor, &batch, ctx),
+                Ok(batch) => {
+                    act.trouble = None;
+                    act.apply(&cursor, &batch, ctx);
+                }
                 Err(failure) => {
+                    act.trouble = Some(clock::now());
                     warn!(act.setup.logger, "shard unread"; "shard" => act.setup.shard,
                         "reason" => ?failure);
                 }
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -128,13 +128,16 @@
             }
         };
         let persisted = persist(self.setup.edge.clone(), append, Some(end)).into_actor(self);
-        Box::pin(persisted.map(move |appended, act, _| match appended {
-            Ok(offset) => {
-                act.book.apply(offset, &record);
-                Answer::Done
+        Box::pin(persisted.map(move |appended, act, _| {
+            act.trouble = appended.is_err().then(clock::now);
+            match appended {
+                Ok(offset) => {
+                    act.book.apply(offset, &record);
+                    Answer::Done
+                }
+                Err(Failure::Unknown) => Answer::Unknown,
+                Err(_) => Answer::Refused(AWAY),
             }
-            Err(Failure::Unknown) => Answer::Unknown,
-            Err(_) => Answer::Refused(AWAY),
         }))
     }
 }
@@ -154,7 +157,7 @@
         let logger = self.setup.logger.new(facts);
         let answer = if known {
             Some(Answer::Done)
-        } else if !self.is_fresh() {
+        } else if !self.is_fresh() || self.is_in_trouble() {
             Some(Answer::Unavailable(AWAY))
         } else {
             refusal.map(Answer::Refused)
@@ -163,6 +166,7 @@
             info!(logger, "job"; "known" => known, "answer" => ?answer);
             return Box::pin(std::future::ready(answer).into_actor(self));
         }
+        self.asked = Some(clock::now());
         let record = Record::Accepted(Box::new(job));
         let persisted = self.persist(record, submit.end);
         let began = clock::now();
@@ -179,7 +183,12 @@
 
     fn handle(&mut self, Query(job): Query, _: &mut Self::Context) -> Self::Result {
         MessageResult(match self.book.get(&job) {
-            Some(entry) => Known::Phase(entry.phase()),
+            Some(entry) => {
+                if !entry.is_over() {
+                    self.asked = Some(clock::now());
+                }
+                Known::Phase(entry.phase())
+            }
             None if !self.active || self.is_fresh() => Known::Missing,
             None => Known::Unavailable,
         })
