Look for a claim when it is due, hand leadership over with a notice, and share hosts fairly

Tests first: verify_drain_is_asked_for_again_when_an_older_request_undid_it, verify_new_leader_takes_on_what_a_wave_has_freed.

--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -54,6 +54,9 @@
     pub node: ids::Instance,
     /// Value that tells two claims of one process apart.
     pub nonce: u64,
+    /// Whether the leader is going to give up its term, so that others follow closely.
+    #[serde(default)]
+    pub leaving: bool,
     /// Whether the leader has given up its term and sends nothing more.
     pub resigned: bool,
     /// Load of each service of the shard.
--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -27,7 +27,8 @@
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.vacating = on;
-            worker.vacated &= on;
+            // Who asks again has not heard that the worker is free.
+            worker.vacated = false;
             self.stirred = true;
         }
         self.free_hosts(now, actions);
--- a/crates/core/src/term/mod.rs
+++ b/crates/core/src/term/mod.rs
@@ -100,6 +100,8 @@
     term: ids::Term,
     leader: Option<ids::Instance>,
     resigned: bool,
+    /// Whether the leader has said that it is going to give up.
+    leaving_leader: bool,
     leads: bool,
     /// Time of the leader's latest record, or of the first read; nothing before.
     heard: Option<Instant>,
@@ -118,6 +120,7 @@
             term: 0,
             leader: None,
             resigned: true,
+            leaving_leader: false,
             leads: false,
             heard: None,
             claimed: None,
@@ -182,6 +185,7 @@
         if term > self.term {
             self.give_up(actions);
             self.term = term;
+            self.leaving_leader = false;
             self.claimed = None;
             let own = claims && beat.node == self.node && beat.nonce == self.nonce;
             if own && !self.leaving {
@@ -195,6 +199,13 @@
         }
         self.leader = Some(beat.node.clone());
         self.resigned = beat.resigned;
+        self.leaving_leader |= beat.leaving;
+    }
+
+    /// Checks if the leadership is going to pass on soon, or nobody leads.
+    #[must_use]
+    pub fn is_passing(&self) -> bool {
+        self.resigned || self.leaving_leader
     }
 
     /// Gets the silence of the leader after which this process claims.
@@ -209,14 +220,26 @@
         silence + self.patience
     }
 
-    /// Gets the time after which this process claims if it hears of no leader; nothing while it leads.
+    /// Gets the time after which this process claims if it hears of no leader; none when its claim is
+    /// on its way, nothing while it leads or ends.
     #[must_use]
     pub fn due(&self, now: Instant) -> Option<Duration> {
+        if self.leads || self.leaving {
+            return None;
+        }
+        if self.has_claimed() {
+            return Some(Duration::ZERO);
+        }
         let silent = self
             .heard
             .map_or(Duration::ZERO, |heard| now.saturating_duration_since(heard));
-        let waits = !self.leads && !self.leaving && self.claimed.is_none();
-        waits.then(|| self.silence().saturating_sub(silent))
+        Some(self.silence().saturating_sub(silent))
+    }
+
+    /// Checks if a claim of this process is on its way.
+    #[must_use]
+    pub fn has_claimed(&self) -> bool {
+        self.claimed.is_some()
     }
 
     /// Claims the shard when nobody leads it.
--- a/crates/core/src/upkeep/maintain.rs
+++ b/crates/core/src/upkeep/maintain.rs
@@ -11,7 +11,7 @@
 /// `Cost` is what it costs to take a host away, by how full its pool is.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Cost {
-    /// It is in the spare pool.
+    /// It is in the spare pool, or was freed already.
     None,
     /// It runs nothing.
     Idle(u64),
@@ -83,7 +83,8 @@
 
     /// Gets what it costs to take a host away now.
     fn cost(&self, host: &Host) -> Cost {
-        if self.is_spare(&host.service) {
+        let freed = |worker| self.drains.contains_key(worker);
+        if self.is_spare(&host.service) || host.worker.as_ref().is_some_and(freed) {
             return Cost::None;
         }
         let light = self.loads.get(&host.service).and_then(|load| {
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -78,7 +78,7 @@
     /// Hosts that were told to go down, with the time.
     pub(super) down: Map<ids::Host, Instant>,
     /// Drains that the log has.
-    drains: Map<ids::Worker, Drain>,
+    pub(super) drains: Map<ids::Worker, Drain>,
     /// Workers whose host was told to go, which the list may still have for a while.
     ended: Map<ids::Worker, Instant>,
     confirmed: Instant,
@@ -252,9 +252,24 @@
         self.drop_stale(now, actions);
         self.plan_waves(now, actions);
         self.plan_moves(now, actions);
+        self.drop_orphans(now, actions);
+        self.repeat_drains(actions);
         self.steer(now, actions);
     }
 
+    /// Asks again for drains that the log has lost sight of: an older request to give the worker back
+    /// may have taken effect late.
+    fn repeat_drains(&mut self, actions: &mut Vec<Action>) {
+        let waiting = self.tasks.values().filter(|task| !task.vacated);
+        let lost = waiting
+            .filter_map(|task| task.drain.clone())
+            .filter(|(worker, _)| !self.drains.contains_key(worker));
+        for (worker, drain) in lost.collect::<Vec<_>>() {
+            self.drains.insert(worker.clone(), drain.clone());
+            actions.push(Action::Drain(worker, drain));
+        }
+    }
+
     /// Gives up drains that nobody waits for, or whose worker is gone.
     fn drop_stale(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let hosts = &self.hosts;
@@ -277,6 +292,14 @@
         for host in stale {
             self.drop_task(&host, actions);
         }
+    }
+
+    /// Gives workers back that nobody wants drained any more.
+    fn drop_orphans(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        // A new leader takes on what an older one drained, once it knows the hosts.
+        if self.hosts.is_empty() {
+            return;
+        }
         self.ended
             .retain(|_, at| now.saturating_duration_since(*at) < UNLISTED);
         let wanted = |worker: &ids::Worker| {
--- a/crates/core/tests/term/main.rs
+++ b/crates/core/tests/term/main.rs
@@ -60,6 +60,8 @@
     );
     let claim = Action::Claim { at: 7, nonce: 5 };
     assert_eq!(stage.read(7, Duration::from_millis(200)), [claim]);
+    // The claim is looked for at once.
+    assert_eq!(stage.election.due(stage.now), Some(Duration::ZERO));
 }
 
 #[test]
@@ -136,3 +138,21 @@
     // Hosts that are all large enough differ by chance only.
     assert_eq!(longest(250, 0), longest(4_000, 0));
 }
+
+#[test]
+fn verify_leader_that_is_going_to_give_up_is_followed_closely() {
+    let mut stage = Stage::new(5);
+    stage.beat(7, beat(8, "other", 1, false));
+    assert!(!stage.election.is_passing());
+    let notice = Beat {
+        leaving: true,
+        ..beat(8, "other", 1, false)
+    };
+    stage.beat(8, notice);
+    // Its later beats don't take the notice back, and it is not claimed from before it resigns.
+    stage.beat(9, beat(8, "other", 1, false));
+    assert!(stage.election.is_passing());
+    assert_eq!(stage.read(10, SILENCE), []);
+    stage.beat(10, beat(0, "third", 1, false));
+    assert!(!stage.election.is_passing());
+}
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -268,6 +268,44 @@
     assert_eq!(stage.pool("one"), 6);
 }
 
+/// Load pattern: a service needs hosts while another one needs more than there are.
+#[test]
+fn verify_services_share_hosts_when_there_are_too_few() {
+    let mut stage = Stage::new(false);
+    stage.hosts.retain(|host| host.service != *"spare");
+    let busy = |service: &str, waiting: u64| Load {
+        spread: 1,
+        light: (0..4)
+            .map(|n| (format!("w-{service}-{n}").into(), CPU))
+            .collect(),
+        ..load(service, 4 * CPU, waiting, &[])
+    };
+    // One has been given hosts of the other before.
+    for host in stage
+        .hosts
+        .iter_mut()
+        .filter(|host| host.service == *"two")
+        .take(3)
+    {
+        host.service = "one".into();
+    }
+    let mut one = busy("one", 40 * CPU);
+    let workers = stage.hosts.iter().filter(|host| host.service == *"one");
+    one.light = workers
+        .map(|host| (host.worker.clone().unwrap(), CPU))
+        .collect();
+    stage.loads = vec![
+        one,
+        Load {
+            used: CPU,
+            ..busy("two", 20 * CPU)
+        },
+    ];
+    stage.pass(4);
+    assert_eq!(stage.pool("two"), 4);
+    assert_eq!(stage.pool("one"), 4);
+}
+
 /// Load pattern: the turn of one service ends as that of another begins.
 #[test]
 fn verify_idle_hosts_go_straight_to_a_service_whose_demand_grows() {
@@ -317,6 +355,42 @@
     assert_eq!(stage.undrained, ["w-one-0"]);
 }
 
+#[test]
+fn verify_drain_is_asked_for_again_when_an_older_request_undid_it() {
+    let mut stage = Stage::new(false);
+    stage.loads = vec![load("one", 3 * CPU, 0, &[]), load("two", 3 * CPU, 0, &[])];
+    stage.ask(wave(1));
+    stage.step(Event::Confirmed(stage.now));
+    stage.step(Event::Hosts(stage.hosts.clone()));
+    stage.step(Event::Loads(stage.loads.clone()));
+    let drained: Vec<ids::Worker> = stage.drains.drain(..).map(|(worker, _)| worker).collect();
+    assert!(!drained.is_empty());
+    // An older request to give the worker back takes effect late.
+    stage.step(Event::Drain(drained[0].clone(), None));
+    stage.step(Event::Tick);
+    let again: Vec<ids::Worker> = stage.drains.drain(..).map(|(worker, _)| worker).collect();
+    assert_eq!(again, [drained[0].clone()]);
+}
+
+#[test]
+fn verify_new_leader_takes_on_what_a_wave_has_freed() {
+    let mut stage = Stage::new(true);
+    let drain = Drain {
+        host: "one-2".into(),
+        service: "one".into(),
+    };
+    stage.loads = vec![load("one", 3 * CPU, 0, &[]), load("two", 3 * CPU, 0, &[])];
+    stage.step(Event::Drain("w-one-2".into(), Some(drain)));
+    stage.ask(wave(1));
+    stage.pass(6);
+    let mut waves = stage
+        .orders
+        .iter()
+        .filter(|order| order.kind == Kind::Maintain(1));
+    assert_eq!(waves.next().unwrap().host, *"one-2");
+    assert!(!stage.undrained.contains(&"w-one-2".into()));
+}
+
 #[test]
 fn verify_worker_of_a_host_that_went_is_not_given_back_while_it_may_be_listed() {
     let mut stage = Stage::new(false);
--- a/crates/jobs/src/lead/mod.rs
+++ b/crates/jobs/src/lead/mod.rs
@@ -31,10 +31,20 @@
 
 /// Gets how long a read of a partition waits for a record, so that a candidate looks when it is due.
 pub(crate) fn read_wait(election: &Election) -> Duration {
+    if election.has_claimed() {
+        // The log answers as soon as the claim is in it.
+        return READ_WAIT;
+    }
     let due = election.due(clock::now()).unwrap_or(READ_WAIT);
     due.clamp(READ_WAIT_MIN, READ_WAIT)
 }
 
+/// Gets how long a candidate pauses between two reads, so that it looks when it is due.
+pub(crate) fn read_pause(election: &Election, usual: Duration) -> Duration {
+    let due = election.due(clock::now());
+    due.map_or(usual, |due| due.min(usual))
+}
+
 /// Encodes records for the log.
 ///
 /// # Errors
@@ -96,6 +106,16 @@
     }
 }
 
+/// Makes the record with which a leader says that it is going to give up its term.
+pub(crate) fn notice(term: ids::Term, node: ids::Instance) -> Record {
+    Record::Beat(Beat {
+        term,
+        node,
+        leaving: true,
+        ..Beat::default()
+    })
+}
+
 /// Makes the record with which a leader gives up its term: it sends nothing more.
 pub(crate) fn resignation(term: ids::Term, node: ids::Instance) -> Record {
     Record::Beat(Beat {
--- a/crates/jobs/src/shard/lead.rs
+++ b/crates/jobs/src/shard/lead.rs
@@ -1,9 +1,11 @@
+use std::future::ready;
 use std::time::Duration;
 
 use actix::{
     ActorFutureExt, AsyncContext, Context, Handler, Message, ResponseActFuture, SpawnHandle,
     WrapFuture,
 };
+use futures_util::future::join;
 use persimmongate_core::ids;
 use persimmongate_core::journal::Record;
 use persimmongate_core::sched::{Action, Event, Scheduler};
@@ -11,11 +13,14 @@
 use persimmongate_node::clock;
 use slog::{error, info, warn};
 
-use super::{Leave, Led, Shard};
+use super::{IDLE_PAUSE, Leave, Led, Shard};
 use crate::edge::{Append, Edge, Failure};
-use crate::lead::{Pen, claim, persist, resign, resignation};
+use crate::lead::{Pen, claim, notice, persist, resign, resignation};
 use crate::roster::{News, Subscribe, Unsubscribe};
 
+/// Time between the notice of a leader that is going to give up and its end: the others' longest pause
+/// between two reads.
+const NOTICE: Duration = IDLE_PAUSE;
 /// Time between two rounds of upkeep of a scheduler.
 const TICK: Duration = Duration::from_millis(200);
 
@@ -315,8 +320,26 @@
 impl<E: Edge, C: Copy + Send + Unpin + 'static> Handler<Leave> for Shard<E, C> {
     type Result = ResponseActFuture<Self, ()>;
 
-    /// Gives the shard up at once: the record says that this leader sends nothing more.
-    fn handle(&mut self, _: Leave, ctx: &mut Self::Context) -> Self::Result {
+    /// Gives the shard up, after a notice by which others follow closely.
+    fn handle(&mut self, _: Leave, _: &mut Self::Context) -> Self::Result {
+        let node = self.setup.node.clone();
+        let record = self.lead.as_ref().map(|lead| notice(lead.term, node));
+        let Some(append) = record.and_then(|record| self.authored(&[record])) else {
+            return Box::pin(
+                ready(())
+                    .into_actor(self)
+                    .then(|(), act, ctx| act.resign(ctx)),
+            );
+        };
+        let noted = persist(self.setup.edge.clone(), append, Some(clock::now() + NOTICE));
+        let noted = join(noted, actix_rt::time::sleep(NOTICE)).into_actor(self);
+        Box::pin(noted.then(|_, act, ctx| act.resign(ctx)))
+    }
+}
+
+impl<E: Edge, C: Copy + Send + Unpin + 'static> Shard<E, C> {
+    /// Gives the shard up: the record says that this leader sends nothing more.
+    fn resign(&mut self, ctx: &mut Context<Self>) -> ResponseActFuture<Self, ()> {
         let node = self.setup.node.clone();
         let record = self.lead.as_ref().map(|lead| resignation(lead.term, node));
         let append = record.and_then(|record| self.authored(&[record]));
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -27,7 +27,7 @@
 
 use crate::edge::{Edge, Topic};
 use crate::follow::{Batch, Cursor};
-use crate::lead::{READ_WAIT, read_wait};
+use crate::lead::{READ_WAIT, read_pause, read_wait};
 use crate::operator::Configured;
 use crate::roster::Roster;
 use lead::Lead;
@@ -178,6 +178,20 @@
             .is_some_and(|at| now.saturating_duration_since(at) < FRESH)
     }
 
+    /// Gets the time until the next read after one that brought records.
+    fn pause(&self) -> Duration {
+        let usual = if self.lead.is_some() {
+            LEADER_PAUSE
+        } else if self.election.is_passing() {
+            Duration::ZERO
+        } else if self.is_asked() {
+            FOLLOWER_PAUSE
+        } else {
+            IDLE_PAUSE
+        };
+        read_pause(&self.election, usual)
+    }
+
     /// Checks if callers wait for jobs of the shard.
     fn is_asked(&self) -> bool {
         let now = clock::now();
@@ -197,15 +211,7 @@
         let read = cursor.within(wait).read(self.setup.edge.clone());
         let read = read.into_actor(self);
         ctx.spawn(read.map(|(cursor, batch), act, ctx| {
-            let pause = if batch.as_ref().is_ok_and(|batch| batch.records.is_empty()) {
-                Duration::ZERO
-            } else if act.lead.is_some() {
-                LEADER_PAUSE
-            } else if act.is_asked() {
-                FOLLOWER_PAUSE
-            } else {
-                IDLE_PAUSE
-            };
+            let idle = batch.as_ref().is_ok_and(|batch| batch.records.is_empty());
             match batch {
                 Ok(batch) => {
                     act.trouble = None;
@@ -217,6 +223,7 @@
                         "reason" => ?failure);
                 }
             }
+            let pause = if idle { Duration::ZERO } else { act.pause() };
             ctx.run_later(pause, move |act, ctx| act.read_on(cursor, ctx));
         }));
     }
