--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -270,6 +270,17 @@
     Later(ids::Worker, Duration),
     /// A worker has seen a newer term.
     Fenced,
+    /// Tell which tasks of a step were started, for the log lines.
+    Started {
+        /// Job that they belong to.
+        job: ids::Job,
+        /// Occurrence of the job.
+        occurrence: u32,
+        /// Step of the job.
+        step: u32,
+        /// Place in the step, run and worker of each.
+        tasks: Vec<(u32, ids::Run, ids::Worker)>,
+    },
     /// Tell what became of a task, for the log lines.
     Note {
         /// What happened.
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -4,7 +4,6 @@
 
 use super::ends::index_of;
 use super::event::{Action, Call, Order};
-use super::hold::note;
 use super::machine::Scheduler;
 use super::rank::Rank;
 use super::run::Run;
@@ -353,6 +352,8 @@
         let shared = numbers.max().filter(|_| step.gang);
         let saved = work.stages[stage].items.iter().map(|item| &item.saved);
         let saved = saved.max().filter(|_| step.gang).cloned();
+        let (occurrence, number) = (work.stages[stage].occurrence, work.stages[stage].step);
+        let mut started = Vec::with_capacity(picks.len());
         for pick in picks {
             let Some(worker) = self.workers.get_mut(&pick.worker) else {
                 continue;
@@ -360,7 +361,6 @@
             let Some(until) = worker.grant(now) else {
                 continue;
             };
-            let (occurrence, number) = (work.stages[stage].occurrence, work.stages[stage].step);
             let task = work.task(occurrence, number, index_of(pick.index));
             let run = shared.unwrap_or_else(|| work.next_run(term, stage, pick.index));
             let item = &mut work.stages[stage].items[pick.index];
@@ -370,7 +370,7 @@
             let mut known = Run::new(run, Room::of(step), now);
             known.describe(step);
             worker.runs.insert(task.clone(), known);
-            actions.push(note("start", &task, run, &pick.worker));
+            started.push((task.index, run, pick.worker.clone()));
             actions.push(Action::Call(Call {
                 worker: pick.worker,
                 address: worker.report.address,
@@ -385,5 +385,13 @@
                 },
             }));
         }
+        if !started.is_empty() {
+            actions.push(Action::Started {
+                job: job.clone(),
+                occurrence,
+                step: number,
+                tasks: started,
+            });
+        }
     }
 }
--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -23,7 +23,9 @@
 /// Time for which demand is taken to grow on as it does: a host that is told to move is at work then.
 const AHEAD: Duration = Duration::from_millis(2_200);
 /// Most hosts that a service gets for growth alone, in percent of the fleet.
-const GROWTH_MOST_PERCENT: usize = 20;
+const GROWTH_MOST_PERCENT: usize = 50;
+/// Share of the largest turn seen, in percent, by which demand must rise for a turn to have begun.
+const TURN_PERCENT: u64 = 8;
 /// Hosts of a pool beyond what its lasting tasks need, so that a turn can begin.
 const RESERVE: usize = 3;
 /// Hosts of a pool beyond what its lasting tasks need that are never lent.
@@ -44,6 +46,8 @@
     moving: Map<ids::Host, (ids::Service, Instant)>,
     /// Latest demands of each service, in thousandths of a core.
     demands: Map<ids::Service, VecDeque<(Instant, u64)>>,
+    /// Largest demand of any service, in thousandths of a core: turns are of like size.
+    peak: u64,
 }
 
 impl Balance {
@@ -56,6 +60,7 @@
     pub(super) fn note_load(&mut self, now: Instant, load: &Load) {
         let demands = self.demands.entry(load.service.clone()).or_default();
         demands.push_back((now, demand(load)));
+        self.peak = self.peak.max(demand(load));
         while demands.len() > 1 && now.saturating_duration_since(demands[1].0) >= SEEN {
             demands.pop_front();
         }
@@ -72,7 +77,15 @@
         let took = to.saturating_duration_since(*from).as_millis();
         let grown = u128::from(after.saturating_sub(*before));
         let growth = grown * AHEAD.as_millis() / took.max(SEEN.as_millis() / 2);
-        u64::try_from(growth).unwrap_or(u64::MAX)
+        let growth = u64::try_from(growth).unwrap_or(u64::MAX);
+        // A turn that has begun grows to the size of earlier ones sooner than hosts move.
+        let begun = after.saturating_sub(*before) * 100 >= self.peak * TURN_PERCENT;
+        let rest = if begun {
+            self.peak.saturating_sub(*after)
+        } else {
+            0
+        };
+        growth.max(rest)
     }
 
     /// Notes what the list says; a host that has arrived is no longer on its way.
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -304,7 +304,7 @@
                     };
                     self.plan(self.now + HOP, Item::Deliver(leader, Box::new(event)));
                 }
-                Action::Note { .. } => {}
+                Action::Note { .. } | Action::Started { .. } => {}
             }
         }
     }
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -306,6 +306,31 @@
     assert_eq!(stage.pool("one"), 4);
 }
 
+/// Load pattern: demand comes by turns of like size, which grow faster than hosts move.
+#[test]
+fn verify_turn_that_begins_gets_hosts_for_the_size_of_earlier_ones() {
+    let mut stage = Stage::new(false);
+    let offered = |service: &str, cpu: u64| Load {
+        offered: cpu,
+        ..load(service, 0, 0, &[])
+    };
+    let rest = |service: &str| offered(service, 0);
+    stage.loads = vec![offered("one", 4 * CPU), rest("two")];
+    stage.pass(1);
+    let idle: Vec<String> = (0..4).map(|n| format!("w-one-{n}")).collect();
+    let idle: Vec<&str> = idle.iter().map(String::as_str).collect();
+    stage.loads = vec![load("one", 0, 0, &idle), rest("two")];
+    stage.pass(2);
+    let before = stage.pool("two");
+    stage.loads[1] = offered("two", CPU);
+    stage.pass(1);
+    let moves = stage
+        .orders
+        .iter()
+        .filter(|order| order.kind == Kind::Move("two".into()));
+    assert!(before + moves.count() >= 5);
+}
+
 /// Load pattern: the turn of one service ends as that of another begins.
 #[test]
 fn verify_idle_hosts_go_straight_to_a_service_whose_demand_grows() {
--- a/crates/jobs/src/shard/lead.rs
+++ b/crates/jobs/src/shard/lead.rs
@@ -1,3 +1,4 @@
+use std::fmt::Write;
 use std::future::ready;
 use std::time::Duration;
 
@@ -236,6 +237,21 @@
             }
             Action::Append(records) => self.append(term, &records, ctx),
             Action::Fenced => self.elect(term::Event::Fenced, ctx),
+            Action::Started {
+                job,
+                occurrence,
+                step,
+                tasks,
+            } => {
+                let mut list = String::new();
+                for (index, run, worker) in tasks {
+                    // Writing to a string does not fail.
+                    let _ = write!(list, "{index}:{run}@{worker} ");
+                }
+                info!(self.setup.logger, "start"; "job" => %job,
+                    "step" => format!("{occurrence}.{step}"), "tasks" => list.trim_end(),
+                    "term" => term);
+            }
             Action::Note {
                 what,
                 task,
