--- a/crates/core/src/settings/reader.rs
+++ b/crates/core/src/settings/reader.rs
@@ -7,7 +7,7 @@
 
 use bytestring::ByteString;
 use toml::Spanned;
-use toml::de::{DeTable, DeValue};
+use toml::de::{DeFloat, DeInteger, DeTable, DeValue};
 
 use super::unit::{self, DURATION_MAX, DURATION_MIN};
 use crate::finding::Findings;
@@ -270,8 +270,8 @@
     pub(crate) fn cores(&mut self, key: &str, default: u32) -> Option<u32> {
         let accepted = format!("a number of cores from {CORES_MIN} to {CORES_MAX}");
         self.take(key, Some(default), &accepted, |value| {
-            let number = value.as_float().map(|float| float.as_str());
-            let number = number.or_else(|| value.as_integer().map(|integer| integer.as_str()));
+            let number = value.as_float().map(DeFloat::as_str);
+            let number = number.or_else(|| value.as_integer().map(DeInteger::as_str));
             let cores: f64 = number
                 .and_then(|text| text.parse().ok())
                 .ok_or(WRONG_TYPE)?;
--- a/crates/core/src/term/mod.rs
+++ b/crates/core/src/term/mod.rs
@@ -89,6 +89,17 @@
     Yield,
 }
 
+/// `Tenure` is how long the leader that the log names goes on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Tenure {
+    /// It leads until it is silent.
+    Open,
+    /// It has said that it is going to give up.
+    Ending,
+    /// It gave up, or there was none.
+    Over,
+}
+
 /// `Election` follows who leads a shard and claims it when nobody does.
 #[derive(Debug)]
 pub struct Election {
@@ -99,9 +110,7 @@
     /// Term of the newest claim.
     term: ids::Term,
     leader: Option<ids::Instance>,
-    resigned: bool,
-    /// Whether the leader has said that it is going to give up.
-    leaving_leader: bool,
+    tenure: Tenure,
     leads: bool,
     /// Time of the leader's latest record, or of the first read; nothing before.
     heard: Option<Instant>,
@@ -119,8 +128,7 @@
             patience,
             term: 0,
             leader: None,
-            resigned: true,
-            leaving_leader: false,
+            tenure: Tenure::Over,
             leads: false,
             heard: None,
             claimed: None,
@@ -142,7 +150,7 @@
     /// Gets the process that leads, as far as the log says.
     #[must_use]
     pub fn leader(&self) -> Option<&ids::Instance> {
-        self.leader.as_ref().filter(|_| !self.resigned)
+        self.leader.as_ref().filter(|_| self.tenure != Tenure::Over)
     }
 
     /// Takes an event in.
@@ -180,12 +188,12 @@
         }
         let succeeds = self.term > 0;
         let before = self.leader.as_ref() == Some(&self.node) && !self.leads;
-        let resigned = (self.resigned || before) && succeeds;
+        let resigned = (self.tenure == Tenure::Over || before) && succeeds;
         self.heard = Some(now);
         if term > self.term {
             self.give_up(actions);
             self.term = term;
-            self.leaving_leader = false;
+            self.tenure = Tenure::Open;
             self.claimed = None;
             let own = claims && beat.node == self.node && beat.nonce == self.nonce;
             if own && !self.leaving {
@@ -198,21 +206,25 @@
             }
         }
         self.leader = Some(beat.node.clone());
-        self.resigned = beat.resigned;
-        self.leaving_leader |= beat.leaving;
+        self.tenure = match self.tenure {
+            _ if beat.resigned => Tenure::Over,
+            Tenure::Ending => Tenure::Ending,
+            _ if beat.leaving => Tenure::Ending,
+            Tenure::Open | Tenure::Over => Tenure::Open,
+        };
     }
 
     /// Checks if the leadership is going to pass on soon, or nobody leads.
     #[must_use]
     pub fn is_passing(&self) -> bool {
-        self.resigned || self.leaving_leader
+        self.tenure != Tenure::Open
     }
 
     /// Gets the silence of the leader after which this process claims.
     fn silence(&self) -> Duration {
         // A process that led before it started again knows that nobody leads now.
         let own = self.leader.as_ref() == Some(&self.node);
-        let silence = if self.resigned || own {
+        let silence = if self.tenure == Tenure::Over || own {
             Duration::ZERO
         } else {
             SILENCE
--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -32,7 +32,7 @@
 const KEPT: usize = 2;
 /// Time for which a pool must have too many hosts before one leaves it; a move costs about as much as
 /// a host that idles for a second.
-const IDLE: Duration = Duration::from_secs(2);
+const IDLE: Duration = Duration::from_millis(1_200);
 
 /// Time after which a host that did not arrive counts where the list has it.
 const ARRIVAL: Duration = Duration::from_secs(5);
--- a/crates/jobs/src/fleet/lead.rs
+++ b/crates/jobs/src/fleet/lead.rs
@@ -71,7 +71,7 @@
             queue: Vec::new(),
             writing: false,
             tick: ctx.run_interval(TICK, |act, ctx| act.plan(Event::Tick, ctx)),
-            beat: ctx.run_interval(BEAT, |act, ctx| act.beat(ctx)),
+            beat: ctx.run_interval(BEAT, Self::beat),
             report: ctx.run_interval(REPORT, |act, _| act.report()),
         });
         let mut events: Vec<Event> = Vec::new();
--- a/crates/wire/tests/journal/main.rs
+++ b/crates/wire/tests/journal/main.rs
@@ -47,6 +47,7 @@
         term: 7,
         node: "node".into(),
         nonce: 9,
+        leaving: true,
         resigned: true,
         loads: vec![Load {
             service: "service".into(),
