--- a/crates/core/tests/settings/main.rs
+++ b/crates/core/tests/settings/main.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use persimmongate_core::errors::{Error, Result};
-use persimmongate_core::settings::{Control, Entry, Fleet};
+use persimmongate_core::settings::{Control, Entry, Fleet, Gateway};
 use test_case::test_case;
 
 const ENTRY: &str = include_str!("../../../../examples/settings/entry.toml");
 const FLEET: &str = include_str!("../../../../examples/settings/fleet.toml");
+const GATEWAY: &str = include_str!("../../../../examples/settings/gateway.toml");
 const CONTROL: &str = include_str!("../../../../examples/settings/persimmonctl.toml");
 
 /// Gets line and key of each finding.
@@ -44,11 +45,14 @@
     assert_eq!(Entry::try_from(&*explicit(ENTRY)), Ok(entry));
     let fleet = Fleet::try_from(FLEET).expect("fleet");
     assert_eq!(Fleet::try_from(&*explicit(FLEET)), Ok(fleet));
+    let gateway = |text: &str| format!("{:?}", Gateway::try_from(text).expect("gateway"));
+    assert_eq!(gateway(&explicit(GATEWAY)), gateway(GATEWAY));
     assert_eq!(Control::try_from(CONTROL).expect("control").fleet.len(), 3);
     // An unknown key is answered with all keys that there are.
     for (text, error) in [
         (ENTRY, Entry::try_from("x = 1").expect_err("refused")),
         (FLEET, Fleet::try_from("x = 1").expect_err("refused")),
+        (GATEWAY, Gateway::try_from("x = 1").expect_err("refused")),
         (CONTROL, Control::try_from("x = 1").expect_err("refused")),
     ] {
         let Error::Findings(findings) = error else {
@@ -120,3 +124,26 @@
     let fleet = Fleet::try_from(&*text).expect("settings");
     assert_eq!(fleet.manager.member_timeout, Duration::from_secs(12));
 }
+
+#[test_case("# processor = 1.0", "processor = 0.0", "processor"; "no processor time")]
+#[test_case("# processor = 1.0", "processor = \"fast\"", "processor"; "text as processor time")]
+#[test_case("# lease_max = \"10s\"", "lease_max = 10", "lease_max"; "lease without unit")]
+#[test_case("# shards = 24", "shards = 1", "shards"; "too few shards")]
+fn verify_wrong_gateway_setting_is_found(from: &str, to: &str, key: &str) {
+    let text = GATEWAY.replacen(from, to, 1);
+    assert_ne!(text, GATEWAY);
+    let found = places(Gateway::try_from(&*text));
+    assert_eq!(
+        found.into_iter().map(|(_, key)| key).collect::<Vec<_>>(),
+        [key]
+    );
+}
+
+#[test]
+fn verify_processor_time_is_read_in_cores() {
+    for (text, processor) in [("0.25", 250), ("2", 2_000), ("0.12", 120)] {
+        let text = GATEWAY.replacen("# processor = 1.0", &format!("processor = {text}"), 1);
+        let gateway = Gateway::try_from(&*text).expect("gateway");
+        assert_eq!(gateway.processor, processor);
+    }
+}
