Split demand and drains from the planner, and free no worker that was given back

A worker whose drain the log has no more may run tasks again; its host is told to go only after it was freed anew. Test first: verify_worker_that_was_given_back_is_free_no_more.

--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -32,7 +32,8 @@
 
 /// Jobs in a row that find no room after which the later ones of their service are not looked at.
 const BACKFILL: usize = 24;
-/// Time for which an order of jobs stays, for each job in it: making it costs about a hundredth.
+/// Time for which an order of jobs stays, for each job in it, so that orders are made seldom when many
+/// jobs wait.
 const ORDER_EACH: Duration = Duration::from_micros(100);
 
 /// `Fit` is how well a worker suits a task; the least is the best.
--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -4,9 +4,9 @@
 //! more than its own pool holds, while the others are idle. Hosts that run nothing go to the pool that
 //! lacks room, from the spare pool first, and back to it when nobody needs them.
 
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use super::demand::{Demand, asked};
 use super::event::{Action, Kind};
 use super::host::{Host, State};
 use super::planner::Planner;
@@ -18,14 +18,8 @@
 const HORIZON: Duration = Duration::from_millis(400);
 /// Room beyond the demand seen, in percent of it: jobs come unevenly.
 const MARGIN_PERCENT: u64 = 20;
-/// Time over which the growth of demand is seen.
-const SEEN: Duration = Duration::from_millis(1_200);
-/// Time for which demand is taken to grow on as it does: a host that is told to move is at work then.
-const AHEAD: Duration = Duration::from_millis(2_200);
 /// Most hosts that a service gets for growth alone, in percent of the fleet.
 const GROWTH_MOST_PERCENT: usize = 50;
-/// Share of the largest turn seen, in percent, by which demand must rise for a turn to have begun.
-const TURN_PERCENT: u64 = 8;
 /// Hosts of a pool beyond what its lasting tasks need, so that a turn can begin.
 const RESERVE: usize = 3;
 /// Hosts of a pool beyond what its lasting tasks need that are never lent.
@@ -44,10 +38,8 @@
     surplus: Map<ids::Service, Instant>,
     /// Hosts on their way to a pool, with the time of the order.
     moving: Map<ids::Host, (ids::Service, Instant)>,
-    /// Latest demands of each service, in thousandths of a core.
-    demands: Map<ids::Service, VecDeque<(Instant, u64)>>,
-    /// Largest demand of any service, in thousandths of a core: turns are of like size.
-    peak: u64,
+    /// Demand of the services, now and lately.
+    pub(super) demand: Demand,
 }
 
 impl Balance {
@@ -56,38 +48,6 @@
         self.moving.insert(host.clone(), (service.clone(), now));
     }
 
-    /// Notes the demand that a leader tells of.
-    pub(super) fn note_load(&mut self, now: Instant, load: &Load) {
-        let demands = self.demands.entry(load.service.clone()).or_default();
-        demands.push_back((now, demand(load)));
-        self.peak = self.peak.max(demand(load));
-        while demands.len() > 1 && now.saturating_duration_since(demands[1].0) >= SEEN {
-            demands.pop_front();
-        }
-    }
-
-    /// Gets by how much the demand of a service is going to grow while hosts move, in thousandths of a
-    /// core.
-    fn growth(&self, service: &ids::Service) -> u64 {
-        let demands = self.demands.get(service);
-        let ends = demands.and_then(|demands| demands.front().zip(demands.back()));
-        let Some(((from, before), (to, after))) = ends else {
-            return 0;
-        };
-        let took = to.saturating_duration_since(*from).as_millis();
-        let grown = u128::from(after.saturating_sub(*before));
-        let growth = grown * AHEAD.as_millis() / took.max(SEEN.as_millis() / 2);
-        let growth = u64::try_from(growth).unwrap_or(u64::MAX);
-        // A turn that has begun grows to the size of earlier ones sooner than hosts move.
-        let begun = after.saturating_sub(*before) * 100 >= self.peak * TURN_PERCENT;
-        let rest = if begun {
-            self.peak.saturating_sub(*after)
-        } else {
-            0
-        };
-        growth.max(rest)
-    }
-
     /// Notes what the list says; a host that has arrived is no longer on its way.
     pub(super) fn note_host(&mut self, now: Instant, host: &Host) {
         let arrived = |(service, at): &(ids::Service, Instant)| {
@@ -286,10 +246,10 @@
         let spread = load.spread as usize;
         let needs = hosts(firm(load)).max(spread + KEPT).min(most);
         let base = needs.max(spread + RESERVE).min(most);
-        let growth = hosts(self.balance.growth(service));
+        let growth = hosts(self.balance.demand.growth(service));
         let growth = growth.min(most * GROWTH_MOST_PERCENT / 100);
-        let margin = demand(load) * MARGIN_PERCENT / 100;
-        let passing = hosts(load.lasting + demand(load) + margin) + growth;
+        let margin = asked(load) * MARGIN_PERCENT / 100;
+        let passing = hosts(load.lasting + asked(load) + margin) + growth;
         Count {
             service: service.clone(),
             has,
@@ -372,11 +332,6 @@
     wants: usize,
 }
 
-/// Gets the processor time that tasks which end ask of a service, in thousandths of a core.
-fn demand(load: &Load) -> u64 {
-    load.used.max(load.offered)
-}
-
 /// Gets the processor time that a service's work needs now, in thousandths of a core.
 fn firm(load: &Load) -> u64 {
     let horizon = u64::try_from(HORIZON.as_millis()).unwrap_or(1);
--- a/crates/core/src/upkeep/mod.rs
+++ b/crates/core/src/upkeep/mod.rs
@@ -5,6 +5,8 @@
 //! way.
 
 mod balance;
+mod demand;
+mod drain;
 mod event;
 mod host;
 mod maintain;
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -18,15 +18,6 @@
 const LAG: Duration = Duration::from_millis(1_500);
 /// Time before a host that was busy is tried again.
 const AGAIN: Duration = Duration::from_millis(400);
-/// Time after which a drain for a move is given up: by then the demand has changed.
-const MOVE_DRAIN_MAX: Duration = Duration::from_secs(9);
-/// Time after which a drain for maintenance is given up: lasting tasks leave one by one.
-const MAINTAIN_DRAIN_MAX: Duration = Duration::from_secs(20);
-
-/// Time after its host was told to go in which the list may still name a worker: its entry stays for
-/// some heartbeats.
-const UNLISTED: Duration = Duration::from_secs(12);
-
 /// `Options` holds the limits of a planner.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -80,7 +71,7 @@
     /// Drains that the log has.
     pub(super) drains: Map<ids::Worker, Drain>,
     /// Workers whose host was told to go, which the list may still have for a while.
-    ended: Map<ids::Worker, Instant>,
+    pub(super) ended: Map<ids::Worker, Instant>,
     confirmed: Instant,
     /// Time before which an older holder may have an order on its way.
     starts: Instant,
@@ -143,9 +134,11 @@
             }
             Event::Drain(worker, drain) => {
                 match drain {
-                    Some(drain) => self.drains.insert(worker, drain),
-                    None => self.drains.remove(&worker),
-                };
+                    Some(drain) => {
+                        self.drains.insert(worker, drain);
+                    }
+                    None => self.note_undrained(&worker),
+                }
                 return;
             }
             Event::Vacated(worker) => {
@@ -158,7 +151,7 @@
             }
             Event::Loads(loads) => {
                 for load in loads {
-                    self.balance.note_load(now, &load);
+                    self.balance.demand.note(now, &load);
                     self.loads.insert(load.service.clone(), load);
                 }
             }
@@ -215,16 +208,6 @@
         }
     }
 
-    /// Gives up what was planned for a host, and gives its worker back.
-    fn drop_task(&mut self, host: &ids::Host, actions: &mut Vec<Action>) {
-        if let Some(task) = self.tasks.remove(host)
-            && let Some((worker, drain)) = task.drain
-        {
-            self.drains.remove(&worker);
-            actions.push(Action::Undrain(worker, drain));
-        }
-    }
-
     fn finish(&mut self, now: Instant, host: &ids::Host, actions: &mut Vec<Action>) {
         let Some(task) = self.tasks.remove(host) else {
             return;
@@ -257,69 +240,6 @@
         self.steer(now, actions);
     }
 
-    /// Asks again for drains that the log has lost sight of: an older request to give the worker back
-    /// may have taken effect late.
-    fn repeat_drains(&mut self, actions: &mut Vec<Action>) {
-        let waiting = self.tasks.values().filter(|task| !task.vacated);
-        let lost = waiting
-            .filter_map(|task| task.drain.clone())
-            .filter(|(worker, _)| !self.drains.contains_key(worker));
-        for (worker, drain) in lost.collect::<Vec<_>>() {
-            self.drains.insert(worker.clone(), drain.clone());
-            actions.push(Action::Drain(worker, drain));
-        }
-    }
-
-    /// Gives up drains that nobody waits for, or whose worker is gone.
-    fn drop_stale(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let hosts = &self.hosts;
-        let mut stale = Vec::new();
-        for (host, task) in &self.tasks {
-            let worker = hosts.get(host).and_then(|host| host.worker.clone());
-            let other = task
-                .drain
-                .as_ref()
-                .is_some_and(|(known, _)| worker.as_ref() != Some(known));
-            let most = match task.kind {
-                Kind::Maintain(_) => MAINTAIN_DRAIN_MAX,
-                Kind::Move(_) => MOVE_DRAIN_MAX,
-            };
-            let slow = !task.vacated && now.saturating_duration_since(task.since) > most;
-            if !task.sent && !task.doubtful && (other || slow) {
-                stale.push(host.clone());
-            }
-        }
-        for host in stale {
-            self.drop_task(&host, actions);
-        }
-    }
-
-    /// Gives workers back that nobody wants drained any more.
-    fn drop_orphans(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        // A new leader takes on what an older one drained, once it knows the hosts.
-        if self.hosts.is_empty() {
-            return;
-        }
-        self.ended
-            .retain(|_, at| now.saturating_duration_since(*at) < UNLISTED);
-        let wanted = |worker: &ids::Worker| {
-            let task = |task: &Task| {
-                task.drain
-                    .as_ref()
-                    .is_some_and(|(known, _)| known == worker)
-            };
-            self.ended.contains_key(worker) || self.tasks.values().any(task)
-        };
-        let orphans = self.drains.iter().filter(|(worker, _)| !wanted(worker));
-        let orphans: Vec<(ids::Worker, Drain)> = orphans
-            .map(|(worker, drain)| (worker.clone(), drain.clone()))
-            .collect();
-        for (worker, drain) in orphans {
-            self.drains.remove(&worker);
-            actions.push(Action::Undrain(worker, drain));
-        }
-    }
-
     /// Gets how full a service is, in percent of its room; spare hosts come first.
     pub(super) fn press(&self, service: &ids::Service) -> u64 {
         if self.is_spare(service) {
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -397,6 +397,32 @@
     assert_eq!(again, [drained[0].clone()]);
 }
 
+#[test]
+fn verify_worker_that_was_given_back_is_free_no_more() {
+    let mut stage = Stage::new(false);
+    stage.loads = vec![load("one", 3 * CPU, 0, &[]), load("two", 3 * CPU, 0, &[])];
+    stage.ask(wave(1));
+    stage.step(Event::Confirmed(stage.now));
+    stage.step(Event::Hosts(stage.hosts.clone()));
+    stage.step(Event::Loads(stage.loads.clone()));
+    let drained: Vec<ids::Worker> = stage.drains.drain(..).map(|(worker, _)| worker).collect();
+    assert!(drained.len() > 1);
+    for worker in &drained {
+        stage.step(Event::Vacated(worker.clone()));
+    }
+    // The cap lets one host go; an older request gives the worker of another one back.
+    assert_eq!(stage.orders.len(), 1);
+    let told = stage.orders[0].host.clone();
+    let other = drained
+        .iter()
+        .find(|worker| **worker != *format!("w-{told}"));
+    let other = other.unwrap().clone();
+    stage.step(Event::Drain(other.clone(), None));
+    stage.step(Event::Answered(stage.orders[0].clone(), Answer::Refused));
+    assert_eq!(stage.orders.len(), 1);
+    assert_eq!(stage.drains[0].0, other);
+}
+
 #[test]
 fn verify_new_leader_takes_on_what_a_wave_has_freed() {
     let mut stage = Stage::new(true);
