--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -70,7 +70,6 @@
         let services: Vec<ids::Service> = served.cloned().collect();
         let counts = services.iter().map(|service| self.count(service));
         let mut counts: Vec<Count> = counts.collect();
-        self.share(&mut counts);
         // The service with the most work for its room comes first.
         counts.sort_by_key(|count| {
             std::cmp::Reverse((self.press(&count.service), count.service.clone()))
@@ -101,30 +100,6 @@
         }
     }
 
-    /// Bounds what services need where all together need more hosts than there are.
-    ///
-    /// Load pattern: the turn of one service, or a burst, goes on as that of another begins. Those that
-    /// need little get it, and the others share the rest evenly.
-    fn share(&self, counts: &mut [Count]) {
-        let mut left = self
-            .hosts
-            .values()
-            .filter(|host| host.state != State::Down)
-            .count();
-        if counts.iter().map(|count| count.needs).sum::<usize>() <= left {
-            return;
-        }
-        counts.sort_by_key(|count| (count.needs, count.service.clone()));
-        let services = counts.len();
-        for (index, count) in counts.iter_mut().enumerate() {
-            let share = count.needs.min(left / (services - index));
-            left -= share;
-            count.needs = share;
-            count.base = count.base.min(share);
-            count.wants = share;
-        }
-    }
-
     /// Moves hosts from pools that can do without to pools that lack some.
     fn lend(
         &self,
