--- a/crates/core/src/sched/hold.rs
+++ b/crates/core/src/sched/hold.rs
@@ -117,8 +117,9 @@
             return;
         };
         worker.note_clock(listing.clock, now);
-        if let Some((lease, _)) = worker.unclocked.take() {
-            worker.until = worker.until.max(listing.clock + millis(lease));
+        if worker.unclocked.take().is_some() {
+            let longest = millis(self.options.lease_max);
+            worker.until = worker.until.max(listing.clock + longest);
         }
         worker.acked = worker.acked.max(worker.told);
         worker.heard = Some(now);
@@ -233,7 +234,6 @@
         born: u64,
         actions: &mut Vec<Action>,
     ) {
-        let longest = self.options.lease_max;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -246,7 +246,7 @@
             .collect();
         if lost.len() < worker.runs.len() {
             // Their leases ended on the clock of the earlier life.
-            worker.unclocked = Some((longest, now));
+            worker.unclocked = Some(now);
         }
         for run in worker.runs.values_mut().filter(|run| !run.listed) {
             run.known = run.known.map(|_| now);
@@ -258,9 +258,10 @@
 
     /// Drops the runs of workers whose lease has ended for sure.
     pub(super) fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let longest = self.options.lease_max;
         let mut lost = Vec::new();
         for (id, worker) in &mut self.workers {
-            if worker.misses == 0 || !worker.has_lapsed(now) {
+            if worker.misses == 0 || !worker.has_lapsed(now, longest) {
                 continue;
             }
             let since = *worker.lapsed.get_or_insert(now);
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -95,8 +95,8 @@
     pub(super) clock: Option<(u64, Instant)>,
     /// End of its lease on its own clock, as granted by this leader.
     pub(super) until: u64,
-    /// Longest lease that runs may have whose end is not known on its clock, and since when.
-    pub(super) unclocked: Option<(Duration, Instant)>,
+    /// Time since which runs may have the longest lease, as its end is not known on its clock.
+    pub(super) unclocked: Option<Instant>,
     pub(super) look: Look,
     /// Questions in a row without an answer.
     pub(super) misses: u32,
@@ -194,12 +194,14 @@
     }
 
     /// Checks if the lease has ended for sure, so that nothing runs there any more.
-    pub(super) fn has_lapsed(&self, now: Instant) -> bool {
+    ///
+    /// `longest` is the longest lease that a worker accepts.
+    pub(super) fn has_lapsed(&self, now: Instant, longest: Duration) -> bool {
         let Some((clock, at)) = self.clock else {
             // Without a clock no lease was given in this life, but an order for an earlier one may
             // have arrived.
-            return self.unclocked.is_none_or(|(lease, since)| {
-                now.saturating_duration_since(since) > lease + lease / SLOW_SHARE
+            return self.unclocked.is_none_or(|since| {
+                now.saturating_duration_since(since) > longest + longest / SLOW_SHARE
             });
         };
         let elapsed = now.saturating_duration_since(at).as_millis();
--- a/crates/core/src/upkeep/demand.rs
+++ b/crates/core/src/upkeep/demand.rs
@@ -15,6 +15,7 @@
 const AHEAD: Duration = Duration::from_millis(2_200);
 /// Share of the largest turn seen, in percent, by which demand must rise for a turn to have begun.
 const TURN_PERCENT: u64 = 8;
+
 /// `Demand` is what the services asked for lately.
 #[derive(Debug, Default)]
 pub(super) struct Demand {
--- /dev/null
+++ b/crates/core/tests/upkeep/fixture.rs
@@ -0,0 +1,204 @@
+//! A planner with hosts, a host service that the test plays, and loads.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use persimmongate_core::ids;
+use persimmongate_core::journal::{Drain, Load};
+use persimmongate_core::queue::{Config, Service};
+use persimmongate_core::sched::Room;
+use persimmongate_core::upkeep::{
+    Action, Answer, Event, Host, Kind, Options, Order, Planner, State, Wave,
+};
+
+/// Processor time of a host, in thousandths of a core.
+pub(crate) const CPU: u64 = 8_000;
+
+/// `Stage` is a planner with hosts.
+pub(crate) struct Stage {
+    pub(crate) planner: Planner,
+    pub(crate) now: Instant,
+    pub(crate) hosts: Vec<Host>,
+    /// Hosts that are away, with the time of their return and their pool then.
+    pub(crate) away: Vec<(Instant, ids::Host, ids::Service)>,
+    pub(crate) drains: Vec<(ids::Worker, Drain)>,
+    pub(crate) undrained: Vec<ids::Worker>,
+    pub(crate) orders: Vec<Order>,
+    pub(crate) statuses: Vec<(ids::WaveNumber, bool)>,
+    pub(crate) loads: Vec<Load>,
+    /// Hosts that are down for maintenance at once, at most.
+    pub(crate) most: usize,
+}
+
+impl Stage {
+    pub(crate) fn new(succeeds: bool) -> Self {
+        let now = Instant::now();
+        let planner = Planner::new(Options::default(), "node".into(), 7, succeeds, now);
+        let services = [("one", false), ("two", false), ("spare", true)];
+        let service = |(name, spare): (&'static str, bool)| Service {
+            name: name.into(),
+            guarded: false,
+            spare,
+        };
+        let config = Config::new(1, Vec::new(), services.map(service).to_vec());
+        let mut stage = Self {
+            planner,
+            now,
+            hosts: Vec::new(),
+            away: Vec::new(),
+            drains: Vec::new(),
+            undrained: Vec::new(),
+            orders: Vec::new(),
+            statuses: Vec::new(),
+            loads: Vec::new(),
+            most: 0,
+        };
+        for (service, count) in [("one", 4), ("two", 4), ("spare", 2)] {
+            for number in 0..count {
+                stage.hosts.push(host(service, number));
+            }
+        }
+        stage.step(Event::Config(Arc::new(config)));
+        stage
+    }
+
+    pub(crate) fn step(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.planner.step(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Drain(worker, drain) => self.drains.push((worker, drain)),
+                Action::Undrain(worker, _) => self.undrained.push(worker),
+                Action::Steer(order) => self.steer(order),
+                Action::Status(wave, complete) => self.statuses.push((wave, complete)),
+                Action::Record(..) => {}
+            }
+        }
+    }
+
+    /// Asks for a wave.
+    pub(crate) fn ask(&mut self, wave: Wave) {
+        self.step(Event::Wave(wave, self.now));
+    }
+
+    /// Carries an order out; the answer comes with the next round.
+    pub(crate) fn steer(&mut self, order: Order) {
+        let pool = match &order.kind {
+            Kind::Move(service) => service.clone(),
+            Kind::Maintain(_) => self.find(&order.host).service.clone(),
+        };
+        let back = self.now + Duration::from_secs(2);
+        self.away.push((back, order.host.clone(), pool));
+        let state = match order.kind {
+            Kind::Move(_) => State::Moving,
+            Kind::Maintain(_) => State::Upkeep,
+        };
+        let host = self
+            .hosts
+            .iter_mut()
+            .find(|host| host.name == order.host)
+            .unwrap();
+        host.state = state;
+        host.worker = None;
+        let down = self.hosts.iter().filter(|host| host.state == State::Upkeep);
+        self.most = self.most.max(down.count());
+        self.orders.push(order);
+    }
+
+    pub(crate) fn find(&self, host: &ids::Host) -> &Host {
+        self.hosts.iter().find(|entry| entry.name == *host).unwrap()
+    }
+
+    /// Tells what is known of the log, the hosts and the loads now.
+    pub(crate) fn tell(&mut self) {
+        self.step(Event::Confirmed(self.now));
+        self.step(Event::Hosts(self.hosts.clone()));
+        self.step(Event::Loads(self.loads.clone()));
+    }
+
+    /// Lets time pass; the shards free workers at once.
+    pub(crate) fn pass(&mut self, seconds: u64) {
+        let end = self.now + Duration::from_secs(seconds);
+        let mut answered = self.orders.len();
+        while self.now < end {
+            self.now += Duration::from_millis(200);
+            let now = self.now;
+            for (_, host, pool) in self.away.extract_if(.., |(at, ..)| *at <= now) {
+                let entry = self
+                    .hosts
+                    .iter_mut()
+                    .find(|entry| entry.name == host)
+                    .unwrap();
+                entry.state = State::Up;
+                entry.worker = (pool != "spare").then(|| format!("w-{host}").into());
+                entry.service = pool;
+            }
+            self.tell();
+            for (worker, _) in std::mem::take(&mut self.drains) {
+                self.step(Event::Vacated(worker));
+            }
+            while answered < self.orders.len() {
+                let order = self.orders[answered].clone();
+                answered += 1;
+                self.step(Event::Answered(order, Answer::Done));
+            }
+            self.step(Event::Tick);
+        }
+    }
+
+    pub(crate) fn pool(&self, service: &str) -> usize {
+        self.hosts
+            .iter()
+            .filter(|host| host.service == *service)
+            .count()
+    }
+}
+
+pub(crate) fn host(service: &str, number: usize) -> Host {
+    let name = format!("{service}-{number}");
+    Host {
+        service: service.into(),
+        state: State::Up,
+        worker: (service != "spare").then(|| format!("w-{name}").into()),
+        room: Room {
+            cpu: CPU,
+            memory: 1_000,
+            gpu: 0,
+        },
+        labels: Vec::new(),
+        name: name.into(),
+    }
+}
+
+pub(crate) fn load(service: &str, used: u64, waiting: u64, idle: &[&str]) -> Load {
+    Load {
+        service: service.into(),
+        used,
+        waiting,
+        room: 4 * CPU,
+        offered: used,
+        spread: 2,
+        light: idle.iter().map(|worker| ((*worker).into(), 0)).collect(),
+        ..Load::default()
+    }
+}
+
+/// Makes the load of a service whose four hosts run nothing, and which has no lasting tasks.
+pub(crate) fn resting(service: &str) -> Load {
+    let workers: Vec<String> = (0..4).map(|n| format!("w-{service}-{n}")).collect();
+    let workers: Vec<&str> = workers.iter().map(String::as_str).collect();
+    Load {
+        spread: 0,
+        ..load(service, 0, 0, &workers)
+    }
+}
+
+pub(crate) fn wave(cap: usize) -> Wave {
+    let hosts = (0..4).flat_map(|n| [format!("one-{n}").into(), format!("two-{n}").into()]);
+    Wave {
+        number: 1,
+        hosts: hosts.collect(),
+        limit: Duration::from_secs(30),
+        cap,
+    }
+}
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -1,192 +1,13 @@
 //! The planner of hosts, against a host service that the test plays.
 
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+mod fixture;
 
+use std::time::Duration;
+
+use fixture::{CPU, Stage, load, resting, wave};
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Drain, Load};
-use persimmongate_core::queue::{Config, Service};
-use persimmongate_core::sched::Room;
-use persimmongate_core::upkeep::{
-    Action, Answer, Event, Host, Kind, Options, Order, Planner, State, Wave,
-};
-
-/// Processor time of a host, in thousandths of a core.
-const CPU: u64 = 8_000;
-
-/// `Stage` is a planner with hosts.
-struct Stage {
-    planner: Planner,
-    now: Instant,
-    hosts: Vec<Host>,
-    /// Hosts that are away, with the time of their return and their pool then.
-    away: Vec<(Instant, ids::Host, ids::Service)>,
-    drains: Vec<(ids::Worker, Drain)>,
-    undrained: Vec<ids::Worker>,
-    orders: Vec<Order>,
-    statuses: Vec<(ids::WaveNumber, bool)>,
-    loads: Vec<Load>,
-    /// Hosts that are down for maintenance at once, at most.
-    most: usize,
-}
-
-impl Stage {
-    fn new(succeeds: bool) -> Self {
-        let now = Instant::now();
-        let planner = Planner::new(Options::default(), "node".into(), 7, succeeds, now);
-        let services = [("one", false), ("two", false), ("spare", true)];
-        let service = |(name, spare): (&'static str, bool)| Service {
-            name: name.into(),
-            guarded: false,
-            spare,
-        };
-        let config = Config::new(1, Vec::new(), services.map(service).to_vec());
-        let mut stage = Self {
-            planner,
-            now,
-            hosts: Vec::new(),
-            away: Vec::new(),
-            drains: Vec::new(),
-            undrained: Vec::new(),
-            orders: Vec::new(),
-            statuses: Vec::new(),
-            loads: Vec::new(),
-            most: 0,
-        };
-        for (service, count) in [("one", 4), ("two", 4), ("spare", 2)] {
-            for number in 0..count {
-                stage.hosts.push(host(service, number));
-            }
-        }
-        stage.step(Event::Config(Arc::new(config)));
-        stage
-    }
-
-    fn step(&mut self, event: Event) {
-        let mut actions = Vec::new();
-        self.planner.step(self.now, event, &mut actions);
-        for action in actions {
-            match action {
-                Action::Drain(worker, drain) => self.drains.push((worker, drain)),
-                Action::Undrain(worker, _) => self.undrained.push(worker),
-                Action::Steer(order) => self.steer(order),
-                Action::Status(wave, complete) => self.statuses.push((wave, complete)),
-                Action::Record(..) => {}
-            }
-        }
-    }
-
-    /// Asks for a wave.
-    fn ask(&mut self, wave: Wave) {
-        self.step(Event::Wave(wave, self.now));
-    }
-
-    /// Carries an order out; the answer comes with the next round.
-    fn steer(&mut self, order: Order) {
-        let pool = match &order.kind {
-            Kind::Move(service) => service.clone(),
-            Kind::Maintain(_) => self.find(&order.host).service.clone(),
-        };
-        let back = self.now + Duration::from_secs(2);
-        self.away.push((back, order.host.clone(), pool));
-        let state = match order.kind {
-            Kind::Move(_) => State::Moving,
-            Kind::Maintain(_) => State::Upkeep,
-        };
-        let host = self
-            .hosts
-            .iter_mut()
-            .find(|host| host.name == order.host)
-            .unwrap();
-        host.state = state;
-        host.worker = None;
-        let down = self.hosts.iter().filter(|host| host.state == State::Upkeep);
-        self.most = self.most.max(down.count());
-        self.orders.push(order);
-    }
-
-    fn find(&self, host: &ids::Host) -> &Host {
-        self.hosts.iter().find(|entry| entry.name == *host).unwrap()
-    }
-
-    /// Lets time pass; the shards free workers at once.
-    fn pass(&mut self, seconds: u64) {
-        let end = self.now + Duration::from_secs(seconds);
-        let mut answered = self.orders.len();
-        while self.now < end {
-            self.now += Duration::from_millis(200);
-            let now = self.now;
-            for (_, host, pool) in self.away.extract_if(.., |(at, ..)| *at <= now) {
-                let entry = self
-                    .hosts
-                    .iter_mut()
-                    .find(|entry| entry.name == host)
-                    .unwrap();
-                entry.state = State::Up;
-                entry.worker = (pool != "spare").then(|| format!("w-{host}").into());
-                entry.service = pool;
-            }
-            self.step(Event::Confirmed(now));
-            self.step(Event::Hosts(self.hosts.clone()));
-            self.step(Event::Loads(self.loads.clone()));
-            for (worker, _) in std::mem::take(&mut self.drains) {
-                self.step(Event::Vacated(worker));
-            }
-            while answered < self.orders.len() {
-                let order = self.orders[answered].clone();
-                answered += 1;
-                self.step(Event::Answered(order, Answer::Done));
-            }
-            self.step(Event::Tick);
-        }
-    }
-
-    fn pool(&self, service: &str) -> usize {
-        self.hosts
-            .iter()
-            .filter(|host| host.service == *service)
-            .count()
-    }
-}
-
-fn host(service: &str, number: usize) -> Host {
-    let name = format!("{service}-{number}");
-    Host {
-        service: service.into(),
-        state: State::Up,
-        worker: (service != "spare").then(|| format!("w-{name}").into()),
-        room: Room {
-            cpu: CPU,
-            memory: 1_000,
-            gpu: 0,
-        },
-        labels: Vec::new(),
-        name: name.into(),
-    }
-}
-
-fn load(service: &str, used: u64, waiting: u64, idle: &[&str]) -> Load {
-    Load {
-        service: service.into(),
-        used,
-        waiting,
-        room: 4 * CPU,
-        offered: used,
-        spread: 2,
-        light: idle.iter().map(|worker| ((*worker).into(), 0)).collect(),
-        ..Load::default()
-    }
-}
-
-fn wave(cap: usize) -> Wave {
-    let hosts = (0..4).flat_map(|n| [format!("one-{n}").into(), format!("two-{n}").into()]);
-    Wave {
-        number: 1,
-        hosts: hosts.collect(),
-        limit: Duration::from_secs(30),
-        cap,
-    }
-}
+use persimmongate_core::upkeep::{Answer, Event, Kind, Wave};
 
 #[test]
 fn verify_wave_keeps_its_cap_and_completes() {
@@ -257,10 +78,7 @@
     let mut stage = Stage::new(false);
     stage.hosts.retain(|host| host.service != *"spare");
     // A service that rests keeps what its lasting tasks need, and a reserve.
-    let rests = Load {
-        spread: 0,
-        ..load("two", 0, 0, &["w-two-0", "w-two-1", "w-two-2", "w-two-3"])
-    };
+    let rests = resting("two");
     stage.loads = vec![load("one", 4 * CPU, 4 * CPU, &[]), rests];
     stage.pass(2);
     assert_eq!(stage.orders.len(), 2);
@@ -273,10 +91,7 @@
 fn verify_idle_hosts_go_straight_to_a_service_whose_demand_grows() {
     let mut stage = Stage::new(false);
     stage.hosts.retain(|host| host.service != *"spare");
-    let rests = Load {
-        spread: 0,
-        ..load("two", 0, 0, &["w-two-0", "w-two-1", "w-two-2", "w-two-3"])
-    };
+    let rests = resting("two");
     // Nothing waits yet, but the jobs that came lately need more than the pool has.
     let grows = Load {
         offered: 4 * CPU,
@@ -292,10 +107,7 @@
 #[test]
 fn verify_idle_hosts_go_to_the_spare_pool_after_a_while() {
     let mut stage = Stage::new(false);
-    let rests = Load {
-        spread: 0,
-        ..load("one", 0, 0, &["w-one-0", "w-one-1", "w-one-2", "w-one-3"])
-    };
+    let rests = resting("one");
     stage.loads = vec![rests];
     stage.pass(1);
     assert_eq!(stage.pool("one"), 4);
@@ -322,9 +134,7 @@
     let mut stage = Stage::new(false);
     stage.loads = vec![load("one", 3 * CPU, 0, &[]), load("two", 3 * CPU, 0, &[])];
     stage.ask(wave(1));
-    stage.step(Event::Confirmed(stage.now));
-    stage.step(Event::Hosts(stage.hosts.clone()));
-    stage.step(Event::Loads(stage.loads.clone()));
+    stage.tell();
     let drained: Vec<ids::Worker> = stage.drains.drain(..).map(|(worker, _)| worker).collect();
     assert!(!drained.is_empty());
     // An older request to give the worker back takes effect late.
@@ -339,9 +149,7 @@
     let mut stage = Stage::new(false);
     stage.loads = vec![load("one", 3 * CPU, 0, &[]), load("two", 3 * CPU, 0, &[])];
     stage.ask(wave(1));
-    stage.step(Event::Confirmed(stage.now));
-    stage.step(Event::Hosts(stage.hosts.clone()));
-    stage.step(Event::Loads(stage.loads.clone()));
+    stage.tell();
     let drained: Vec<ids::Worker> = stage.drains.drain(..).map(|(worker, _)| worker).collect();
     assert!(drained.len() > 1);
     for worker in &drained {
--- a/crates/jobs/src/fleet/lead.rs
+++ b/crates/jobs/src/fleet/lead.rs
@@ -4,11 +4,11 @@
 use persimmongate_core::term::{self, Action as Elected, BEAT};
 use persimmongate_core::upkeep::{Action, Event, Planner};
 use persimmongate_node::clock;
-use slog::{error, info, warn};
+use slog::{info, warn};
 
 use super::{Fleet, LIMIT, REPORT, SHARD, TICK};
 use crate::edge::{Append, Edge, Failure, Topic};
-use crate::lead::{Pen, claim, persist, plain, resignation};
+use crate::lead::{Pen, claim, encoded, persist, plain, resignation};
 use crate::roster::{Subscribe, Unsubscribe};
 use crate::shard::{Led, shard_of};
 
@@ -44,12 +44,9 @@
     }
 
     fn claim(&mut self, at: ids::Offset, nonce: u64, ctx: &mut Context<Self>) {
-        let append = match claim(Topic::Jobs(SHARD), at, self.setup.node.clone(), nonce) {
-            Ok(append) => append,
-            Err(problem) => {
-                error!(self.setup.logger, "claim not encoded"; "error" => %problem);
-                return;
-            }
+        let append = claim(Topic::Jobs(SHARD), at, self.setup.node.clone(), nonce);
+        let Some(append) = encoded(append, &self.setup.logger) else {
+            return;
         };
         let appended = self.setup.edge.append(append).into_actor(self);
         ctx.spawn(appended.map(move |appended, act, ctx| {
@@ -143,13 +140,7 @@
         let node = self.setup.node.clone();
         let lead = self.lead.as_mut()?;
         lead.queue.push(resignation(lead.term, node));
-        match lead.pen.append(&lead.queue) {
-            Ok(append) => Some(append),
-            Err(problem) => {
-                error!(self.setup.logger, "records not encoded"; "error" => %problem);
-                None
-            }
-        }
+        encoded(lead.pen.append(&lead.queue), &self.setup.logger)
     }
 
     /// Appends a record of the leader, after those that are on their way.
@@ -171,12 +162,9 @@
             return;
         }
         let term = lead.term;
-        let append = match lead.pen.append(&std::mem::take(&mut lead.queue)) {
-            Ok(append) => append,
-            Err(problem) => {
-                error!(self.setup.logger, "records not encoded"; "error" => %problem);
-                return;
-            }
+        let append = lead.pen.append(&std::mem::take(&mut lead.queue));
+        let Some(append) = encoded(append, &self.setup.logger) else {
+            return;
         };
         lead.writing = true;
         let persisted = persist(self.setup.edge.clone(), append, Some(clock::now() + LIMIT));
@@ -247,9 +235,8 @@
     /// Appends records for the leader of a service's shard.
     fn request(&self, service: &ids::Service, records: &[Record], ctx: &mut Context<Self>) {
         let shard = shard_of(service, self.setup.shards);
-        match plain(Topic::Jobs(shard), records) {
-            Ok(append) => self.append(append, ctx),
-            Err(problem) => error!(self.setup.logger, "not encoded"; "error" => %problem),
+        if let Some(append) = encoded(plain(Topic::Jobs(shard), records), &self.setup.logger) {
+            self.append(append, ctx);
         }
     }
 
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -202,12 +202,7 @@
         let append = self.last_append();
         self.elect(term::Event::Leave, ctx);
         let (edge, logger) = (self.setup.edge.clone(), self.setup.logger.clone());
-        let resign = async move {
-            if let Some(append) = append {
-                resign(edge, append, logger).await;
-            }
-        };
-        Box::pin(resign.into_actor(self))
+        Box::pin(resign(edge, append, logger).into_actor(self))
     }
 }
 
--- a/crates/jobs/src/lead/mod.rs
+++ b/crates/jobs/src/lead/mod.rs
@@ -10,8 +10,7 @@
 use persimmongate_node::clock;
 use persimmongate_wire::errors::Result as Coded;
 use persimmongate_wire::journal;
-
-use slog::{Logger, info};
+use slog::{Logger, error, info};
 
 use crate::edge::{Append, Author, Edge, Failure, Topic};
 
@@ -55,6 +54,13 @@
     records.iter().map(pair).collect()
 }
 
+/// Gets an append that was encoded; one that was not is logged.
+pub(crate) fn encoded(append: Coded<Append>, logger: &Logger) -> Option<Append> {
+    append
+        .inspect_err(|problem| error!(logger, "records not encoded"; "error" => %problem))
+        .ok()
+}
+
 /// Makes an append that any process may make.
 ///
 /// # Errors
@@ -126,8 +132,11 @@
     })
 }
 
-/// Appends the last records of a leader.
-pub(crate) async fn resign<E: Edge>(edge: E, append: Append, logger: Logger) {
+/// Appends the last records of a leader; there are none where no leader was.
+pub(crate) async fn resign<E: Edge>(edge: E, append: Option<Append>, logger: Logger) {
+    let Some(append) = append else {
+        return;
+    };
     let last = persist(edge, append, Some(clock::now() + RESIGN));
     let outcome = actix_rt::time::timeout(RESIGN, last).await;
     info!(logger, "leadership given up"; "outcome" => ?outcome);
--- a/crates/jobs/src/shard/lead.rs
+++ b/crates/jobs/src/shard/lead.rs
@@ -1,5 +1,4 @@
 use std::fmt::Write;
-use std::future::ready;
 use std::time::Duration;
 
 use actix::{
@@ -12,11 +11,11 @@
 use persimmongate_core::sched::{Action, Event, Scheduler};
 use persimmongate_core::term::{self, Action as Elected};
 use persimmongate_node::clock;
-use slog::{error, info, warn};
+use slog::{info, warn};
 
 use super::{IDLE_PAUSE, Leave, Led, Shard};
 use crate::edge::{Append, Edge, Failure};
-use crate::lead::{Pen, claim, notice, persist, resign, resignation};
+use crate::lead::{Pen, claim, encoded, notice, persist, resign, resignation};
 use crate::roster::{News, Subscribe, Unsubscribe};
 
 /// Time between the notice of a leader that is going to give up and its end: the others' longest pause
@@ -60,12 +59,9 @@
     }
 
     fn claim(&mut self, at: ids::Offset, nonce: u64, ctx: &mut Context<Self>) {
-        let append = match claim(self.topic(), at, self.setup.node.clone(), nonce) {
-            Ok(append) => append,
-            Err(problem) => {
-                error!(self.setup.logger, "claim not encoded"; "error" => %problem);
-                return;
-            }
+        let append = claim(self.topic(), at, self.setup.node.clone(), nonce);
+        let Some(append) = encoded(append, &self.setup.logger) else {
+            return;
         };
         let appended = self.setup.edge.append(append).into_actor(self);
         ctx.spawn(appended.map(move |appended, act, ctx| {
@@ -285,13 +281,7 @@
     /// Makes the leader's next append.
     fn authored(&mut self, records: &[Record]) -> Option<Append> {
         let lead = self.lead.as_mut()?;
-        match lead.pen.append(records) {
-            Ok(append) => Some(append),
-            Err(problem) => {
-                error!(self.setup.logger, "records not encoded"; "error" => %problem);
-                None
-            }
-        }
+        encoded(lead.pen.append(records), &self.setup.logger)
     }
 }
 
@@ -337,15 +327,11 @@
     type Result = ResponseActFuture<Self, ()>;
 
     /// Gives the shard up, after a notice by which others follow closely.
-    fn handle(&mut self, _: Leave, _: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, _: Leave, ctx: &mut Self::Context) -> Self::Result {
         let node = self.setup.node.clone();
         let record = self.lead.as_ref().map(|lead| notice(lead.term, node));
         let Some(append) = record.and_then(|record| self.authored(&[record])) else {
-            return Box::pin(
-                ready(())
-                    .into_actor(self)
-                    .then(|(), act, ctx| act.resign(ctx)),
-            );
+            return self.resign(ctx);
         };
         let noted = persist(self.setup.edge.clone(), append, Some(clock::now() + NOTICE));
         let noted = join(noted, actix_rt::time::sleep(NOTICE)).into_actor(self);
@@ -361,11 +347,6 @@
         let append = record.and_then(|record| self.authored(&[record]));
         self.elect(term::Event::Leave, ctx);
         let (edge, logger) = (self.setup.edge.clone(), self.setup.logger.clone());
-        let resign = async move {
-            if let Some(append) = append {
-                resign(edge, append, logger).await;
-            }
-        };
-        Box::pin(resign.into_actor(self))
+        Box::pin(resign(edge, append, logger).into_actor(self))
     }
 }
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -6,11 +6,11 @@
 use persimmongate_core::journal::{Phase, Record};
 use persimmongate_core::queue::Queue;
 use persimmongate_node::clock;
-use slog::{error, info};
+use slog::info;
 
 use super::Shard;
 use crate::edge::{Edge, Failure};
-use crate::lead::{persist, plain};
+use crate::lead::{encoded, persist, plain};
 
 /// Time before a caller should come back when the log is away: about one outage's length is unknown,
 /// so callers come back soon and to another process.
@@ -120,12 +120,9 @@
     }
 
     fn persist(&self, record: Record, end: Instant) -> ResponseActFuture<Self, Answer> {
-        let append = match plain(self.topic(), std::slice::from_ref(&record)) {
-            Ok(append) => append,
-            Err(problem) => {
-                error!(self.setup.logger, "record not encoded"; "error" => %problem);
-                return Box::pin(std::future::ready(Answer::Refused(AWAY)).into_actor(self));
-            }
+        let append = plain(self.topic(), std::slice::from_ref(&record));
+        let Some(append) = encoded(append, &self.setup.logger) else {
+            return Box::pin(std::future::ready(Answer::Refused(AWAY)).into_actor(self));
         };
         let persisted = persist(self.setup.edge.clone(), append, Some(end)).into_actor(self);
         Box::pin(persisted.map(move |appended, act, _| {
