Log what the leader of a shard believes of its workers

What was missing: `worker listed` and `worker unlisted` are lines of the roster.

What the logs show now, as actions of the scheduler:

- One line per change of what the leader holds for true about a worker: joined, confirmed, unlisted, listed again, removed, another incarnation, an outdated entry, shutting down, unreachable, reachable again, terminated by its host.
Each has the shard, the term, the start time, whether the worker is listed, confirmed, leaving or terminated, missed polls, the age of its latest answer, and the number of runs.
- One line when recovery ends, by which rule and how old the term is, and one when it continues, as an unanswered worker has become known.

No decision changes.

--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -4,6 +4,9 @@
 
 use bytestring::ByteString;
 
+use super::belief::{Belief, Change};
+use super::idle::Idle;
+use super::recovery::Wait;
 use super::worker::Resources;
 use crate::ids;
 use crate::job::{Job, Progress, Task};
@@ -295,4 +298,10 @@
         /// Worker of the run.
         worker: ids::Worker,
     },
+    /// Write a log line about a change of what the leader holds for true about a worker.
+    LogWorker(Change, Belief),
+    /// Write a log line about long-running tasks that stay idle.
+    LogIdle(Box<Idle>),
+    /// Write a log line, as the wait for runs of older terms has ended or begun again.
+    LogRecovery(Wait),
 }
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -74,6 +74,10 @@
     /// Time at which it completed, failed or was canceled.
     pub(super) ended_at: Option<Instant>,
     pub(super) stages: Vec<Stage>,
+    /// Time since which it has had idle long-running tasks.
+    pub(super) idle_since: Option<Instant>,
+    /// Time of the latest log line about them.
+    pub(super) idle_logged_at: Option<Instant>,
     /// Number of occurrences whose tasks were created.
     opened_occurrences: u32,
 }
@@ -96,6 +100,8 @@
             deadline: accepted_at + objective,
             ended_at: None,
             stages: Vec::new(),
+            idle_since: None,
+            idle_logged_at: None,
             opened_occurrences: 0,
         }
     }
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::belief::Change;
 use super::event::{Action, Event, Report};
 use super::graph::Graph;
 use super::scheduler::Scheduler;
@@ -22,7 +23,7 @@
             }
             Event::Listed(report) => self.handle_listed(now, report, actions),
             Event::Unlisted(worker) => self.handle_unlisted(now, &worker, actions),
-            Event::Hosts(hosts) => self.handle_hosts(&hosts, actions),
+            Event::Hosts(hosts) => self.handle_hosts(now, &hosts, actions),
             Event::Job {
                 job,
                 offset,
@@ -70,42 +71,58 @@
     fn handle_listed(&mut self, now: Instant, report: Report, actions: &mut Vec<Action>) {
         self.needs_placement = true;
         let id = report.worker.clone();
+        let is_shutting_down = report.is_shutting_down;
         let Some(worker) = self.workers.get_mut(&id) else {
             let mut worker = Worker::new(report);
             worker.is_draining = self.draining.contains(&id);
+            actions.push(worker.log(now, Change::Joined));
             self.workers.insert(id.clone(), worker);
             self.poll_worker(now, &id, actions);
             return;
         };
         if report.started_at_ms < worker.report.started_at_ms {
+            actions.push(worker.log(now, Change::Outdated(report.started_at_ms)));
             return;
         }
-        worker.is_listed = true;
+        let was_listed = std::mem::replace(&mut worker.is_listed, true);
+        let was_shutting_down = worker.report.is_shutting_down;
         if report.started_at_ms > worker.report.started_at_ms {
             worker.report = report.clone();
             self.handle_restart(now, &id, report.started_at_ms, actions);
         } else {
             worker.report = report;
         }
+        if !was_listed {
+            self.log_worker(now, &id, Change::Returned, actions);
+        }
+        if is_shutting_down && !was_shutting_down {
+            self.log_worker(now, &id, Change::ShuttingDown, actions);
+        }
         self.stop_long_running(now, &id, actions);
         self.poll_worker(now, &id, actions);
     }
 
     fn handle_unlisted(&mut self, now: Instant, id: &ids::Worker, actions: &mut Vec<Action>) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.is_listed = false;
+            if std::mem::replace(&mut worker.is_listed, false) {
+                actions.push(worker.log(now, Change::Unlisted));
+            }
             self.poll_worker(now, id, actions);
-            self.drop_unlisted(now);
+            self.drop_unlisted(now, actions);
         }
     }
 
     /// Removes unlisted workers on which no task can run any more.
-    fn drop_unlisted(&mut self, now: Instant) {
+    fn drop_unlisted(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let is_recovery_over = now >= self.recovery_deadline();
         self.workers.retain(|_, worker| {
-            worker.is_listed
+            let is_kept = worker.is_listed
                 || !worker.runs.is_empty()
-                || !(is_recovery_over || worker.is_confirmed)
+                || !(is_recovery_over || worker.is_confirmed);
+            if !is_kept {
+                actions.push(worker.log(now, Change::Removed));
+            }
+            is_kept
         });
     }
 
@@ -174,7 +191,8 @@
         self.retry_stops(now, actions);
         self.stop_stalled(now, actions);
         self.poll_all(now, actions);
-        self.drop_unlisted(now);
+        self.drop_unlisted(now, actions);
         self.advance_drains(now, actions);
+        self.log_idle(now, actions);
     }
 }
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -7,6 +7,7 @@
 //! term. Exits are recorded in the log before they are acknowledged to the worker.
 
 mod advice;
+mod belief;
 mod command;
 mod drain;
 mod event;
@@ -14,6 +15,7 @@
 mod flush;
 mod graph;
 mod handler;
+mod idle;
 mod load;
 mod pace;
 mod place;
@@ -24,9 +26,12 @@
 mod scheduler;
 mod worker;
 
+pub use belief::{Belief, Census, Change};
 pub use event::{
     Action, Answer, Call, Cause, Command, Event, Exit, Inventory, Poll, Query, Report, Status,
     Ticket,
 };
+pub use idle::Idle;
+pub use recovery::{Rule, Wait};
 pub use scheduler::{Options, Scheduler};
 pub use worker::Resources;
--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -1,5 +1,6 @@
 use std::time::{Duration, Instant};
 
+use super::belief::Change;
 use super::event::{Action, Answer, Inventory, Poll};
 use super::graph::Placement;
 use super::run::{Phase, Run};
@@ -90,6 +91,9 @@
         worker.poll_state = Polling::Scheduled;
         let delay = match answer {
             Ok(inventory) => {
+                if worker.missed_polls > 0 {
+                    actions.push(worker.log(now, Change::Reachable));
+                }
                 worker.missed_polls = 0;
                 worker.expired_at = None;
                 if inventory.started_at_ms < worker.report.started_at_ms {
@@ -104,8 +108,11 @@
                 actions.push(Action::Fenced);
                 return;
             }
-            Err(_) => {
+            Err(answer) => {
                 worker.missed_polls += 1;
+                if worker.missed_polls == 1 {
+                    actions.push(worker.log(now, Change::Unreachable(answer)));
+                }
                 (RETRY_DELAY * worker.missed_polls).min(MAX_RETRY_DELAY)
             }
         };
@@ -138,6 +145,7 @@
         worker.answered_at = Some(now);
         if !worker.is_confirmed {
             worker.is_confirmed = true;
+            actions.push(worker.log(now, Change::Confirmed));
             self.needs_placement = true;
         }
         for exit in &inventory.exits {
@@ -254,6 +262,7 @@
             return;
         };
         worker.reset(started_at_ms);
+        actions.push(worker.log(now, Change::Restarted));
         let lost_tasks: Vec<Task> = worker
             .runs
             .iter()
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -1,5 +1,6 @@
 use std::time::{Duration, Instant};
 
+use super::belief::Change;
 use super::event::Action;
 use super::scheduler::Scheduler;
 use super::worker::LEASE_MS;
@@ -12,10 +13,37 @@
 /// Tolerance for late timers and for clocks that run at different rates.
 const CLOCK_MARGIN: Duration = Duration::from_millis(500);
 
+/// `Rule` is what ends the wait for the runs of older terms.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rule {
+    /// Every worker that an older leader may have used has answered.
+    Answered,
+    /// No worker without an answer can run a task of an older term any more.
+    Deadline,
+}
+
+/// `Wait` is the state of the wait for the runs of older terms.
+#[derive(Clone, Copy, Debug)]
+pub struct Wait {
+    /// Rule that ended it; `None` if it began again, as an unanswered worker has become known.
+    pub ended_by: Option<Rule>,
+    /// Time since the start of the term.
+    pub term_age: Duration,
+    /// Known workers that have not answered under this term and may run tasks.
+    pub unconfirmed: usize,
+    /// Workers that hosts run and the leader did not know at the latest host list; `None` while the
+    /// hosts are unknown.
+    pub hosted_unknown: Option<usize>,
+}
+
 /// `Recovery` is the period in which tasks of older terms may still run on workers that have not
 /// answered.
 #[derive(Debug)]
 pub(super) struct Recovery {
+    /// Time at which the term started.
+    started_at: Instant,
+    /// Whether the latest log line said that it has ended.
+    has_ended: bool,
     /// Time after which no unanswered worker can run a task of an older term.
     deadline: Instant,
     /// Workers that hosts run but the worker list lacks; `None` while the hosts are unknown.
@@ -31,6 +59,8 @@
             (true, false) => CONFIRMATION_VALIDITY + lease,
         };
         Self {
+            started_at: now,
+            has_ended: false,
             deadline: now + wait,
             unlisted_workers: None,
         }
@@ -43,6 +73,7 @@
     /// A worker whose host now runs another worker, or none, has terminated.
     pub(super) fn handle_hosts(
         &mut self,
+        now: Instant,
         hosts: &[(ids::Host, Option<ids::Worker>)],
         actions: &mut Vec<Action>,
     ) {
@@ -66,6 +97,7 @@
             // The host list may not contain a worker yet that has just started.
             if worker.was_seen_on_host && !is_hosted && !worker.has_terminated {
                 worker.has_terminated = true;
+                actions.push(worker.log(now, Change::Terminated));
                 terminated.push((id.clone(), worker.runs.keys().cloned().collect::<Vec<_>>()));
             }
         }
@@ -83,7 +115,38 @@
             .workers
             .values()
             .filter(|worker| !worker.is_confirmed && !worker.has_terminated);
-        unconfirmed.count() + self.recovery.unlisted_workers.as_ref().map_or(0, Set::len)
+        unconfirmed.count() + self.hosted_unknown_count().unwrap_or(0)
+    }
+
+    /// Counts the workers that hosts run and that were not known at the latest host list; `None` while
+    /// the hosts are unknown.
+    pub(super) fn hosted_unknown_count(&self) -> Option<usize> {
+        self.recovery.unlisted_workers.as_ref().map(Set::len)
+    }
+
+    /// Writes a log line when recovery ends or begins again.
+    pub(super) fn log_recovery(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let is_past_deadline = now >= self.recovery.deadline;
+        if self.recovery.has_ended && is_past_deadline {
+            return;
+        }
+        let has_ended = self.has_recovered(now);
+        if has_ended == self.recovery.has_ended {
+            return;
+        }
+        self.recovery.has_ended = has_ended;
+        let rule = if is_past_deadline {
+            Rule::Deadline
+        } else {
+            Rule::Answered
+        };
+        let hosted_unknown = self.hosted_unknown_count();
+        actions.push(Action::LogRecovery(Wait {
+            ended_by: has_ended.then_some(rule),
+            term_age: now.saturating_duration_since(self.recovery.started_at),
+            unconfirmed: self.unconfirmed_count() - hosted_unknown.unwrap_or(0),
+            hosted_unknown,
+        }));
     }
 
     /// Returns the time after which no unanswered worker can run a task of an older term.
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -116,6 +116,7 @@
             return;
         }
         self.handle_event(now, event, actions);
+        self.log_recovery(now, actions);
         if self.needs_placement && self.may_act(now) {
             self.needs_placement = false;
             self.place_tasks(now, actions);
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -99,6 +99,8 @@
     pub(crate) stub_count: usize,
     /// Workers that the policy service permits; `None` if the queue uses no policy service.
     pub(crate) permitted_workers: Option<Vec<ids::Worker>>,
+    /// Log lines about workers, recovery and idle tasks.
+    pub(crate) lines: Vec<Action>,
     pub(crate) start_count: u64,
     pub(crate) violations: Vec<String>,
 }
@@ -126,6 +128,7 @@
             task_starts: Vec::new(),
             stub_count: 0,
             permitted_workers: None,
+            lines: Vec::new(),
             start_count: 0,
             violations: Vec::new(),
         };
@@ -314,6 +317,9 @@
                     );
                 }
                 Action::LogRun { .. } | Action::LogStarts { .. } => {}
+                Action::LogWorker(..) | Action::LogIdle(_) | Action::LogRecovery(_) => {
+                    self.lines.push(action);
+                }
             }
         }
     }
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -1,4 +1,3 @@
-use std::fmt::Write;
 use std::time::Duration;
 
 use actix::{
@@ -13,6 +12,7 @@
 use persimmongate_node::clock;
 use slog::{info, warn};
 
+use super::line;
 use super::{IDLE_READ_PAUSE, Resign, Shard, Transition};
 use crate::leadership::{
     Sequencer, append_with_retry, claim, encoded_or_logged, resign, resignation, resignation_notice,
@@ -266,14 +266,7 @@
                 step,
                 tasks,
             } => {
-                let mut task_list = String::new();
-                for (index, run, worker) in tasks {
-                    // Writing to a string never fails.
-                    let _ = write!(task_list, "{index}:{run}@{worker} ");
-                }
-                info!(self.setup.logger, "starting tasks"; "job" => %job,
-                    "step" => format!("{occurrence}.{step}"), "tasks" => task_list.trim_end(),
-                    "term" => term);
+                line::log_starts(&self.setup.logger, term, &job, (occurrence, step), &tasks);
             }
             Action::LogRun {
                 message,
@@ -285,6 +278,15 @@
                     "task" => format!("{}.{}.{}", task.occurrence, task.step, task.index),
                     "run" => run, "worker" => %worker, "term" => term);
             }
+            Action::LogWorker(change, belief) => {
+                line::log_worker(&self.setup.logger, self.setup.shard, term, change, &belief);
+            }
+            Action::LogIdle(idle) => {
+                line::log_idle(&self.setup.logger, self.setup.shard, term, &idle);
+            }
+            Action::LogRecovery(wait) => {
+                line::log_recovery(&self.setup.logger, self.setup.shard, term, wait);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/jobs/src/shard/line.rs
@@ -0,0 +1,89 @@
+use std::fmt::Write;
+
+use persimmongate_core::ids;
+use persimmongate_core::sched::{Answer, Belief, Change, Idle, Wait};
+use slog::{Logger, info};
+
+/// Writes a log line with the tasks of a step that were started.
+pub(super) fn log_starts(
+    logger: &Logger,
+    term: ids::Term,
+    job: &ids::Job,
+    (occurrence, step): (u32, u32),
+    tasks: &[(u32, ids::Run, ids::Worker)],
+) {
+    let mut task_list = String::new();
+    for (index, run, worker) in tasks {
+        // Writing to a string never fails.
+        let _ = write!(task_list, "{index}:{run}@{worker} ");
+    }
+    info!(logger, "starting tasks"; "job" => %job, "step" => format!("{occurrence}.{step}"),
+        "tasks" => task_list.trim_end(), "term" => term);
+}
+
+/// Returns the message of the log line about a change.
+fn message(change: Change) -> &'static str {
+    match change {
+        Change::Joined => "worker joined shard",
+        Change::Confirmed => "worker confirmed",
+        Change::Unlisted => "worker unlisted for leader",
+        Change::Returned => "worker listed again for leader",
+        Change::Removed => "worker removed from shard",
+        Change::Restarted => "worker incarnation changed",
+        Change::Outdated(_) => "outdated worker entry ignored",
+        Change::ShuttingDown => "worker shutting down",
+        Change::Unreachable(_) => "worker unreachable",
+        Change::Reachable => "worker reachable again",
+        Change::Terminated => "worker terminated by host",
+    }
+}
+
+/// Writes a log line about a change of what a leader holds for true about a worker.
+pub(super) fn log_worker(
+    logger: &Logger,
+    shard: ids::Shard,
+    term: ids::Term,
+    change: Change,
+    belief: &Belief,
+) {
+    let entry_started_at_ms: Option<u64> = match change {
+        Change::Outdated(started_at_ms) => Some(started_at_ms),
+        _ => None,
+    };
+    let reason: Option<Answer> = match change {
+        Change::Unreachable(answer) => Some(answer),
+        _ => None,
+    };
+    let answer_age_ms = belief.answer_age.map(|age| age.as_millis());
+    info!(logger, "{}", message(change); "worker" => %belief.worker, "service" => %belief.service,
+        "shard" => shard, "term" => term, "started_at_ms" => belief.started_at_ms,
+        "entry_started_at_ms" => entry_started_at_ms, "reason" => reason.map(|answer| format!("{answer:?}")),
+        "listed" => belief.is_listed, "confirmed" => belief.is_confirmed, "leaving" => belief.is_leaving,
+        "terminated" => belief.has_terminated, "missed_polls" => belief.missed_polls,
+        "answer_age_ms" => answer_age_ms, "runs" => belief.runs);
+}
+
+/// Writes a log line about long-running tasks that stay idle.
+pub(super) fn log_idle(logger: &Logger, shard: ids::Shard, term: ids::Term, idle: &Idle) {
+    let census = &idle.census;
+    info!(logger, "long-running tasks idle"; "job" => %idle.job,
+        "step" => format!("{}.{}", idle.occurrence, idle.step), "tasks" => idle.tasks,
+        "idle_ms" => idle.duration.as_millis(), "service" => %idle.service, "shard" => shard, "term" => term,
+        "known" => census.known, "listed" => census.listed, "confirmed" => census.confirmed,
+        "unreachable" => census.unreachable, "leaving" => census.leaving,
+        "suspended" => census.suspended, "terminated" => census.terminated,
+        "eligible" => census.eligible, "with_room" => idle.with_room, "below_limit" => idle.below_limit,
+        "permitted" => idle.permitted, "hosted_unknown" => idle.hosted_unknown,
+        "waits_for_recovery" => idle.waits_for_recovery, "may_act" => idle.may_act);
+}
+
+/// Writes a log line about the end of recovery, or that it begins again.
+pub(super) fn log_recovery(logger: &Logger, shard: ids::Shard, term: ids::Term, wait: Wait) {
+    let message = match wait.ended_by {
+        Some(_) => "recovery of shard over",
+        None => "recovery of shard continues",
+    };
+    info!(logger, "{}", message; "shard" => shard, "term" => term,
+        "rule" => wait.ended_by.map(|rule| format!("{rule:?}")), "term_age_ms" => wait.term_age.as_millis(),
+        "unconfirmed" => wait.unconfirmed, "hosted_unknown" => wait.hosted_unknown);
+}
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs of one shard: their state replayed from the log, callers' requests, and leadership of the shard.
 
 mod leadership;
+mod line;
 mod request;
 
 pub use request::{Answer, Cancel, Count, Freshness, Query, Status, Submit};
