Publish the net changes of the worker list, in one message for each read

Cause: the roster sent the workers of a batch that are listed in one message and those that are not in a second one. Entries of workers lapse while the log is away and are written again on its return; a roster whose read waited meanwhile gets both in one batch, and its subscribers applied the removal last. The roster's own map was right, so later heartbeats, equal to it, were not forwarded, and the leader placed no task on these workers for the rest of its term.

Ten of 28 cases of verify_worker_that_lapses_and_returns_within_one_read_stays_listed and its neighbours failed.

Change: the roster compares the reports before and after a batch and publishes the difference, at most one change for each worker, in one message. The order of the records within a batch no longer matters, and a lapse that is over when it is read changes nothing. Log lines follow what is published.

--- a/crates/jobs/src/roster/mod.rs
+++ b/crates/jobs/src/roster/mod.rs
@@ -6,7 +6,7 @@
     Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, Recipient, WrapFuture,
 };
 use persimmongate_core::ids;
-use persimmongate_core::map::{Map, Set};
+use persimmongate_core::map::Map;
 use persimmongate_core::sched::Report;
 use persimmongate_core::upkeep::Host;
 use persimmongate_node::supervisor::Guard;
@@ -22,14 +22,21 @@
 /// Pause between two polls of the host list.
 const HOST_POLL_PAUSE: Duration = Duration::from_millis(700);
 
-/// `Update` is a change of the workers, or a new list of the hosts.
+/// `Change` is the difference between two states of the worker list for one worker.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// The worker is newly listed, or its report changed.
+    Listed(Report),
+    /// The worker is no longer listed.
+    Unlisted(ids::Worker),
+}
+
+/// `Update` is a change of the worker list, or a new list of the hosts.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
 pub enum Update {
-    /// Workers that are newly listed or changed their report.
-    Listed(Vec<Report>),
-    /// Workers that are no longer listed.
-    Unlisted(Vec<ids::Worker>),
+    /// Changes of the worker list since the preceding update, at most one for each worker.
+    Workers(Vec<Change>),
     /// All hosts of the fleet.
     Hosts(Vec<Host>),
 }
@@ -119,48 +126,49 @@
         }
     }
 
+    /// Applies a batch and publishes its net changes.
     fn apply(&mut self, batch: &Batch) {
-        let mut listed = Vec::new();
-        let mut unlisted = Vec::new();
-        let mut listed_workers: Set<ids::Worker> = Set::default();
+        // Reports from before the batch of the workers that it touches.
+        let mut previous: Map<ids::Worker, Option<Report>> = Map::default();
+        if batch.is_snapshot {
+            let replaced = self.reports.drain();
+            previous.extend(replaced.map(|(worker, report)| (worker, Some(report))));
+        }
         for entry in &batch.records {
-            let Some(report) = entry
+            let report = entry
                 .value
                 .as_ref()
-                .and_then(|_| self.platform.decode_report(entry))
-            else {
-                let worker = entry.key.clone();
-                if self.reports.remove(&worker).is_some() {
-                    info!(self.logger, "worker unlisted"; "worker" => %worker);
-                    unlisted.push(worker);
-                }
-                continue;
+                .and_then(|_| self.platform.decode_report(entry));
+            let replaced = match report {
+                Some(report) => self.reports.insert(entry.key.clone(), report),
+                None => self.reports.remove(&entry.key),
             };
-            listed_workers.insert(report.worker.clone());
-            // Heartbeats without a change are not forwarded.
-            if self.reports.get(&report.worker) != Some(&report) {
-                debug!(self.logger, "worker listed"; "worker" => %report.worker,
-                    "service" => %report.service, "draining" => report.is_shutting_down);
-                self.reports.insert(report.worker.clone(), report.clone());
-                listed.push(report);
-            }
-        }
-        if batch.is_snapshot {
-            let is_removed = |worker: &&ids::Worker| !listed_workers.contains(*worker);
-            let removed: Vec<ids::Worker> =
-                self.reports.keys().filter(is_removed).cloned().collect();
-            for worker in removed {
-                self.reports.remove(&worker);
-                unlisted.push(worker);
-            }
+            previous.entry(entry.key.clone()).or_insert(replaced);
         }
         self.has_worker_list = true;
-        if !listed.is_empty() {
-            self.publish(&Update::Listed(listed));
+        let changes = previous
+            .into_iter()
+            .filter_map(|(worker, previous)| self.change_since(worker, previous.as_ref()));
+        let changes: Vec<Change> = changes.collect();
+        if !changes.is_empty() {
+            self.publish(&Update::Workers(changes));
         }
-        if !unlisted.is_empty() {
-            self.publish(&Update::Unlisted(unlisted));
+    }
+
+    /// Returns how the entry of a worker differs from an earlier one, and logs the difference.
+    fn change_since(&self, worker: ids::Worker, previous: Option<&Report>) -> Option<Change> {
+        let current = self.reports.get(&worker);
+        if current == previous {
+            return None;
         }
+        Some(if let Some(report) = current {
+            debug!(self.logger, "worker listed"; "worker" => %worker, "service" => %report.service,
+                "draining" => report.is_shutting_down);
+            Change::Listed(report.clone())
+        } else {
+            info!(self.logger, "worker unlisted"; "worker" => %worker);
+            Change::Unlisted(worker)
+        })
     }
 
     fn publish(&self, update: &Update) {
@@ -191,9 +199,8 @@
             self.poll_hosts(self.activation, ctx);
         }
         if self.has_worker_list {
-            subscribe
-                .1
-                .do_send(Update::Listed(self.reports.values().cloned().collect()));
+            let listed = self.reports.values().cloned().map(Change::Listed);
+            subscribe.1.do_send(Update::Workers(listed.collect()));
             if let Some(hosts) = &self.hosts {
                 subscribe.1.do_send(Update::Hosts(hosts.clone()));
             }
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -18,7 +18,7 @@
     Sequencer, append_with_retry, claim, encoded_or_logged, resign, resignation, resignation_notice,
 };
 use crate::platform::{Append, Failure, Platform};
-use crate::roster::{Subscribe, Unsubscribe, Update};
+use crate::roster::{Change, Subscribe, Unsubscribe, Update};
 
 /// Time between the announcement of a resignation and the resignation itself: the longest pause of the
 /// other processes between two reads.
@@ -332,18 +332,19 @@
 
     fn handle(&mut self, update: Update, ctx: &mut Self::Context) {
         match update {
-            Update::Listed(reports) => {
-                for report in reports {
-                    if self.owns(&report.service) {
-                        self.step_scheduler(Event::Listed(report), ctx);
+            Update::Workers(changes) => {
+                for change in changes {
+                    match change {
+                        Change::Listed(report) if self.owns(&report.service) => {
+                            self.step_scheduler(Event::Listed(report), ctx);
+                        }
+                        Change::Listed(_) => {}
+                        Change::Unlisted(worker) => {
+                            self.step_scheduler(Event::Unlisted(worker), ctx);
+                        }
                     }
                 }
             }
-            Update::Unlisted(workers) => {
-                for worker in workers {
-                    self.step_scheduler(Event::Unlisted(worker), ctx);
-                }
-            }
             Update::Hosts(hosts) => {
                 // A host that moves is listed in another pool while its worker may still be known to this shard.
                 let workers = hosts.into_iter().map(|host| {
--- a/crates/jobs/tests/roster/fixture.rs
+++ b/crates/jobs/tests/roster/fixture.rs
@@ -13,7 +13,7 @@
 use persimmongate_jobs::platform::{
     Append, Change, Entry, Failure, Page, Partition, Platform, Reply,
 };
-use persimmongate_jobs::roster::{Roster, Subscribe, Update};
+use persimmongate_jobs::roster::{self, Roster, Subscribe, Update};
 use persimmongate_node::errors;
 use persimmongate_node::logger;
 use persimmongate_node::supervisor::{ChildSet, Guard, Policy, Supervisor};
@@ -243,14 +243,16 @@
 
     fn handle(&mut self, update: Update, _: &mut Self::Context) {
         match update {
-            Update::Listed(reports) => {
-                let reports = reports.into_iter();
-                self.workers
-                    .extend(reports.map(|report| (report.worker.clone(), report)));
-            }
-            Update::Unlisted(workers) => {
-                for worker in workers {
-                    self.workers.remove(&worker);
+            Update::Workers(changes) => {
+                for change in changes {
+                    match change {
+                        roster::Change::Listed(report) => {
+                            self.workers.insert(report.worker.clone(), report);
+                        }
+                        roster::Change::Unlisted(worker) => {
+                            self.workers.remove(&worker);
+                        }
+                    }
                 }
             }
             Update::Hosts(_) => {}
