Publish the counts of each shard that a process leads

What was missing: nothing on the metrics address told how many workers the leader of a shard holds for listed or eligible, so a leader that lacks its workers could not be seen without its log lines.

The gauge `led_shard` has, for each shard led, the counts of the scheduler: workers, listed, eligible, runs, jobs, idle_long_running and unsettled, and `led` as 1. All are 0 once the process no longer leads. `/dump` shows the same counts.

--- a/crates/core/src/sched/idle.rs
+++ b/crates/core/src/sched/idle.rs
@@ -113,6 +113,15 @@
             service,
         }
     }
+
+    /// Counts the idle long-running tasks whose steps may start.
+    pub(super) fn idle_long_running_count(&self) -> usize {
+        let counts = self.jobs.values().flat_map(|graph| {
+            let stages = graph.idle_long_running();
+            stages.map(|stage| graph.stages[stage].idle_count as usize)
+        });
+        counts.sum()
+    }
 }
 
 impl Graph {
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::belief::Census;
 use super::event::{Action, Event};
 use super::graph::Graph;
 use super::load::Arrivals;
@@ -137,16 +138,21 @@
         queue.map_or_else(|| graph.job.service.clone(), |queue| queue.service.clone())
     }
 
-    /// Returns counts for operators: workers, runs, open jobs, and workers that have not yet
-    /// answered under this term.
+    /// Returns counts for operators: workers, those that are listed and those that may get tasks,
+    /// runs, open jobs, idle long-running tasks, and workers that have not yet answered under this
+    /// term.
     #[must_use]
-    pub fn counts(&self) -> [(&'static str, usize); 4] {
+    pub fn counts(&self, now: Instant) -> [(&'static str, usize); 7] {
+        let census = Census::of(now, self.workers.values());
         let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
         let open = self.jobs.values().filter(|graph| !graph.is_over());
         [
-            ("workers", self.workers.len()),
+            ("workers", census.known),
+            ("listed", census.listed),
+            ("eligible", census.eligible),
             ("runs", runs),
             ("jobs", open.count()),
+            ("idle_long_running", self.idle_long_running_count()),
             ("unsettled", self.unconfirmed_count()),
         ]
     }
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -12,6 +12,7 @@
 use persimmongate_node::clock;
 use slog::{info, warn};
 
+use super::gauge::Counts;
 use super::line;
 use super::{IDLE_READ_PAUSE, Resign, Shard, Transition};
 use crate::leadership::{
@@ -40,6 +41,7 @@
     pub(super) scheduler: Scheduler,
     sequencer: Sequencer,
     tick_timer: SpawnHandle,
+    counts: Counts,
 }
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Shard<P, C> {
@@ -103,12 +105,16 @@
         );
         let tick_timer = ctx.run_interval(TICK_INTERVAL, |act, ctx| {
             act.step_scheduler(Event::Tick, ctx);
+            if let Some(led) = &mut act.leadership {
+                led.counts.publish(led.scheduler.counts(clock::now()));
+            }
         });
         self.leadership = Some(Leadership {
             term,
             scheduler,
             sequencer: Sequencer::new(self.partition(), term),
             tick_timer,
+            counts: Counts::new(self.led_shards.clone(), self.setup.shard),
         });
         if let Some(config) = self.config.clone() {
             self.step_scheduler(Event::Config(config), ctx);
@@ -211,6 +217,7 @@
 
     fn perform(&mut self, term: ids::Term, action: Action, ctx: &mut Context<Self>) {
         let platform = self.setup.platform.clone();
+        let (logger, shard) = (&self.setup.logger, self.setup.shard);
         let sent_at = clock::now();
         match action {
             Action::Poll(poll) => {
@@ -265,28 +272,22 @@
                 occurrence,
                 step,
                 tasks,
-            } => {
-                line::log_starts(&self.setup.logger, term, &job, (occurrence, step), &tasks);
-            }
+            } => line::log_starts(logger, term, &job, (occurrence, step), &tasks),
             Action::LogRun {
                 message,
                 task,
                 run,
                 worker,
             } => {
-                info!(self.setup.logger, "{}", message; "job" => %task.job,
+                info!(logger, "{}", message; "job" => %task.job,
                     "task" => format!("{}.{}.{}", task.occurrence, task.step, task.index),
                     "run" => run, "worker" => %worker, "term" => term);
             }
             Action::LogWorker(change, belief) => {
-                line::log_worker(&self.setup.logger, self.setup.shard, term, change, &belief);
-            }
-            Action::LogIdle(idle) => {
-                line::log_idle(&self.setup.logger, self.setup.shard, term, &idle);
-            }
-            Action::LogRecovery(wait) => {
-                line::log_recovery(&self.setup.logger, self.setup.shard, term, wait);
+                line::log_worker(logger, shard, term, change, &belief);
             }
+            Action::LogIdle(idle) => line::log_idle(logger, shard, term, &idle),
+            Action::LogRecovery(wait) => line::log_recovery(logger, shard, term, wait),
         }
     }
 
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -1,5 +1,6 @@
 //! Jobs of one shard: their state replayed from the log, callers' requests, and leadership of the shard.
 
+mod gauge;
 mod leadership;
 mod line;
 mod request;
@@ -13,6 +14,7 @@
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, Recipient,
     WrapFuture,
 };
+use opentelemetry::metrics::{Gauge, Meter};
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Drain, Index, Load, Record};
 use persimmongate_core::map::Map;
@@ -106,6 +108,8 @@
     pub leadership_observer: Recipient<Transition>,
     /// Receives what the log records about drains and loads.
     pub observer: Recipient<Observation>,
+    /// Creates the metrics of the shard.
+    pub meter: Meter,
     /// Logger of the process.
     pub logger: Logger,
 }
@@ -126,6 +130,8 @@
     last_queried_at: Option<Instant>,
     /// Time of the latest failed call to the log, if no call has succeeded since.
     log_failed_at: Option<Instant>,
+    /// Counts of the shards that this process leads.
+    led_shards: Gauge<u64>,
     leadership: Option<Leadership>,
     _guard: Guard<C>,
 }
@@ -149,6 +155,7 @@
     pub fn new(setup: Setup<P, C>, guard: Guard<C>) -> Self {
         let election_timeout = term::election_timeout(setup.cpu_millicores, 0, rand::random());
         let election = Election::new(setup.node.clone(), rand::random(), election_timeout);
+        let led_shards = setup.meter.u64_gauge("led_shard").build();
         Self {
             setup,
             config: None,
@@ -160,6 +167,7 @@
             last_complete_read: None,
             last_queried_at: None,
             log_failed_at: None,
+            led_shards,
             leadership: None,
             _guard: guard,
         }
@@ -333,7 +341,7 @@
 
     fn handle(&mut self, _: Dump, _: &mut Self::Context) -> Self::Result {
         let counts = self.leadership.as_ref().map(|leadership| {
-            let counts = leadership.scheduler.counts().into_iter();
+            let counts = leadership.scheduler.counts(clock::now()).into_iter();
             counts
                 .map(|(name, count)| (name.to_owned(), json!(count)))
                 .collect::<serde_json::Map<_, _>>()
