Poll unreachable workers that have no runs, so that they get tasks again

Cause: the expiry of the lease releases the runs, and a confirmed worker without runs needed no poll. Only an answered poll resets the count of missed ones, and a worker with missed polls gets no tasks.

Change: a worker whose latest poll went unanswered needs one; the pause between them grows to 2 s as before.

--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -250,11 +250,12 @@
             && self.suspended_until.is_none_or(|until| until <= now)
     }
 
-    /// Checks if a poll is needed: for a first answer, for the state of runs, or to acknowledge
-    /// exits.
+    /// Checks if a poll is needed: for a first answer, to learn that it is reachable again, for the
+    /// state of runs, or to acknowledge exits.
     pub(super) fn needs_poll(&self) -> bool {
         !self.has_terminated
             && (!self.is_confirmed
+                || self.missed_polls > 0
                 || !self.runs.is_empty()
                 || self.acknowledged_through < self.recorded_through)
     }
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -102,6 +102,8 @@
     /// Log lines about workers, recovery and idle tasks.
     pub(crate) lines: Vec<Action>,
     pub(crate) start_count: u64,
+    /// Polls that were sent.
+    pub(crate) poll_count: u64,
     pub(crate) violations: Vec<String>,
 }
 
@@ -130,6 +132,7 @@
             permitted_workers: None,
             lines: Vec::new(),
             start_count: 0,
+            poll_count: 0,
             violations: Vec::new(),
         };
         for number in 0..workers {
@@ -286,6 +289,7 @@
                     self.schedule(self.now + wait, Activity::Deliver(leader, event));
                 }
                 Action::Poll(_) | Action::Call(_) => {
+                    self.poll_count += u64::from(matches!(action, Action::Poll(_)));
                     self.schedule(self.now + LATENCY, Activity::Arrive(leader, action));
                 }
                 Action::Fenced => self.leaders[leader].is_up = false,
