Bound what is computed from the numbers of a job

Callers would see: every job of a shard stops, as its leader panics on each start and each take-over while the log holds one accepted job with an estimate or a chain of estimates near the largest duration; one with 10^18 millicores makes the sums of the shard's load wrap, and a step of 4 * 10^9 tasks makes the leader allocate as many states. Cause: the job's numbers went unchecked into sums, products and instants; `is_valid` looked at the steps' order only. Evidence: tests/sched/odd/job.rs on, 4 of 12 rows failed: longest estimate: panicked at time.rs:962 (mul_f64); chain of longest estimates: "overflow when adding durations" processor time: job/spec.rs:144 "attempt to multiply with overflow"; best-effort task: the same. Fix: `Job::check` names the limits and the first problem, for callers' bodies and for records. Where values add up, they saturate; a run time over a year counts as a year, as it is only an estimate and no reason to refuse a job.

--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -4,4 +4,4 @@
 mod spec;
 
 pub use progress::{Outcome, Progress};
-pub use spec::{Job, Schedule, Step, Task};
+pub use spec::{Job, MAX_CPU_MILLICORES, MAX_GPUS, MAX_MEMORY_MB, MAX_TASKS, Schedule, Step, Task};
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -3,8 +3,20 @@
 use bytestring::ByteString;
 use serde::{Deserialize, Serialize};
 
+use crate::errors::{Result, value_error};
 use crate::ids;
 
+/// Most tasks of one occurrence of a job, whose states the leader of the shard holds in memory.
+pub const MAX_TASKS: u32 = 50_000;
+/// Most processor time that a task reserves, in millicores.
+pub const MAX_CPU_MILLICORES: u64 = 1_000_000_000;
+/// Most memory that a task reserves, in MB.
+pub const MAX_MEMORY_MB: u64 = 1_000_000_000_000;
+/// Most accelerators that a task reserves.
+pub const MAX_GPUS: u64 = 1_000_000;
+/// Longest run time of a task that is estimated; a longer one counts as this.
+const MAX_ESTIMATE: Duration = Duration::from_hours(365 * 24);
+
 /// `Job` is a job that a caller submitted: steps of tasks for the workers of one service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Job {
@@ -114,6 +126,47 @@
     pub index: u32,
 }
 
+impl Schedule {
+    /// Returns the time at which an occurrence is due, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn due_ms(&self, occurrence: u32) -> u64 {
+        let delay_ms = self.interval_ms.saturating_mul(u64::from(occurrence));
+        self.first_due_ms.saturating_add(delay_ms)
+    }
+}
+
+impl Step {
+    /// Returns the declared run time of a task, bounded so that times can be computed with it.
+    #[must_use]
+    pub fn run_time(&self) -> Duration {
+        self.estimate.min(MAX_ESTIMATE)
+    }
+
+    /// Returns the declared work of a number of tasks, in millicore-seconds.
+    #[must_use]
+    pub fn work(&self, count: u32) -> u64 {
+        let cpu_millicores = u128::from(count).saturating_mul(self.cpu_millicores.into());
+        let work = cpu_millicores.saturating_mul(self.run_time().as_millis()) / 1_000;
+        u64::try_from(work).unwrap_or(u64::MAX)
+    }
+
+    /// Checks that there are tasks, and that these reserve resources which a worker may have.
+    fn check(&self) -> Result<()> {
+        let problem = if self.count == 0 {
+            "a step has no tasks".to_owned()
+        } else if self.cpu_millicores > MAX_CPU_MILLICORES {
+            format!("a task reserves more processor time than {MAX_CPU_MILLICORES} millicores")
+        } else if self.memory_mb > MAX_MEMORY_MB {
+            format!("a task reserves more memory than {MAX_MEMORY_MB} MB")
+        } else if self.gpus > MAX_GPUS {
+            format!("a task reserves more accelerators than {MAX_GPUS}")
+        } else {
+            return Ok(());
+        };
+        Err(value_error("job", problem))
+    }
+}
+
 impl Job {
     /// Returns the number of times that the steps run.
     #[must_use]
@@ -131,7 +184,7 @@
                 .iter()
                 .filter_map(|s| ends.get(*s as usize));
             let start = dependency_ends.max().copied().unwrap_or_default();
-            ends.push(start + step.estimate);
+            ends.push(start + step.run_time());
         }
         ends.into_iter().max().unwrap_or_default()
     }
@@ -139,15 +192,9 @@
     /// Returns the declared work of one occurrence without long-running tasks, in millicore-seconds.
     #[must_use]
     pub fn occurrence_work(&self) -> u64 {
-        let work = |step: &Step| {
-            let millis = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
-            u64::from(step.count) * step.cpu_millicores * millis / 1_000
-        };
-        self.steps
-            .iter()
-            .filter(|step| !step.is_long_running)
-            .map(work)
-            .sum()
+        let steps = self.steps.iter().filter(|step| !step.is_long_running);
+        let work = steps.map(|step| step.work(step.count));
+        work.fold(0, u64::saturating_add)
     }
 
     /// Returns what the log keeps of a completed job: its id, queue, service and acceptance time.
@@ -161,17 +208,51 @@
         }
     }
 
-    /// Checks that there are steps, that each has tasks, and that each depends only on earlier
-    /// steps.
+    /// Returns the number of tasks of one occurrence.
+    #[must_use]
+    pub fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
+    /// Checks if this is what the log keeps of a completed job.
+    #[must_use]
+    pub fn is_stub(&self) -> bool {
+        self.steps.is_empty() && self.payload.is_empty() && self.schedule.is_none()
+    }
+
+    /// Checks that a leader can hold the job: that there are steps, that each depends only on
+    /// earlier steps, and that the numbers and the resources of the tasks are in range.
+    ///
+    /// # Errors
+    ///
+    /// Returns a value error that states the first problem.
+    pub fn check(&self) -> Result<()> {
+        if self.steps.is_empty() {
+            return Err(value_error("job", "the job has no steps"));
+        }
+        for (index, step) in self.steps.iter().enumerate() {
+            step.check()?;
+            if step
+                .dependencies
+                .iter()
+                .any(|other| *other as usize >= index)
+            {
+                return Err(value_error(
+                    "job",
+                    "a step depends on a step that is not an earlier one",
+                ));
+            }
+        }
+        if self.task_count() > u64::from(MAX_TASKS) {
+            let problem = format!("the job has more tasks than {MAX_TASKS}");
+            return Err(value_error("job", problem));
+        }
+        Ok(())
+    }
+
+    /// Checks if a leader can hold the job.
     #[must_use]
     pub fn is_valid(&self) -> bool {
-        let is_step_valid = |(index, step): (usize, &Step)| {
-            step.count > 0
-                && step
-                    .dependencies
-                    .iter()
-                    .all(|dependency| (*dependency as usize) < index)
-        };
-        !self.steps.is_empty() && self.steps.iter().enumerate().all(is_step_valid)
+        self.check().is_ok()
     }
 }
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -121,9 +121,7 @@
         let previous = self.opened_occurrences;
         while self.opened_occurrences < self.job.occurrences() {
             if let Some(schedule) = self.job.schedule
-                && unix_ms
-                    < schedule.first_due_ms
-                        + u64::from(self.opened_occurrences) * schedule.interval_ms
+                && unix_ms < schedule.due_ms(self.opened_occurrences)
             {
                 break;
             }
--- a/crates/core/src/sched/load.rs
+++ b/crates/core/src/sched/load.rs
@@ -44,7 +44,7 @@
                 && !worker.report.is_shutting_down
                 && !worker.is_draining;
             if is_staying {
-                load.capacity += worker.report.capacity.cpu_millicores;
+                add(&mut load.capacity, worker.report.capacity.cpu_millicores);
             }
             if is_staying
                 && worker.is_confirmed
@@ -57,20 +57,20 @@
             }
             for run in worker.runs.values() {
                 if run.is_long_running {
-                    load.long_running += run.resources.cpu_millicores;
+                    add(&mut load.long_running, run.resources.cpu_millicores);
                 } else {
-                    load.used += run.resources.cpu_millicores;
+                    add(&mut load.used, run.resources.cpu_millicores);
                 }
             }
         }
         for graph in self.jobs.values().filter(|graph| !graph.is_over()) {
             let load = load_of(&mut loads, &self.service_of(graph));
-            load.backlog += graph.backlog(now);
+            add(&mut load.backlog, graph.backlog(now));
             load.min_hosts = load.min_hosts.max(min_hosts(graph));
         }
         for (at, service, work) in &self.arrivals.recent {
             if now.saturating_duration_since(*at) <= AVERAGING_WINDOW {
-                load_of(&mut loads, service).arrival_rate += work;
+                add(&mut load_of(&mut loads, service).arrival_rate, *work);
             }
         }
         let mut loads: Vec<Load> = loads.into_values().collect();
@@ -78,7 +78,7 @@
             load.short_running_workers
                 .sort_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0)));
             let capacity = load.capacity.saturating_sub(load.long_running).max(1);
-            load.queue_delay = Duration::from_millis(load.backlog * 1_000 / capacity);
+            load.queue_delay = Duration::from_millis(load.backlog.saturating_mul(1_000) / capacity);
         }
         loads.sort_by(|a, b| a.service.cmp(&b.service));
         loads
@@ -96,6 +96,11 @@
     hosts.max().unwrap_or(0)
 }
 
+/// Adds an amount to a sum, which stays at its largest value when it would exceed it.
+fn add(sum: &mut u64, amount: u64) {
+    *sum = sum.saturating_add(amount);
+}
+
 fn load_of<'a>(loads: &'a mut Map<ids::Service, Load>, service: &ids::Service) -> &'a mut Load {
     loads.entry(service.clone()).or_insert_with(|| Load {
         service: service.clone(),
--- a/crates/core/src/sched/rank.rs
+++ b/crates/core/src/sched/rank.rs
@@ -76,7 +76,7 @@
             let start = dependency_ends.max().copied().unwrap_or_default();
             let stage = self.stages.iter().find(|stage| stage.step == index);
             let has_idle_tasks = stage.is_some_and(|stage| stage.idle_count > 0);
-            let duration = step.estimate * ESTIMATE_PERCENT / 100 + STEP_OVERHEAD;
+            let duration = step.run_time() * ESTIMATE_PERCENT / 100 + STEP_OVERHEAD;
             ends.push(
                 start
                     + if has_idle_tasks {
@@ -100,9 +100,9 @@
             if step.is_long_running || !self.is_ready(stage) {
                 return 0;
             }
-            let millis = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
-            u64::from(self.stages[stage].idle_count) * step.cpu_millicores * millis / 1_000
+            step.work(self.stages[stage].idle_count)
         };
-        (0..self.stages.len()).map(work).sum()
+        let stages = 0..self.stages.len();
+        stages.map(work).fold(0, u64::saturating_add)
     }
 }
--- a/crates/core/src/sched/run.rs
+++ b/crates/core/src/sched/run.rs
@@ -83,7 +83,7 @@
         self.is_best_effort = step.is_best_effort;
         let millis = |target: Duration| u64::try_from(target.as_millis()).unwrap_or(u64::MAX);
         self.latency_target_ms = step.latency_target.map(millis);
-        self.estimate = step.estimate;
+        self.estimate = step.run_time();
     }
 
     /// Updates the run from the worker's inventory.
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -59,9 +59,9 @@
 
     pub(super) fn plus(self, other: Self) -> Self {
         Self {
-            cpu_millicores: self.cpu_millicores + other.cpu_millicores,
-            memory_mb: self.memory_mb + other.memory_mb,
-            gpus: self.gpus + other.gpus,
+            cpu_millicores: self.cpu_millicores.saturating_add(other.cpu_millicores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            gpus: self.gpus.saturating_add(other.gpus),
         }
     }
 
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler against simulated workers that follow the platform's specification.
 
+mod odd;
 mod soak;
 mod worker;
 mod world;
