Count only tasks that the job has as done

Callers would see: a job shown as completed of which tasks never ran (LOST, MIXED), or a leader that panics on it, once a progress record of another writer or version names tasks behind the last one of a step. Cause: the done tasks of a step were the bits set in its record, whatever their number; the idle ones were the difference. Fix: a stage counts its own tasks, and a step is done when the bits of all its tasks are set.

--- a/crates/core/src/job/progress.rs
+++ b/crates/core/src/job/progress.rs
@@ -80,11 +80,16 @@
         self.failed_runs.get(&key).map_or(0, Vec::len)
     }
 
-    /// Returns the number of done tasks of a step.
-    #[must_use]
-    pub fn done_count(&self, occurrence: u32, step: u32) -> u32 {
-        let bits = self.done_tasks.get(&(occurrence, step));
-        bits.map_or(0, |bits| bits.iter().map(|byte| byte.count_ones()).sum())
+    /// Checks if all tasks of a step are done, which has `count` of them.
+    fn is_step_done(&self, occurrence: u32, step: u32, count: u32) -> bool {
+        let Some(bits) = self.done_tasks.get(&(occurrence, step)) else {
+            return count == 0;
+        };
+        // Bits behind the last task stand for nothing.
+        let full = (count / 8) as usize;
+        let rest = (1_u8 << (count % 8)) - 1;
+        let is_rest_done = rest == 0 || bits.get(full).is_some_and(|byte| byte & rest == rest);
+        is_rest_done && bits.len() >= full && bits[..full].iter().all(|byte| *byte == u8::MAX)
     }
 
     /// Checks if every task of a job is done.
@@ -92,7 +97,7 @@
     pub fn is_complete(&self, job: &Job) -> bool {
         (0..job.occurrences()).all(|occurrence| {
             let mut steps = (0_u32..).zip(&job.steps);
-            steps.all(|(index, step)| self.done_count(occurrence, index) >= step.count)
+            steps.all(|(index, step)| self.is_step_done(occurrence, index, step.count))
         })
     }
 }
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -4,6 +4,7 @@
 use bytestring::ByteString;
 
 use super::event::Ticket;
+use super::exit::to_u32;
 use crate::ids;
 use crate::job::{Job, Progress, Step, Task};
 
@@ -151,14 +152,15 @@
             }
         };
         let tasks: Vec<State> = (0..count).map(task_state).collect();
-        let done = self.progress.done_count(occurrence, step);
+        let is_done = |state: &&State| state.placement == Placement::Done;
+        let done_count = to_u32(tasks.iter().filter(is_done).count());
         Stage {
             occurrence,
             step,
             tasks,
             advice: Advice::NotRequested,
-            idle_count: count.saturating_sub(done),
-            done_count: done,
+            idle_count: count - done_count,
+            done_count,
         }
     }
 
--- a/crates/core/tests/sched/odd/mod.rs
+++ b/crates/core/tests/sched/odd/mod.rs
@@ -2,11 +2,12 @@
 //! jobs and workers of the shard unaffected.
 
 mod job;
+mod progress;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmongate_core::job::{Job, Outcome, Progress, Step};
+use persimmongate_core::job::{Job, Outcome, Progress, Step, Task};
 use persimmongate_core::journal::Record;
 use persimmongate_core::sched::Event;
 
@@ -24,6 +25,15 @@
     }
 }
 
+fn task(job: &str, index: u32) -> Task {
+    Task {
+        job: job.into(),
+        occurrence: 0,
+        step: 0,
+        index,
+    }
+}
+
 /// Delivers a job with its progress to the leader, as it does with those that it reads in the log.
 fn accept(world: &mut World, job: Job, progress: Progress) {
     let job = Arc::new(job);
