Open occurrences that are due at once in parts

Callers would see: all jobs of a shard stop, as its leader exceeds its memory, ends and is started again, while the log holds one job with `Times` of millions and an interval of 0 or a first time long past. Each placement also searched the stages of all occurrences for each of them. Cause: all occurrences that are due got their tasks at once; a stage was found by a search. Evidence: tests/sched/odd/occurrence.rs before: 300000 open tasks of a job with as many occurrences; 30000 instead of 15000 where the first of three occurrences is done. Fix: further occurrences open as tasks of the open ones are done, which keeps a job below the limit that one occurrence has. A stage is found by its index.

--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -7,7 +7,7 @@
 use crate::ids;
 
 /// Most tasks of one occurrence of a job, whose states the leader of the shard holds in memory.
-pub const MAX_TASKS: u32 = 50_000;
+pub const MAX_TASKS: u32 = 20_000;
 /// Most processor time that a task reserves, in millicores.
 pub const MAX_CPU_MILLICORES: u64 = 1_000_000_000;
 /// Most memory that a task reserves, in MB.
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -6,7 +6,7 @@
 use super::event::Ticket;
 use super::exit::to_u32;
 use crate::ids;
-use crate::job::{Job, Progress, Step, Task};
+use crate::job::{Job, MAX_TASKS, Progress, Step, Task};
 
 /// Range of run numbers that each term gets, so that the runs of a term are numbered higher than
 /// those of older terms.
@@ -79,6 +79,13 @@
     opened_occurrences: u32,
 }
 
+impl Stage {
+    /// Returns the number of tasks that are not done.
+    fn open_task_count(&self) -> u64 {
+        (self.tasks.len() as u64).saturating_sub(u64::from(self.done_count))
+    }
+}
+
 impl Graph {
     pub(super) fn new(
         job: Arc<Job>,
@@ -114,21 +121,29 @@
 
     /// Creates the tasks of the occurrences that are due, and returns whether there were any.
     ///
+    /// When many are due at once, the later ones follow as tasks of the earlier ones are done.
+    ///
     /// `unix_ms` is the time of day in milliseconds since the Unix epoch.
     pub(super) fn open_due_occurrences(&mut self, unix_ms: u64) -> bool {
         if self.is_over() {
             return false;
         }
         let previous = self.opened_occurrences;
+        let mut open_count = None;
         while self.opened_occurrences < self.job.occurrences() {
             if let Some(schedule) = self.job.schedule
                 && unix_ms < schedule.due_ms(self.opened_occurrences)
             {
                 break;
             }
+            let open_count = open_count.get_or_insert_with(|| self.open_task_count());
+            if *open_count > 0 && *open_count + self.job.task_count() > u64::from(MAX_TASKS) {
+                break;
+            }
             let occurrence = self.opened_occurrences;
             for step in (0_u32..).take(self.job.steps.len()) {
                 let stage = self.new_stage(occurrence, step);
+                *open_count += stage.open_task_count();
                 self.stages.push(stage);
             }
             self.opened_occurrences += 1;
@@ -136,6 +151,11 @@
         self.opened_occurrences != previous
     }
 
+    /// Returns the number of tasks that were created and are not done.
+    fn open_task_count(&self) -> u64 {
+        self.stages.iter().map(Stage::open_task_count).sum()
+    }
+
     fn new_stage(&self, occurrence: u32, step: u32) -> Stage {
         let count = self.job.steps[step as usize].count;
         let task_state = |index| {
@@ -184,19 +204,24 @@
         let current = &self.stages[stage];
         let step = &self.job.steps[current.step as usize];
         step.dependencies.iter().all(|dependency| {
-            let required = self
-                .stages
-                .iter()
-                .find(|other| other.occurrence == current.occurrence && other.step == *dependency);
-            required.is_some_and(|other| other.done_count as usize >= other.tasks.len())
+            let required = self.stage_index(current.occurrence, *dependency);
+            required.is_some_and(|required| self.stages[required].open_task_count() == 0)
         })
     }
 
+    /// Finds the index of the stage of a step and occurrence. There is one of each step of each
+    /// opened occurrence, in this order.
+    fn stage_index(&self, occurrence: u32, step: u32) -> Option<usize> {
+        let (step, step_count) = (step as usize, self.job.steps.len());
+        let index = (occurrence as usize)
+            .checked_mul(step_count)?
+            .checked_add(step)?;
+        (step < step_count && index < self.stages.len()).then_some(index)
+    }
+
     /// Finds the index of a task's stage and its index in the stage.
     pub(super) fn find(&self, task: &Task) -> Option<(usize, usize)> {
-        let matches =
-            |stage: &Stage| stage.occurrence == task.occurrence && stage.step == task.step;
-        let stage = self.stages.iter().position(matches)?;
+        let stage = self.stage_index(task.occurrence, task.step)?;
         let index = task.index as usize;
         (index < self.stages[stage].tasks.len()).then_some((stage, index))
     }
--- a/crates/core/src/sched/rank.rs
+++ b/crates/core/src/sched/rank.rs
@@ -68,13 +68,13 @@
     /// tasks.
     fn remaining_time(&self) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.job.steps.len());
-        for (index, step) in (0_u32..).zip(&self.job.steps) {
+        for (index, step) in self.job.steps.iter().enumerate() {
             let dependency_ends = step
                 .dependencies
                 .iter()
                 .filter_map(|s| ends.get(*s as usize));
             let start = dependency_ends.max().copied().unwrap_or_default();
-            let stage = self.stages.iter().find(|stage| stage.step == index);
+            let stage = self.stages.get(index);
             let has_idle_tasks = stage.is_some_and(|stage| stage.idle_count > 0);
             let duration = step.run_time() * ESTIMATE_PERCENT / 100 + STEP_OVERHEAD;
             ends.push(
--- a/crates/core/tests/sched/odd/mod.rs
+++ b/crates/core/tests/sched/odd/mod.rs
@@ -2,6 +2,7 @@
 //! jobs and workers of the shard unaffected.
 
 mod job;
+mod occurrence;
 mod progress;
 
 use std::sync::Arc;
