Bound the times of a queue where a job's objective is computed

Callers would see: all jobs of a shard stop, as its leader panics on each job of a queue whose `Stretch` isn't a number, is below 0 or too large, or whose allowance or policy times are near the largest duration. A submission that meets a heartbeat with the longest queue delay panics in the same way. Cause: `Duration::mul_f64`, `Duration + Duration` and `Instant + Duration` on configured and reported values. Evidence: tests/sched/odd/queue.rs before, 8 of 9 rows failed: time.rs:962 (mul_f64) for stretch NaN, -1, infinite and the largest; "overflow when adding durations" for the longest allowance and the policy's times. "priority and attempts" held. Fix: `Queue::objective`, `Policy::answer_time` and the expiry of a ticket are computed in one place, saturate and have a limit, so that what they return can be added to the present. The submission bounds the delay before it adds the jitter, not after. Not run: a test of the submission itself; the actor has no test harness.

--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -1,11 +1,18 @@
 //! Configuration of the job queues and of the services whose workers run the jobs.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytestring::ByteString;
 
 use crate::ids;
 
+/// Longest time objective of a job. Times up to it can be added to the present.
+const MAX_OBJECTIVE: Duration = Duration::from_hours(100 * 365 * 24);
+/// Longest time that an answer of the policy service is waited for.
+const MAX_ANSWER_TIME: Duration = Duration::from_mins(1);
+/// Longest validity of a ticket; one that is valid for longer is requested again.
+const MAX_VALIDITY: Duration = Duration::from_hours(24);
+
 /// `Queue` is a job queue; it accepts jobs of callers for the workers of one service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Queue {
@@ -65,6 +72,40 @@
     pub services: Vec<Service>,
 }
 
+impl Queue {
+    /// Returns the time within which a job of a critical path should complete.
+    #[must_use]
+    pub fn objective(&self, critical_path: Duration) -> Duration {
+        let stretched = critical_path.as_secs_f64() * self.stretch;
+        // A stretch that is no number, or below 0, says nothing.
+        let stretched = if stretched >= 0.0 {
+            Duration::try_from_secs_f64(stretched).unwrap_or(MAX_OBJECTIVE)
+        } else {
+            critical_path
+        };
+        let objective = stretched.saturating_add(self.allowance);
+        objective.min(MAX_OBJECTIVE)
+    }
+}
+
+impl Policy {
+    /// Returns the time to wait for the answer to a request that names a number of workers, behind
+    /// a number of earlier requests.
+    #[must_use]
+    pub fn answer_time(&self, workers: u32, earlier_requests: u32) -> Duration {
+        let latency_of_workers = self.latency_per_worker.saturating_mul(workers);
+        let answer_time = self.base_latency.saturating_add(latency_of_workers);
+        let answer_time = answer_time.saturating_mul(earlier_requests.saturating_add(1));
+        answer_time.min(MAX_ANSWER_TIME)
+    }
+}
+
+/// Returns the time at which a ticket expires.
+#[must_use]
+pub(crate) fn ticket_expiry(requested_at: Instant, validity: Duration) -> Instant {
+    requested_at + validity.min(MAX_VALIDITY)
+}
+
 impl Config {
     /// Creates a configuration; the queues may be given in any order.
     #[must_use]
--- a/crates/core/src/sched/advice.rs
+++ b/crates/core/src/sched/advice.rs
@@ -6,6 +6,7 @@
 use super::scheduler::Scheduler;
 use super::worker::Resources;
 use crate::ids;
+use crate::queue::ticket_expiry;
 
 /// Maximum number of workers in one request; the answer takes longer with each worker.
 const MAX_WORKERS_PER_REQUEST: usize = 30;
@@ -68,16 +69,15 @@
         if workers.is_empty() {
             return false;
         }
-        let count = u32::try_from(workers.len()).unwrap_or(u32::MAX);
-        let answer_latency =
-            policy_service.base_latency + policy_service.latency_per_worker * count;
+        let count = to_u32(workers.len());
+        let earlier_requests = to_u32(self.advice_in_flight);
         let (occurrence, step_index) = (graph.stages[stage].occurrence, graph.stages[stage].step);
         actions.push(Action::RequestAdvice(Query {
             job: job.clone(),
             occurrence,
             step: step_index,
             workers: workers.into_iter().map(|(.., worker)| worker).collect(),
-            timeout: answer_latency * (to_u32(self.advice_in_flight) + 1) + ANSWER_SLACK,
+            timeout: policy_service.answer_time(count, earlier_requests) + ANSWER_SLACK,
         }));
         self.advice_in_flight += 1;
         if let Some(graph) = self.jobs.get_mut(job) {
@@ -102,7 +102,9 @@
             |stage: &&mut super::graph::Stage| stage.occurrence == occurrence && stage.step == step;
         if let Some(stage) = graph.stages.iter_mut().find(matches) {
             stage.advice = match answer {
-                Some((tickets, validity)) => Advice::Granted(tickets, sent_at + validity),
+                Some((tickets, validity)) => {
+                    Advice::Granted(tickets, ticket_expiry(sent_at, validity))
+                }
                 None => Advice::NotRequested,
             };
         }
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -125,10 +125,8 @@
             return;
         }
         let queue = self.config.queue(&job.queue);
-        let (stretch, allowance) = queue.map_or((2.0, Duration::ZERO), |queue| {
-            (queue.stretch, queue.allowance)
-        });
-        let objective = job.critical_path().mul_f64(stretch) + allowance;
+        let critical_path = job.critical_path();
+        let objective = queue.map_or(critical_path * 2, |queue| queue.objective(critical_path));
         let age = Duration::from_millis(self.unix_ms.saturating_sub(job.accepted_at_ms))
             .min(MAX_ACCEPTANCE_AGE);
         let accepted_at = now.checked_sub(age).unwrap_or(now);
--- a/crates/core/tests/sched/odd/mod.rs
+++ b/crates/core/tests/sched/odd/mod.rs
@@ -4,6 +4,7 @@
 mod job;
 mod occurrence;
 mod progress;
+mod queue;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -113,12 +113,15 @@
         }
         let delay = self.start_delay(queue)?;
         let critical_path = job.critical_path();
-        let slack =
-            (critical_path.mul_f64(queue.stretch) + queue.allowance).saturating_sub(critical_path);
+        let slack = queue.objective(critical_path).saturating_sub(critical_path);
         let late = delay.checked_sub(slack).filter(|late| !late.is_zero())?;
         // Callers that all retry at the same time would meet the same backlog; the jitter spreads them.
         let jitter = rand::random_range(1.0..1.5);
-        Some(late.mul_f64(jitter).min(MAX_RETRY_DELAY))
+        Some(
+            late.min(MAX_RETRY_DELAY)
+                .mul_f64(jitter)
+                .min(MAX_RETRY_DELAY),
+        )
     }
 
     fn persist(&self, record: Record, deadline: Instant) -> ResponseActFuture<Self, Answer> {
