Check the numbers in answers of workers

Callers would see: after one answer with a number that is too large, either all jobs of the shard stop (the leader panics, in a release build its leases wrap), or the worker's later answers and exits are ignored for good, so that its tasks never end. Cause: clocks, times of start, runs and numbers of exits went unchecked into sums and maxima, which nothing lowers again. Fix: an answer with times out of range counts as none, a row with such a run or number is skipped and logged beside its neighbours, and sums with what remains saturate.

--- a/crates/core/src/sched/command.rs
+++ b/crates/core/src/sched/command.rs
@@ -1,5 +1,6 @@
 use std::time::{Duration, Instant};
 
+use super::check::MAX_NUMBER;
 use super::event::{Action, Answer, Call, Command};
 use super::graph::Advice;
 use super::poll::log_run;
@@ -32,7 +33,7 @@
         let Some(worker) = self.workers.get_mut(&call.worker) else {
             return;
         };
-        if let Some(clock_ms) = clock_ms
+        if let Some(clock_ms) = clock_ms.filter(|clock_ms| *clock_ms <= MAX_NUMBER)
             && worker
                 .runs
                 .get(&call.task)
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -245,7 +245,10 @@
 
     /// Returns the number of the next run of a task in a term.
     pub(super) fn next_run(&self, term: ids::Term, stage: usize, index: usize) -> ids::Run {
-        let term_base = (term - 1) * RUNS_PER_TERM;
-        self.stages[stage].tasks[index].run.max(term_base) + 1
+        let term_base = term.saturating_sub(1).saturating_mul(RUNS_PER_TERM);
+        self.stages[stage].tasks[index]
+            .run
+            .max(term_base)
+            .saturating_add(1)
     }
 }
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -132,7 +132,7 @@
         let accepted_at = now.checked_sub(age).unwrap_or(now);
         let mut graph = Graph::new(job.clone(), progress, is_canceled, accepted_at, objective);
         // No older leader could act on a record that follows the claim of this term.
-        graph.predates_term = offset < self.term - 1;
+        graph.predates_term = offset.saturating_add(1) < self.term;
         graph.ended_at = graph.is_over().then_some(now);
         if !graph.is_over() {
             let service = self.service_of(&graph);
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -7,6 +7,7 @@
 //! term. Exits are recorded in the log before they are acknowledged to the worker.
 
 mod advice;
+mod check;
 mod command;
 mod drain;
 mod event;
--- a/crates/core/src/sched/pace.rs
+++ b/crates/core/src/sched/pace.rs
@@ -33,7 +33,9 @@
             .runs
             .values()
             .filter(has_priority)
-            .filter_map(|run| Some(run.measurement * 100 / run.latency_target_ms?.max(1)))
+            .filter_map(|run| {
+                Some(run.measurement.saturating_mul(100) / run.latency_target_ms?.max(1))
+            })
             .max();
         let max_share_percent = max_share_percent.unwrap_or(0);
         if max_share_percent >= HEADROOM_PERCENT {
--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -89,7 +89,7 @@
         };
         worker.poll_state = Polling::Scheduled;
         let delay = match answer {
-            Ok(inventory) => {
+            Ok(inventory) if inventory.is_valid() => {
                 worker.missed_polls = 0;
                 worker.expired_at = None;
                 if inventory.started_at_ms < worker.report.started_at_ms {
@@ -104,7 +104,8 @@
                 actions.push(Action::Fenced);
                 return;
             }
-            Err(_) => {
+            // An answer without usable times renews nothing, like none.
+            Ok(_) | Err(_) => {
                 worker.missed_polls += 1;
                 (RETRY_DELAY * worker.missed_polls).min(MAX_RETRY_DELAY)
             }
@@ -132,7 +133,9 @@
         worker.record_clock(inventory.clock_ms, now);
         if worker.clock_unknown_since.take().is_some() {
             let max_lease = as_millis(self.options.max_lease);
-            worker.lease_expiry_ms = worker.lease_expiry_ms.max(inventory.clock_ms + max_lease);
+            worker.lease_expiry_ms = worker
+                .lease_expiry_ms
+                .max(inventory.clock_ms.saturating_add(max_lease));
         }
         worker.acknowledged_through = worker.acknowledged_through.max(worker.sent_acknowledgement);
         worker.answered_at = Some(now);
@@ -141,9 +144,17 @@
             self.needs_placement = true;
         }
         for exit in &inventory.exits {
+            if !exit.is_valid() {
+                actions.push(log_run("odd exit skipped", &exit.task, exit.run, id));
+                continue;
+            }
             self.handle_exit(now, id, exit, actions);
         }
         for status in &inventory.running {
+            if !status.is_valid() {
+                actions.push(log_run("odd run skipped", &status.task, status.run, id));
+                continue;
+            }
             let known = self
                 .workers
                 .get_mut(id)
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -204,7 +204,9 @@
     pub(super) fn extend_lease(&mut self, now: Instant) -> Option<u64> {
         let (clock, at) = self.clock?;
         let elapsed = u64::try_from(now.saturating_duration_since(at).as_millis());
-        let lease_expiry_ms = clock + elapsed.unwrap_or(0) + LEASE_MS;
+        let lease_expiry_ms = clock
+            .saturating_add(elapsed.unwrap_or(0))
+            .saturating_add(LEASE_MS);
         self.lease_expiry_ms = self.lease_expiry_ms.max(lease_expiry_ms);
         Some(lease_expiry_ms)
     }
@@ -224,7 +226,7 @@
         let elapsed = now.saturating_duration_since(at).as_millis();
         let elapsed = u64::try_from(elapsed).unwrap_or(u64::MAX);
         let min_elapsed = elapsed - elapsed / u64::from(MAX_CLOCK_LAG_DIVISOR);
-        clock + min_elapsed > self.lease_expiry_ms + CLOCK_SLACK_MS
+        clock.saturating_add(min_elapsed) > self.lease_expiry_ms.saturating_add(CLOCK_SLACK_MS)
     }
 
     /// Returns the resources that its runs reserve.
--- a/crates/core/tests/sched/odd/mod.rs
+++ b/crates/core/tests/sched/odd/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs, progress, configurations and answers of workers with odd values. Each must leave the other
 //! jobs and workers of the shard unaffected.
 
+mod answer;
 mod job;
 mod occurrence;
 mod progress;
