Ignore entries of workers with values out of range

Callers would see: tasks placed beyond the resources of a worker (LIMIT), or a worker whose true entries and answers are ignored for good, after one entry in the worker list with a capacity or a time of start that is too large. Cause: the scheduler believed each entry; a time of start only rises. Evidence: tests/sched/odd/report.rs before, both rows failed: capacity, "w0 starts without free resources" for 4 tasks; time of start, the job has no outcome 6 s later. With two workers the second row passed, as the other worker did all the work. Fix: `Report::is_valid` checks the port, the time of start and the capacity; the scheduler keeps the entry that it knows when a later one is odd. Readers of the list can use the same check to log and count.

--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -68,6 +68,9 @@
     }
 
     fn handle_listed(&mut self, now: Instant, report: Report, actions: &mut Vec<Action>) {
+        if !report.is_valid() {
+            return;
+        }
         self.needs_placement = true;
         let id = report.worker.clone();
         let Some(worker) = self.workers.get_mut(&id) else {
--- a/crates/core/tests/sched/odd/mod.rs
+++ b/crates/core/tests/sched/odd/mod.rs
@@ -6,6 +6,7 @@
 mod occurrence;
 mod progress;
 mod queue;
+mod report;
 
 use std::sync::Arc;
 use std::time::Duration;
