--- a/crates/core/tests/term/main.rs
+++ b/crates/core/tests/term/main.rs
@@ -193,3 +193,25 @@
     fixture.read_heartbeat(10, heartbeat(0, "third", 1, false));
     assert!(!fixture.election.is_leader_resigning());
 }
+
+// Guards against a shard that no process can lead any more, after one heartbeat with a term that no
+// claim has reached.
+#[test_case(u64::MAX, 9; "largest term")]
+#[test_case(1_000, 9; "term above the offset")]
+#[test_case(0, u64::MAX; "claim at the largest offset")]
+fn verify_odd_heartbeat_does_not_end_the_elections(term: u64, offset: u64) {
+    let mut fixture = Fixture::new(5);
+    fixture.read_heartbeat(7, heartbeat(0, "other", 1, false));
+    fixture.read_heartbeat(offset, heartbeat(term, "odd", 1, false));
+    fixture.read(10, LEADER_TIMEOUT);
+    let claims = fixture.read(10, LEADER_TIMEOUT);
+    assert!(
+        matches!(claims[..], [] | [Action::Claim { .. }]),
+        "{claims:?}"
+    );
+    let actions = fixture.read_heartbeat(10, heartbeat(0, "own", 5, false));
+    assert!(
+        matches!(actions[..], [Action::Lead { term: 11, .. }]),
+        "{actions:?}"
+    );
+}
