Bound the numbers of a wave where its hosts are planned

Operators would see: no wave and no move of a host ends any more, as the leader of the fleet panics on each start while a wave has a time limit near the largest duration or permits more hosts down than a number holds with half as many again. Evidence: tests/upkeep/odd.rs before: "overflow when multiplying duration by scalar" (time.rs:1221) for the longest time limit, wave.rs:55 "attempt to add with overflow" for the largest number of hosts; 3 of 5 rows failed. The other rows, and a wave that permits no host down beside a regular one, held and stay as guards. Fix: a time limit counts as a year at most, and the sum saturates.

--- a/crates/core/src/upkeep/wave.rs
+++ b/crates/core/src/upkeep/wave.rs
@@ -16,6 +16,8 @@
     pub max_down: usize,
 }
 
+/// Longest time limit that is planned with; a wave with a longer one is planned to end within this.
+const MAX_TIME_LIMIT: Duration = Duration::from_hours(365 * 24);
 /// Estimated time to drain and maintain one host.
 const HOST_CYCLE: Duration = Duration::from_secs(5);
 /// Share of a wave's time limit, in percent, within which it is planned to end. The rest is headroom for
@@ -48,10 +50,12 @@
     ///
     /// `remaining` is the number of hosts that were not maintained yet.
     pub(super) fn concurrency(&self, now: Instant, remaining: usize) -> usize {
-        let planned_end = self.requested_at + self.wave.time_limit * PLANNED_TIME_PERCENT / 100;
+        let time_limit = self.wave.time_limit.min(MAX_TIME_LIMIT);
+        let planned_end = self.requested_at + time_limit * PLANNED_TIME_PERCENT / 100;
         let time_left = planned_end.saturating_duration_since(now).max(HOST_CYCLE);
         let rounds = usize::try_from(time_left.as_millis() / HOST_CYCLE.as_millis()).unwrap_or(1);
         // One host more than the time requires is drained while the others are maintained.
-        (remaining.div_ceil(rounds) + 1).min(self.wave.max_down + self.wave.max_down.div_ceil(2))
+        let max_down = self.wave.max_down;
+        (remaining.div_ceil(rounds) + 1).min(max_down.saturating_add(max_down.div_ceil(2)))
     }
 }
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -1,6 +1,7 @@
 //! The planner of maintenance and moves, with a simulated host service.
 
 mod fixture;
+mod odd;
 
 use std::time::Duration;
 
