Bound sums of reported loads, and move no host to an unknown pool

Operators would see: no wave and no move of a host ends any more, as the leader of the fleet panics on each heartbeat with a load near the largest number (a release build moves hosts by sums that have wrapped); or hosts that leave their pools for one that doesn't exist, while a heartbeat reports a load for it. Cause: sums and products of reported loads; a service counted as known once a load was reported for it. Fix: the sums saturate, and the hosts of a service are sized by its load only if the configuration has the service. Left: after such a load, its size counts as the highest peak seen until the leader changes, so growth is forecast more carefully.

--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -217,7 +217,9 @@
     /// Returns the host count of a pool and the hosts that its service requires and desires.
     fn sizing(&self, service: &ids::Service) -> Sizing {
         let host_count = self.host_count(service);
-        let Some(load) = self.loads.get(service) else {
+        // A pool that the configuration doesn't have gets no hosts, whatever load is reported for it.
+        let is_known = self.config.service(service).is_some();
+        let Some(load) = self.loads.get(service).filter(|_| is_known) else {
             return Sizing {
                 service: service.clone(),
                 host_count,
@@ -237,8 +239,10 @@
         let reserved = required.max(min_hosts + PEAK_RESERVE_HOSTS).min(fleet_size);
         let growth = hosts_for(self.balance.demand.growth(service));
         let growth = growth.min(fleet_size * MAX_GROWTH_PERCENT / 100);
-        let headroom = short_running_demand(load) * HEADROOM_PERCENT / 100;
-        let desired = hosts_for(load.long_running + short_running_demand(load) + headroom) + growth;
+        let demand = short_running_demand(load);
+        let headroom = demand.saturating_mul(HEADROOM_PERCENT) / 100;
+        let cpu = load.long_running.saturating_add(demand);
+        let desired = hosts_for(cpu.saturating_add(headroom)).min(fleet_size) + growth;
         Sizing {
             service: service.clone(),
             host_count,
@@ -333,5 +337,7 @@
 /// Returns the processor time that the current and the waiting work of a service requires, in millicores.
 fn current_demand(load: &Load) -> u64 {
     let backlog_target_ms = u64::try_from(BACKLOG_TARGET.as_millis()).unwrap_or(1);
-    load.long_running + load.used + load.backlog * 1_000 / backlog_target_ms
+    let backlog = load.backlog.saturating_mul(1_000) / backlog_target_ms;
+    let running = load.long_running.saturating_add(load.used);
+    running.saturating_add(backlog)
 }
--- a/crates/core/src/upkeep/demand.rs
+++ b/crates/core/src/upkeep/demand.rs
@@ -16,7 +16,7 @@
 const FORECAST_TIME: Duration = Duration::from_millis(2_200);
 /// Rise of demand within the growth window, in percent of the highest demand seen, that counts as the start
 /// of a peak.
-const PEAK_START_PERCENT: u64 = 8;
+const PEAK_START_PERCENT: u128 = 8;
 
 /// `Demand` is the recent demand of the services.
 #[derive(Debug, Default)]
@@ -51,7 +51,7 @@
             increase * FORECAST_TIME.as_millis() / elapsed_ms.max(GROWTH_WINDOW.as_millis() / 2);
         let growth = u64::try_from(growth).unwrap_or(u64::MAX);
         // Once a peak has begun, demand reaches the height of earlier peaks sooner than hosts can be moved.
-        let has_peak_begun = last.saturating_sub(*first) * 100 >= self.peak * PEAK_START_PERCENT;
+        let has_peak_begun = increase * 100 >= u128::from(self.peak) * PEAK_START_PERCENT;
         let rise_to_peak = if has_peak_begun {
             self.peak.saturating_sub(*last)
         } else {
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -256,7 +256,9 @@
             return 0;
         }
         self.loads.get(service).map_or(100, |load| {
-            1 + (load.used + load.long_running + load.backlog) * 100 / load.capacity.max(1)
+            let demand = load.used.saturating_add(load.long_running);
+            let demand = demand.saturating_add(load.backlog);
+            (demand.saturating_mul(100) / load.capacity.max(1)).saturating_add(1)
         })
     }
 
