Reject records about jobs that no leader can hold

Callers would see: all jobs of a shard stop, in each process in turn and after each restart, while the log holds a record of an accepted job with 4 * 10^9 tasks, no tasks, steps that wait for themselves or resources near the largest number; or a job under an id that nobody submitted (MIXED), if the record's key and its job differ. Names in keys could be empty. Held, kept as guards: 100000 nested arrays, maps, tags and fields (also in an unknown field), declared lengths of 2^60, text that isn't UTF-8, numbers above 64 bits, negative, fractions, NaN, other types, missing fields: each is an error, without a large allocation. ciborium's limit of 256 levels ends the nesting. Fix: `decode` compares the ids and calls `Job::check`, the check that submissions get. The stub of a completed job stays readable.

--- a/crates/wire/src/journal/mod.rs
+++ b/crates/wire/src/journal/mod.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use bytestring::ByteString;
+use persimmongate_core::ids;
+use persimmongate_core::job::Job;
 use persimmongate_core::journal::{Key, Record};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -44,6 +46,9 @@
     let (kind, name) = key
         .split_once('/')
         .ok_or_else(|| malformed_error("journal key", &"no kind"))?;
+    if name.is_empty() {
+        return Err(malformed_error("journal key", &"no name"));
+    }
     let id = ByteString::from(name);
     Ok(match kind {
         "a" => Key::Accepted(id),
@@ -81,7 +86,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the key or the value is malformed.
+/// Returns an error when the key or the value is malformed, when the job is not the one that the key
+/// names, or when no leader can hold the job.
 pub fn decode(key: &str, value: Option<&Bytes>) -> Result<Record> {
     let key = decode_key(key)?;
     let Some(value) = value else {
@@ -91,7 +97,7 @@
         });
     };
     Ok(match key {
-        Key::Accepted(_) => Record::Accepted(decode_value(value)?),
+        Key::Accepted(id) => Record::Accepted(Box::new(decode_job(&id, value)?)),
         Key::Heartbeat => Record::Heartbeat(decode_value(value)?),
         Key::Canceled(job) => Record::Canceled(job),
         Key::Drain(worker) => Record::Drain(worker, Some(decode_value(value)?)),
@@ -101,6 +107,22 @@
     })
 }
 
+fn decode_job(id: &ids::Job, value: &Bytes) -> Result<Job> {
+    let job: Job = decode_value(value)?;
+    if job.id != *id {
+        return Err(malformed_error(
+            "journal record",
+            &"the key names another job",
+        ));
+    }
+    // A completed job has no steps that a leader would run.
+    if !job.is_stub() {
+        job.check()
+            .map_err(|error| malformed_error("journal record", &error))?;
+    }
+    Ok(job)
+}
+
 fn encode_value<T: Serialize>(value: &T) -> Result<Bytes> {
     let mut buffer = Vec::new();
     ciborium::into_writer(value, &mut buffer)
--- a/crates/wire/tests/journal/main.rs
+++ b/crates/wire/tests/journal/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the encoding of the records about jobs.
 
+mod odd;
+
 use std::time::Duration;
 
 use bytes::Bytes;
