--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -8,6 +8,7 @@
 
 mod advice;
 mod belief;
+mod check;
 mod command;
 mod drain;
 mod event;
