Count the records about jobs that are skipped

Cause: the two readers of the partitions (shards, fleet) decoded and logged on their own, and counted nothing. Fix: one `Reader` for both decodes an entry, and logs and counts each that it skips as `entries_skipped` with `list` = `jobs`.

--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -113,6 +113,16 @@
     pub term: ids::Term,
 }
 
+impl Heartbeat {
+    /// Checks if a record at this offset may have the term: that of a claim is its offset plus 1.
+    #[must_use]
+    pub fn is_valid_at(&self, offset: ids::Offset) -> bool {
+        offset
+            .checked_add(1)
+            .is_some_and(|claimable| self.term <= claimable)
+    }
+}
+
 impl Record {
     /// Returns the key of the record.
     #[must_use]
--- a/crates/core/src/term/mod.rs
+++ b/crates/core/src/term/mod.rs
@@ -192,12 +192,12 @@
         actions: &mut Vec<Action>,
     ) {
         let is_claim = heartbeat.term == 0;
-        let Some(claimable) = offset.checked_add(1) else {
+        // No claim could follow a heartbeat with a term above those of all claims.
+        if !heartbeat.is_valid_at(offset) {
             return;
-        };
-        let term = if is_claim { claimable } else { heartbeat.term };
-        // No claim has a term above its offset, so no claim could follow such a heartbeat.
-        if term < self.term || term > claimable {
+        }
+        let term = if is_claim { offset + 1 } else { heartbeat.term };
+        if term < self.term {
             return;
         }
         let has_predecessor = self.term > 0;
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -11,6 +11,7 @@
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, MessageResult,
     Recipient, ResponseActFuture, WrapFuture,
 };
+use opentelemetry::metrics::Counter;
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Drain, Load, Record};
 use persimmongate_core::map::Map;
@@ -20,7 +21,6 @@
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
 use persimmongate_node::supervisor::Guard;
-use persimmongate_wire::journal;
 use rand::random;
 use serde_json::json;
 use slog::{Logger, warn};
@@ -29,6 +29,7 @@
 use crate::leadership::{MAX_READ_WAIT, read_wait, resign};
 use crate::operator::{Configured, Requested};
 use crate::platform::{Partition, Platform};
+use crate::reader::Reader;
 use crate::roster::{Roster, Update};
 use crate::shard::{Observation, Resign, Stop, Transition};
 use leadership::Leadership;
@@ -58,6 +59,8 @@
     pub roster: Addr<Roster<P, C>>,
     /// Receives a message when this process starts or stops leading the fleet.
     pub leadership_observer: Recipient<Transition>,
+    /// Counts the records that are skipped, by the label `list`.
+    pub skipped_entries: Counter<u64>,
     /// Logger of the process.
     pub logger: Logger,
 }
@@ -65,6 +68,7 @@
 /// `Fleet` follows the records about hosts and plans for the fleet while it is elected leader.
 pub struct Fleet<P: Platform, C: Copy + Send + Unpin + 'static> {
     setup: Setup<P, C>,
+    reader: Reader,
     config: Option<Arc<Config>>,
     /// Requested waves, each with the time at which this process read it.
     waves: Vec<(Wave, Instant)>,
@@ -81,8 +85,10 @@
     pub fn new(setup: Setup<P, C>, guard: Guard<C>) -> Self {
         let election_timeout = term::election_timeout(setup.cpu_millicores, 0, random());
         let election = Election::new(setup.node.clone(), random(), election_timeout);
+        let reader = Reader::new(SHARD, setup.skipped_entries.clone(), setup.logger.clone());
         Self {
             setup,
+            reader,
             config: None,
             waves: Vec::new(),
             maintained: Map::default(),
@@ -111,20 +117,16 @@
 
     fn apply(&mut self, cursor: &Cursor, batch: &Batch, ctx: &mut Context<Self>) {
         for entry in &batch.records {
-            match journal::decode(&entry.key, entry.value.as_ref()) {
-                Ok(Record::Heartbeat(heartbeat)) => {
+            match self.reader.read(entry) {
+                Some(Record::Heartbeat(heartbeat)) => {
                     let offset = entry.offset;
                     self.step_election(term::Event::Heartbeat { offset, heartbeat }, ctx);
                 }
-                Ok(Record::Wave(wave, hosts)) => {
+                Some(Record::Wave(wave, hosts)) => {
                     self.maintained.insert(wave, hosts.clone());
                     self.step_planner(Event::MaintainedHosts(wave, hosts), ctx);
                 }
-                Ok(_) => {}
-                Err(error) => {
-                    warn!(self.setup.logger, "record skipped"; "offset" => entry.offset,
-                        "error" => %error);
-                }
+                Some(_) | None => {}
             }
         }
         if cursor.has_reached(batch.end_offset) {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 mod leadership;
 pub mod operator;
 pub mod platform;
+mod reader;
 pub mod roster;
 pub mod router;
 pub mod shard;
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -12,6 +12,7 @@
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, Recipient,
     WrapFuture,
 };
+use opentelemetry::metrics::Counter;
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Drain, Index, Load, Record};
 use persimmongate_core::map::Map;
@@ -21,7 +22,6 @@
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
 use persimmongate_node::supervisor::Guard;
-use persimmongate_wire::journal;
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 
@@ -29,6 +29,7 @@
 use crate::leadership::{MAX_READ_WAIT, read_pause, read_wait};
 use crate::operator::Configured;
 use crate::platform::{Partition, Platform};
+use crate::reader::Reader;
 use crate::roster::Roster;
 use leadership::Leadership;
 
@@ -105,6 +106,8 @@
     pub leadership_observer: Recipient<Transition>,
     /// Receives what the log records about drains and loads.
     pub observer: Recipient<Observation>,
+    /// Counts the records that are skipped, by the label `list`.
+    pub skipped_entries: Counter<u64>,
     /// Logger of the process.
     pub logger: Logger,
 }
@@ -112,6 +115,7 @@
 /// `Shard` owns the replayed state of a shard's jobs and leads the shard while it is elected.
 pub struct Shard<P: Platform, C: Copy + Send + Unpin + 'static> {
     setup: Setup<P, C>,
+    reader: Reader,
     config: Option<Arc<Config>>,
     /// Whether the partition is read, which starts once a service belongs to the shard.
     is_active: bool,
@@ -148,8 +152,14 @@
     pub fn new(setup: Setup<P, C>, guard: Guard<C>) -> Self {
         let election_timeout = term::election_timeout(setup.cpu_millicores, 0, rand::random());
         let election = Election::new(setup.node.clone(), rand::random(), election_timeout);
+        let reader = Reader::new(
+            setup.shard,
+            setup.skipped_entries.clone(),
+            setup.logger.clone(),
+        );
         Self {
             setup,
+            reader,
             config: None,
             is_active: false,
             job_index: Index::default(),
@@ -235,12 +245,8 @@
             self.drains.clear();
         }
         for entry in &batch.records {
-            match journal::decode(&entry.key, entry.value.as_ref()) {
-                Ok(record) => self.apply_record(entry.offset, &record, ctx),
-                Err(error) => {
-                    warn!(self.setup.logger, "record skipped"; "shard" => self.setup.shard,
-                        "offset" => entry.offset, "error" => %error);
-                }
+            if let Some(record) = self.reader.read(entry) {
+                self.apply_record(entry.offset, &record, ctx);
             }
         }
         if !cursor.has_reached(batch.end_offset) {
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -1,6 +1,6 @@
 //! Counters and histograms, exported for Prometheus.
 
-use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -38,6 +38,12 @@
         self.provider.meter(SCOPE)
     }
 
+    /// Returns the counter of entries that readers skip, by the label `list`.
+    #[must_use]
+    pub fn skipped_entries(&self) -> Counter<u64> {
+        self.meter().u64_counter("entries_skipped").build()
+    }
+
     /// Renders all instruments in the Prometheus text format.
     ///
     /// # Errors
