Confirm the term before a leader takes a lease or its recovery for over

What callers would see: a task runs twice.

Cause: a leader that can't read the log acts for five seconds, in which another process may claim the shard. If a worker doesn't answer the old leader but does answer the new one, the new leader extends its lease. The old leader took the lease that it had granted for expired by its own clock alone, or ended its wait for unanswered workers at the deadline, and started the task again on a worker that the new leader hadn't reached.

Fix: both ends are judged at the time of the latest read that showed no newer term. Until then no newer leader existed that could have extended a lease, and one that claims later waits until this leader has stopped. A restart waits for the next confirmation, at most half a second where the log answers.

The simulated workers now end the waiting poll of an older leader, and lose answers on cut links.

--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -114,7 +114,7 @@
 
     /// Removes unlisted workers on which no task can run any more.
     fn drop_unlisted(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let is_recovery_over = now >= self.recovery_deadline();
+        let is_recovery_over = self.is_past_deadline();
         self.workers.retain(|_, worker| {
             let is_kept = worker.is_listed
                 || !worker.runs.is_empty()
--- a/crates/core/src/sched/idle.rs
+++ b/crates/core/src/sched/idle.rs
@@ -108,7 +108,7 @@
                 Advice::Granted(..) | Advice::Requested | Advice::NotRequested => None,
             },
             hosted_unknown: self.hosted_unknown_count(),
-            waits_for_recovery: graph.predates_term && !self.has_recovered(now),
+            waits_for_recovery: graph.predates_term && !self.has_recovered(),
             may_act: self.may_act(now),
             service,
         }
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -85,7 +85,7 @@
             return previous;
         }
         self.ranked_at = now;
-        let has_recovered = self.has_recovered(now);
+        let has_recovered = self.has_recovered();
         let mut ranked_jobs: Vec<(Rank, ids::Job)> = Vec::with_capacity(previous.len());
         for graph in self.jobs.values() {
             let has_idle_tasks = graph.stages.iter().any(|stage| stage.idle_count > 0);
--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -288,9 +288,11 @@
     /// Releases the runs of unreachable workers whose lease has certainly expired.
     pub(super) fn release_expired(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let max_lease = self.options.max_lease;
+        // A newer leader may have extended the leases since the term was last confirmed.
+        let confirmed_at = self.term_confirmed_at;
         let mut lost_runs = Vec::new();
         for (id, worker) in &mut self.workers {
-            if worker.missed_polls == 0 || !worker.has_lease_expired(now, max_lease) {
+            if worker.missed_polls == 0 || !worker.has_lease_expired(confirmed_at, max_lease) {
                 continue;
             }
             let expired_at = *worker.expired_at.get_or_insert(now);
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -126,11 +126,11 @@
 
     /// Writes a log line when recovery ends or begins again.
     pub(super) fn log_recovery(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let is_past_deadline = now >= self.recovery.deadline;
+        let is_past_deadline = self.is_past_deadline();
         if self.recovery.has_ended && is_past_deadline {
             return;
         }
-        let has_ended = self.has_recovered(now);
+        let has_ended = self.has_recovered();
         if has_ended == self.recovery.has_ended {
             return;
         }
@@ -149,14 +149,16 @@
         }));
     }
 
-    /// Returns the time after which no unanswered worker can run a task of an older term.
-    pub(super) fn recovery_deadline(&self) -> Instant {
-        self.recovery.deadline
+    /// Checks if no unanswered worker can run a task of another term.
+    ///
+    /// The term must have been confirmed since: a newer leader may have adopted tasks before.
+    pub(super) fn is_past_deadline(&self) -> bool {
+        self.term_confirmed_at >= self.recovery.deadline
     }
 
     /// Checks if every run of an older term that may still exist is known.
-    pub(super) fn has_recovered(&self, now: Instant) -> bool {
-        now >= self.recovery.deadline
+    pub(super) fn has_recovered(&self) -> bool {
+        self.is_past_deadline()
             || (self.recovery.unlisted_workers.is_some() && self.unconfirmed_count() == 0)
     }
 }
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler against simulated workers that follow the platform's specification.
 
 mod line;
+mod recovery;
 mod soak;
 mod worker;
 mod world;
--- /dev/null
+++ b/crates/core/tests/sched/recovery.rs
@@ -0,0 +1,198 @@
+//! Leaders that overlap, and workers that only some of them reach.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use test_case::test_case;
+
+use crate::world::{World, long_running, step};
+
+/// Interval of the host list.
+const HOST_POLL_INTERVAL: Duration = Duration::from_millis(700);
+/// Workers of a randomised simulation.
+const WORKERS: usize = 8;
+/// Workers that end for good in a simulation, at most.
+const MAX_ENDED: usize = 4;
+/// Number of seeds of the randomised simulations.
+const SEEDS: u64 = 40;
+/// Rounds of a simulation, each of 200 ms.
+const ROUNDS: usize = 400;
+
+/// Runs the world for a time in which host lists arrive at the leader.
+fn run_with_hosts(world: &mut World, time: Duration) {
+    let end = world.now + time;
+    while world.now < end {
+        world.run(HOST_POLL_INTERVAL);
+        world.report_hosts();
+    }
+}
+
+/// Cuts a leader from all workers but one.
+fn cut_others(world: &mut World, leader: usize, worker: &str) {
+    let others = world.workers.keys().filter(|name| *name != worker);
+    let cuts: Vec<_> = others.map(|name| (leader, name.clone())).collect();
+    world.cuts.extend(cuts);
+}
+
+// A worker that the new leader can't reach may run tasks that the old one starts until its last lease is
+// over: the host list must not shorten the wait for it, whether the worker list contains it or not.
+#[test_case(true)]
+#[test_case(false)]
+fn verify_new_leader_waits_for_a_worker_that_only_the_old_one_reaches(is_listed: bool) {
+    let mut world = World::new(2, 1);
+    world.submit("job", vec![long_running(1, 0)]);
+    world.run(Duration::from_secs(2));
+    let worker = world.workers_running("job")[0].clone();
+    // The old leader doesn't see the claim and extends the lease for as long as it may.
+    world.leaders[0].is_log_reachable = false;
+    world.cuts.insert((1, worker.clone()));
+    world.elect_leader();
+    world.set_listed(&worker, is_listed);
+    run_with_hosts(&mut world, Duration::from_secs(5));
+    assert_eq!(world.workers_running("job"), [worker]);
+    run_with_hosts(&mut world, Duration::from_secs(5));
+    assert_eq!(world.workers_running("job").len(), 1);
+    assert_eq!(world.violations_found(), Vec::<String>::new());
+}
+
+// A task ran twice: an old leader that had not seen a newer claim, and that a worker did not answer, took the
+// lease of that worker for expired while the new leader extended it.
+#[test]
+fn verify_old_leader_does_not_restart_a_task_whose_lease_a_newer_one_extends() {
+    let mut world = World::new(3, 1);
+    world.submit("job", vec![long_running(1, 0)]);
+    world.run(Duration::from_secs(2));
+    let worker = world.workers_running("job")[0].clone();
+    world.leaders[0].is_log_reachable = false;
+    world.cuts.insert((0, worker.clone()));
+    cut_others(&mut world, 1, &worker);
+    world.elect_leader();
+    world.run(Duration::from_secs(6));
+    assert_eq!(world.workers_running("job"), [worker]);
+    assert_eq!(world.violations_found(), Vec::<String>::new());
+}
+
+// A task ran twice: a leader that had not seen a newer claim ended its wait for an unanswered worker while
+// the newer leader had adopted the task there.
+#[test]
+fn verify_deadline_of_a_deposed_leader_restarts_nothing() {
+    let mut world = World::new(3, 1);
+    world.submit("job", vec![long_running(1, 0)]);
+    world.run(Duration::from_secs(2));
+    let worker = world.workers_running("job")[0].clone();
+    // The first leader extends the lease until the third one takes over.
+    world.leaders[0].is_log_reachable = false;
+    world.cuts.insert((1, worker.clone()));
+    world.elect_leader();
+    world.run(Duration::from_secs(4));
+    world.leaders[1].is_log_reachable = false;
+    cut_others(&mut world, 2, &worker);
+    world.elect_leader();
+    world.run(Duration::from_secs(6));
+    assert_eq!(world.workers_running("job"), [worker]);
+    assert_eq!(world.violations_found(), Vec::<String>::new());
+}
+
+// A host list without hosts, as where there is no host service, says nothing about the workers.
+#[test]
+fn verify_empty_host_list_ends_no_wait() {
+    let mut world = World::new(2, 1);
+    world.submit("job", vec![long_running(1, 0)]);
+    world.run(Duration::from_secs(2));
+    let worker = world.workers_running("job")[0].clone();
+    world.leaders[0].is_log_reachable = false;
+    world.cuts.insert((1, worker.clone()));
+    world.removed = world.workers.keys().cloned().collect();
+    world.elect_leader();
+    run_with_hosts(&mut world, Duration::from_secs(5));
+    assert_eq!(world.workers_running("job"), [worker]);
+    assert_eq!(world.violations_found(), Vec::<String>::new());
+}
+
+/// Simulates leaders that succeed one another while the older ones still act, workers that end for good and
+/// workers that some leaders can't reach.
+fn simulate(seed: u64) -> World {
+    let mut world = World::new(WORKERS, seed);
+    world.submit("long-running", vec![long_running(4, 1)]);
+    let mut ended: Vec<String> = Vec::new();
+    for round in 0..ROUNDS {
+        let (fault, worker) = {
+            let random = world.random();
+            (random.random_range(0..200), random.random_range(0..WORKERS))
+        };
+        let name = format!("w{worker}");
+        let leader = world.leaders.len() - 1;
+        match fault {
+            0..20 => {
+                let (count, millis) = {
+                    let random = world.random();
+                    (random.random_range(1..5), random.random_range(200..2_500))
+                };
+                world.submit(&format!("job-{round}"), vec![step(count, millis, &[])]);
+            }
+            20..22 if ended.len() < MAX_ENDED && !ended.contains(&name) => {
+                world.workers.get_mut(&name).unwrap().is_up = false;
+                match fault {
+                    20 => world.vacated.insert(name.clone()),
+                    _ => world.removed.insert(name.clone()),
+                };
+                ended.push(name);
+            }
+            22..40 => {
+                // The newest leader loses the worker, while older ones may still reach it.
+                let cut = (leader, name);
+                if !world.cuts.remove(&cut) {
+                    world.cuts.insert(cut);
+                }
+            }
+            40..46 => {
+                let is_listed = world.lapsed.remove(&name) && !ended.contains(&name);
+                if !is_listed {
+                    world.lapsed.insert(name.clone());
+                }
+                world.set_listed(&name, is_listed);
+            }
+            46..50 => {
+                // The old leader does not see the claim, and some workers are cut from the new one.
+                world.leaders[leader].is_log_reachable = fault == 46;
+                for worker in 0..WORKERS {
+                    if world.random().random_range(0..3) == 0 {
+                        world.cuts.insert((leader + 1, format!("w{worker}")));
+                    }
+                }
+                world.elect_leader();
+            }
+            _ => {}
+        }
+        world.run(Duration::from_millis(200));
+        if round % 4 == 0 {
+            world.report_hosts();
+        }
+    }
+    world.cuts.clear();
+    world.lapsed.clear();
+    world.elect_leader();
+    run_with_hosts(&mut world, Duration::from_secs(40));
+    world
+}
+
+// A wait that the host list shortens must not let a task run twice, whichever leader reaches which worker.
+#[test]
+fn verify_no_task_runs_twice_while_workers_end_and_leaders_overlap() {
+    for seed in 0..SEEDS {
+        let world = simulate(seed);
+        assert_eq!(
+            world.violations_found(),
+            Vec::<String>::new(),
+            "seed {seed}"
+        );
+        let is_over = |id: &str| id == "long-running" || world.outcome(id).is_some();
+        let open: Vec<_> = world.jobs.keys().filter(|id| !is_over(id)).collect();
+        assert!(open.is_empty(), "seed {seed}: {open:?} have not ended");
+        assert_eq!(
+            world.workers_running("long-running").len(),
+            4,
+            "seed {seed}"
+        );
+    }
+}
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -101,6 +101,14 @@
     pub(crate) permitted_workers: Option<Vec<ids::Worker>>,
     /// Log lines about workers, recovery and idle tasks.
     pub(crate) lines: Vec<Action>,
+    /// Workers that the worker list does not contain when a leader takes over.
+    pub(crate) lapsed: BTreeSet<String>,
+    /// Workers whose host is listed without them.
+    pub(crate) vacated: BTreeSet<String>,
+    /// Workers whose host is no longer listed.
+    pub(crate) removed: BTreeSet<String>,
+    /// Leaders that can't reach a worker that others reach.
+    pub(crate) cuts: BTreeSet<(usize, String)>,
     pub(crate) start_count: u64,
     pub(crate) violations: Vec<String>,
 }
@@ -129,6 +137,10 @@
             stub_count: 0,
             permitted_workers: None,
             lines: Vec::new(),
+            lapsed: BTreeSet::new(),
+            vacated: BTreeSet::new(),
+            removed: BTreeSet::new(),
+            cuts: BTreeSet::new(),
             start_count: 0,
             violations: Vec::new(),
         };
@@ -177,16 +189,33 @@
             };
             self.deliver(leader, event);
         }
-        let reports: Vec<Report> = self.workers.values().map(|w| w.report.clone()).collect();
-        let host = |report: &Report| (report.host.clone().unwrap(), Some(report.worker.clone()));
-        let hosts = reports.iter().map(host).collect();
+        let listed = self
+            .workers
+            .iter()
+            .filter(|(name, _)| !self.lapsed.contains(*name));
+        let reports: Vec<Report> = listed.map(|(_, w)| w.report.clone()).collect();
         for report in reports {
             self.deliver(leader, Event::Listed(report));
         }
-        self.deliver(leader, Event::Hosts(hosts));
+        self.report_hosts();
         leader
     }
 
+    /// Reports the host list to the newest leader.
+    pub(crate) fn report_hosts(&mut self) {
+        let listed = self
+            .workers
+            .iter()
+            .filter(|(name, _)| !self.removed.contains(*name));
+        let hosts = listed.map(|(name, worker)| {
+            let id = worker.report.worker.clone();
+            let hosted = (!self.vacated.contains(name)).then_some(id);
+            (worker.report.host.clone().unwrap(), hosted)
+        });
+        let hosts = hosts.collect();
+        self.deliver(self.leaders.len() - 1, Event::Hosts(hosts));
+    }
+
     pub(crate) fn random(&mut self) -> &mut impl Rng {
         &mut self.rng
     }
@@ -429,8 +458,9 @@
     /// Lets the worker that an action is addressed to carry it out, unless a fault prevents this.
     fn receive_action(&mut self, leader: usize, action: Action) {
         let name = addressee(&action);
+        let is_cut = self.cuts.contains(&(leader, name.clone()));
         let is_answering = self.workers[&name].is_up && self.workers[&name].is_reachable;
-        if !is_answering {
+        if !is_answering || is_cut {
             self.fail_call(leader, &action, self.now);
             return;
         }
@@ -536,8 +566,19 @@
                 Activity::Deliver(leader, Box::new(event)),
             );
         } else if is_empty && !max_wait.is_zero() {
-            self.waiting_polls
+            let replaced = self
+                .waiting_polls
                 .insert(name.to_owned(), (leader, sent_at));
+            // The poll of an older leader ends without an answer.
+            if let Some((leader, sent_at)) = replaced {
+                let event = Event::Polled {
+                    worker: id,
+                    sent_at,
+                    answer: Err(Answer::Unknown),
+                };
+                let at = now + max_wait + CALL_TIMEOUT;
+                self.schedule(at, Activity::Deliver(leader, Box::new(event)));
+            }
             self.schedule(
                 now + max_wait,
                 Activity::PollTimeout(name.to_owned(), leader, sent_at, started_at_ms),
@@ -557,8 +598,10 @@
         let now = self.now;
         let worker = self.workers.get_mut(name).unwrap();
         let (answer, _) = worker.poll(now, self.leaders[leader].term, 0, None);
-        let is_answering =
-            worker.is_up && worker.is_reachable && worker.report.started_at_ms == started_at_ms;
+        let is_answering = worker.is_up
+            && worker.is_reachable
+            && worker.report.started_at_ms == started_at_ms
+            && !self.cuts.contains(&(leader, name.to_owned()));
         let event = Event::Polled {
             worker: name.into(),
             sent_at,
