Take workers that the host list lacks for terminated in recovery

What callers saw: after an outage of the log, tasks whose leases had lapsed stayed idle for the whole 8.3 s that a new leader waits for unanswered workers, with free resources.

Cause: a worker counted as terminated only if this leader had once seen it in the host list, so that a worker that has just started isn't taken for terminated. A new leader that gets the worker list of before the outage has never seen those that ended meanwhile. A host that was gone from the list was not considered at all.

Fix: a worker that doesn't answer and that three consecutive host lists lack has terminated. The third list was requested after the worker was known, as each list is requested after the one before has arrived. A worker that is only cut off, which may still run tasks, stays in the list, and the leader waits for it as before (verify_new_leader_waits_for_a_worker_that_only_the_old_one_reaches).

--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -13,6 +13,11 @@
 /// Tolerance for late timers and for clocks that run at different rates.
 const CLOCK_MARGIN: Duration = Duration::from_millis(500);
 
+/// Consecutive host lists without a worker that doesn't answer after which it has terminated. A list is
+/// requested once the one before has arrived, so the third was requested after the worker was known, even
+/// if the first was sent before and the second was already requested then.
+const LISTS_WITHOUT_TERMINATED: u32 = 3;
+
 /// `Rule` is what ends the wait for the runs of older terms.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Rule {
@@ -70,7 +75,8 @@
 impl Scheduler {
     /// Applies the host list and the workers that they run.
     ///
-    /// A worker whose host now runs another worker, or none, has terminated.
+    /// A worker whose host now runs another worker, or none, has terminated, and so has one whose host is
+    /// gone. A worker that is only cut off stays in the host list.
     pub(super) fn handle_hosts(
         &mut self,
         now: Instant,
@@ -84,18 +90,23 @@
             hosts.iter().map(|(host, worker)| (host, worker)).collect();
         let mut terminated = Vec::new();
         for (id, worker) in &mut self.workers {
-            let Some(hosted) = worker
-                .report
-                .host
-                .as_ref()
-                .and_then(|host| worker_by_host.get(host))
-            else {
+            // Without a host service the list has no hosts.
+            let Some(host) = worker.report.host.as_ref().filter(|_| !hosts.is_empty()) else {
                 continue;
             };
-            let is_hosted = hosted.as_ref() == Some(id);
+            let hosted = worker_by_host.get(host);
+            let is_hosted = hosted.is_some_and(|hosted| hosted.as_ref() == Some(id));
             worker.was_seen_on_host |= is_hosted;
+            worker.host_lists_without = if is_hosted {
+                0
+            } else {
+                worker.host_lists_without.saturating_add(1)
+            };
             // The host list may not contain a worker yet that has just started.
-            if worker.was_seen_on_host && !is_hosted && !worker.has_terminated {
+            let is_replaced = worker.was_seen_on_host && hosted.is_some() && !is_hosted;
+            let is_gone =
+                worker.missed_polls > 0 && worker.host_lists_without >= LISTS_WITHOUT_TERMINATED;
+            if (is_replaced || is_gone) && !worker.has_terminated {
                 worker.has_terminated = true;
                 actions.push(worker.log(now, Change::Terminated));
                 terminated.push((id.clone(), worker.runs.keys().cloned().collect::<Vec<_>>()));
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -97,6 +97,8 @@
     pub(super) is_listed: bool,
     /// Whether the host list has contained it.
     pub(super) was_seen_on_host: bool,
+    /// Consecutive host lists that did not contain it.
+    pub(super) host_lists_without: u32,
     /// Whether its host runs it no longer, so that it never comes back.
     pub(super) has_terminated: bool,
     /// Whether it has answered a poll under the term of this leader.
@@ -142,6 +144,7 @@
             report,
             is_listed: true,
             was_seen_on_host: false,
+            host_lists_without: 0,
             has_terminated: false,
             is_confirmed: false,
             clock: None,
--- a/crates/core/tests/sched/recovery.rs
+++ b/crates/core/tests/sched/recovery.rs
@@ -1,4 +1,4 @@
-//! Leaders that overlap, and workers that only some of them reach.
+//! How long a new leader waits for workers that don't answer.
 
 use std::time::Duration;
 
@@ -9,6 +9,10 @@
 
 /// Interval of the host list.
 const HOST_POLL_INTERVAL: Duration = Duration::from_millis(700);
+/// Time for which the lapsed task of a long-running job may stay idle under a new leader, without the
+/// longest wait for an unanswered worker.
+const MAX_IDLE: Duration = Duration::from_secs(4);
+
 /// Workers of a randomised simulation.
 const WORKERS: usize = 8;
 /// Workers that end for good in a simulation, at most.
@@ -18,6 +22,21 @@
 /// Rounds of a simulation, each of 200 ms.
 const ROUNDS: usize = 400;
 
+/// Runs a long-running task until its lease expires under a leader that is down, while another worker ends.
+/// Returns the worker that has ended.
+fn lapse(world: &mut World) -> String {
+    world.submit("job", vec![long_running(1, 0)]);
+    world.run(Duration::from_secs(2));
+    let running = world.workers_running("job");
+    let ended = world.workers.keys().find(|name| **name != running[0]);
+    let ended = ended.unwrap().clone();
+    world.workers.get_mut(&ended).unwrap().is_up = false;
+    world.leaders[0].is_up = false;
+    world.run(Duration::from_secs(4));
+    assert_eq!(world.workers_running("job"), Vec::<String>::new());
+    ended
+}
+
 /// Runs the world for a time in which host lists arrive at the leader.
 fn run_with_hosts(world: &mut World, time: Duration) {
     let end = world.now + time;
@@ -34,6 +53,32 @@
     world.cuts.extend(cuts);
 }
 
+/// `Departure` is how the host list shows that a worker has ended.
+#[derive(Clone, Copy, Debug)]
+enum Departure {
+    /// Its host is listed without it.
+    Vacated,
+    /// Its host is no longer listed.
+    Removed,
+}
+
+// Lapsed tasks stayed idle until the longest lease of an older term was over, as the new leader waited for
+// workers of the list that had ended before it took over.
+#[test_case(Departure::Vacated)]
+#[test_case(Departure::Removed)]
+fn verify_worker_that_ended_before_the_takeover_does_not_delay_lapsed_tasks(departure: Departure) {
+    let mut world = World::new(3, 1);
+    let ended = lapse(&mut world);
+    match departure {
+        Departure::Vacated => world.vacated.insert(ended),
+        Departure::Removed => world.removed.insert(ended),
+    };
+    world.elect_leader();
+    run_with_hosts(&mut world, MAX_IDLE);
+    assert_eq!(world.workers_running("job").len(), 1);
+    assert_eq!(world.violations_found(), Vec::<String>::new());
+}
+
 // A worker that the new leader can't reach may run tasks that the old one starts until its last lease is
 // over: the host list must not shorten the wait for it, whether the worker list contains it or not.
 #[test_case(true)]
