Count a listed worker as known before the next host list

What callers saw: lapsed tasks stayed idle for up to a poll of the host list (0.7 s) longer than needed, and until the deadline of recovery while the host service didn't answer.

Cause: the workers that hosts run and the worker list lacks were computed at each host list only. A worker that the list contained later, and that had answered, still counted as missing.

Fix: a worker that is listed is removed from the missing ones. It counts as unconfirmed from then on, so nothing starts before it has answered.

--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -71,6 +71,8 @@
     fn handle_listed(&mut self, now: Instant, report: Report, actions: &mut Vec<Action>) {
         self.needs_placement = true;
         let id = report.worker.clone();
+        // From now on it counts as unconfirmed, until it answers.
+        self.recovery.forget_unlisted(&id);
         let is_shutting_down = report.is_shutting_down;
         let Some(worker) = self.workers.get_mut(&id) else {
             let mut worker = Worker::new(report);
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -70,6 +70,13 @@
             unlisted_workers: None,
         }
     }
+
+    /// Removes a worker that the worker list contains from those that it lacks.
+    pub(super) fn forget_unlisted(&mut self, worker: &ids::Worker) {
+        if let Some(unlisted) = &mut self.unlisted_workers {
+            unlisted.remove(worker);
+        }
+    }
 }
 
 impl Scheduler {
--- a/crates/core/tests/sched/recovery.rs
+++ b/crates/core/tests/sched/recovery.rs
@@ -79,6 +79,25 @@
     assert_eq!(world.violations_found(), Vec::<String>::new());
 }
 
+// Lapsed tasks stayed idle until the next host list, or until the longest lease was over if none arrived,
+// although the workers that the list had lacked were back and had answered.
+#[test]
+fn verify_workers_that_return_do_not_delay_lapsed_tasks_until_the_next_host_list() {
+    let mut world = World::new(3, 1);
+    world.submit("job", vec![long_running(1, 0)]);
+    world.run(Duration::from_secs(2));
+    world.leaders[0].is_up = false;
+    world.run(Duration::from_secs(4));
+    world.lapsed = world.workers.keys().cloned().collect();
+    world.elect_leader();
+    for name in std::mem::take(&mut world.lapsed) {
+        world.set_listed(&name, true);
+    }
+    world.run(Duration::from_millis(500));
+    assert_eq!(world.workers_running("job").len(), 1);
+    assert_eq!(world.violations_found(), Vec::<String>::new());
+}
+
 // A worker that the new leader can't reach may run tasks that the old one starts until its last lease is
 // over: the host list must not shorten the wait for it, whether the worker list contains it or not.
 #[test_case(true)]
