--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -74,6 +74,8 @@
         }
         self.needs_placement = true;
         let id = report.worker.clone();
+        // From now on it counts as unconfirmed, until it answers.
+        self.recovery.forget_unlisted(&id);
         let is_shutting_down = report.is_shutting_down;
         let Some(worker) = self.workers.get_mut(&id) else {
             let mut worker = Worker::new(report);
@@ -117,7 +119,7 @@
 
     /// Removes unlisted workers on which no task can run any more.
     fn drop_unlisted(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let is_recovery_over = now >= self.recovery_deadline();
+        let is_recovery_over = self.is_past_deadline();
         self.workers.retain(|_, worker| {
             let is_kept = worker.is_listed
                 || !worker.runs.is_empty()
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -3,6 +3,7 @@
 mod line;
 mod odd;
 mod reachability;
+mod recovery;
 mod soak;
 mod worker;
 mod world;
