Use a worker again that its host has started again under its id

Cause: a host list without the worker marks it as terminated, which nothing took back. A terminated worker is not polled and gets no tasks. Its entry does not lapse when it is written again in time, so the leader never forgot it either.

Evidence: verify_worker_that_its_host_starts_again_gets_tasks failed in both cases (no run 3 s after the worker was listed and its host ran it again).

Change: a worker that the host list names again has not terminated. It is polled as one that has not answered yet, so that runs on it, if there are any, are known before it gets a task.

--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -94,6 +94,11 @@
             };
             let is_hosted = hosted.as_ref() == Some(id);
             worker.was_seen_on_host |= is_hosted;
+            if is_hosted && worker.has_terminated {
+                // The host has started it again under its id: it gets tasks once it answers.
+                worker.has_terminated = false;
+                worker.is_confirmed = false;
+            }
             // The host list may not contain a worker yet that has just started.
             if worker.was_seen_on_host && !is_hosted && !worker.has_terminated {
                 worker.has_terminated = true;
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -3,6 +3,7 @@
 mod line;
 mod odd;
 mod reachability;
+mod restart;
 mod soak;
 mod worker;
 mod world;
