--- a/crates/jobs/tests/roster/fixture.rs
+++ b/crates/jobs/tests/roster/fixture.rs
@@ -13,7 +13,7 @@
 use persimmongate_jobs::platform::{
     Append, Change, Entry, Failure, Page, Partition, Platform, Reply,
 };
-use persimmongate_jobs::roster::{self, Roster, Subscribe, Update};
+use persimmongate_jobs::roster::{self, Roster, Subscribe, Unsubscribe, Update};
 use persimmongate_node::errors;
 use persimmongate_node::logger;
 use persimmongate_node::supervisor::{ChildSet, Guard, Policy, Supervisor};
@@ -311,6 +311,18 @@
         }
     }
 
+    /// Removes all observers, as their leaders step down. The roster's read is not answered any more.
+    pub(crate) async fn unsubscribe_all(&mut self) {
+        for (shard, _) in (0..).zip(self.observers.drain(..)) {
+            let unsubscribe = Unsubscribe(shard);
+            self.roster
+                .send(unsubscribe)
+                .await
+                .expect("a running roster");
+        }
+        self.pending = None;
+    }
+
     /// Answers the waiting read and waits for the next one, which is sent after the answer was applied.
     async fn answer(&mut self, answer: impl FnOnce(&Log, Range) -> Result<Page, Failure>) {
         let pending = self.pending.take().expect("a waiting read");
--- a/crates/jobs/tests/roster/main.rs
+++ b/crates/jobs/tests/roster/main.rs
@@ -4,7 +4,7 @@
 
 use fixture::Step::{Expire, Fail, Read};
 use fixture::Write::{Put, PutDraining, PutUnreadable, Remove};
-use fixture::{Fixture, Step, paused_system};
+use fixture::{Fixture, Step, Write, paused_system};
 use test_case::test_case;
 
 /// Workers that are listed before each case begins.
@@ -68,6 +68,35 @@
     check_steps(steps);
 }
 
+// Guards against a leader that misses a change which several entries in one read report.
+#[test_case(&[Read(&[Put("i-1", 2), Put("i-1", 2)])]; "of its incarnation")]
+#[test_case(&[Read(&[PutDraining("i-1", 1), PutDraining("i-1", 1)])]; "of its state")]
+#[test_case(&[Read(&[Put("i-3", 1), Put("i-3", 1)])]; "of a new worker")]
+#[test_case(&[Read(&[PutDraining("i-1", 1), Put("i-1", 2), Put("i-1", 2)])]; "of both")]
+#[test_case(&[Read(&[Put("i-1", 2), Put("i-1", 1)]), Read(&[Put("i-1", 2)])]; "after one that is taken back")]
+fn verify_change_that_is_reported_several_times_is_published(steps: &[Step]) {
+    check_steps(steps);
+}
+
+// Guards against a leader of a later term that is told only what has changed since an earlier one.
+#[test_case(&[]; "without a change")]
+#[test_case(&[Remove("i-1")]; "after a removal")]
+#[test_case(&[Remove("i-1"), Put("i-1", 1)]; "after a lapse")]
+#[test_case(&[Put("i-1", 2), Put("i-3", 1)]; "after changes")]
+fn verify_subscriber_of_a_later_term_gets_the_workers_that_are_listed(writes: &'static [Write]) {
+    paused_system().block_on(async {
+        let mut fixture = Fixture::start().await;
+        fixture.subscribe().await;
+        fixture.run(LISTED).await;
+        fixture.unsubscribe_all().await;
+        fixture.subscribe().await;
+        fixture.run(Read(writes)).await;
+        fixture.check_observers().await;
+        fixture.run(Read(&[Put("i-1", 3), Remove("i-2")])).await;
+        fixture.check_observers().await;
+    });
+}
+
 // Guards against leaders that hold different workers for listed, depending on when their terms began.
 #[test_case(&[]; "of the first entries")]
 #[test_case(&[Read(&[Remove("i-1")])]; "of a removal")]
