Show that a withdrawal of a drain is not repeated

What callers would see: a worker that stays drained gets no tasks from any leader of its shard until the leader of the fleet changes.

Cause, by reading: the planner forgets a drain when it asks for the withdrawal, and the append of the withdrawal is given up after 5 s or when the log refuses it. Unlike a request for a drain, nothing compares it with what the log holds.

--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -228,6 +228,26 @@
     assert!(fixture.undrained.contains(&"w-one-0".into()));
 }
 
+// Guards against a worker that stays drained, and gets no tasks, as the log never got the withdrawal of its drain.
+#[test]
+fn verify_withdrawal_of_a_drain_is_repeated_until_the_log_holds_it() {
+    let mut fixture = Fixture::new(false);
+    let drain = Drain {
+        host: "one-0".into(),
+        service: "one".into(),
+    };
+    fixture.step(Event::DrainRecorded("w-one-0".into(), Some(drain)));
+    fixture.run(2);
+    assert_eq!(fixture.undrained, ["w-one-0"]);
+    // The append of a withdrawal is given up after 5 s.
+    fixture.run(20);
+    let count = fixture.undrained.len();
+    assert!((2..=5).contains(&count), "{count} withdrawals in 20 s");
+    fixture.step(Event::DrainRecorded("w-one-0".into(), None));
+    fixture.run(20);
+    assert_eq!(fixture.undrained.len(), count);
+}
+
 #[test]
 fn verify_wave_takes_no_more_hosts_at_once_than_its_time_limit_requires() {
     let mut fixture = Fixture::new(false);
