Believe a worker's start time when it answers a request sent after the leader learned of a later one

What callers would see: a long-running task that runs nowhere, as the leader takes it for running (LOST).

Cause: the leader ignores every answer and entry whose start time is before the one that it knows, for the rest of the term. The known time may be wrong: the clock of a worker is set back before it starts again, or an entry from another writer holds a time to come. The worker then answers, so that its runs do not expire either.

Change: an answer to a request that was sent after the leader learned of an incarnation comes from that one or a later one, whatever its start time. Answers to earlier requests are ignored as before.

--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -76,7 +76,7 @@
         let id = report.worker.clone();
         let is_shutting_down = report.is_shutting_down;
         let Some(worker) = self.workers.get_mut(&id) else {
-            let mut worker = Worker::new(report);
+            let mut worker = Worker::new(report, now);
             worker.is_draining = self.draining.contains(&id);
             actions.push(worker.log(now, Change::Joined));
             self.workers.insert(id.clone(), worker);
--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -101,7 +101,11 @@
                 }
                 worker.missed_polls = 0;
                 worker.expired_at = None;
-                if inventory.started_at_ms < worker.report.started_at_ms {
+                // Start times are read from clocks that may be set back, so an earlier one is of an earlier
+                // incarnation only if the leader did not know the present one yet.
+                if inventory.started_at_ms < worker.report.started_at_ms
+                    && sent_at < worker.incarnation_known_at
+                {
                     RETRY_DELAY
                 } else {
                     self.apply_inventory(now, id, sent_at, &inventory, actions);
@@ -135,7 +139,7 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        if inventory.started_at_ms > worker.report.started_at_ms {
+        if inventory.started_at_ms != worker.report.started_at_ms {
             self.handle_restart(now, id, inventory.started_at_ms, actions);
         }
         let Some(worker) = self.workers.get_mut(id) else {
@@ -276,7 +280,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.reset(started_at_ms);
+        worker.reset(now, started_at_ms);
         actions.push(worker.log(now, Change::Restarted));
         let lost_tasks: Vec<Task> = worker
             .runs
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -93,6 +93,8 @@
 )]
 pub(super) struct Worker {
     pub(super) report: Report,
+    /// Time at which the leader learned of its incarnation.
+    pub(super) incarnation_known_at: Instant,
     /// Whether the worker list contains it.
     pub(super) is_listed: bool,
     /// Whether the host list has contained it.
@@ -137,9 +139,10 @@
 }
 
 impl Worker {
-    pub(super) fn new(report: Report) -> Self {
+    pub(super) fn new(report: Report, now: Instant) -> Self {
         Self {
             report,
+            incarnation_known_at: now,
             is_listed: true,
             was_seen_on_host: false,
             has_terminated: false,
@@ -165,8 +168,9 @@
     }
 
     /// Resets everything that an earlier incarnation of the worker reported.
-    pub(super) fn reset(&mut self, started_at_ms: u64) {
+    pub(super) fn reset(&mut self, now: Instant, started_at_ms: u64) {
         self.report.started_at_ms = started_at_ms;
+        self.incarnation_known_at = now;
         self.is_confirmed = false;
         self.clock = None;
         self.lease_expiry_ms = 0;
--- a/crates/core/tests/sched/restart.rs
+++ b/crates/core/tests/sched/restart.rs
@@ -53,3 +53,41 @@
     world.run(seconds(3));
     assert_eq!(world.workers_running("job"), Vec::<String>::new());
 }
+
+// Guards against a leader that takes a task for running on an incarnation that has ended, as the clock
+// of the worker was set back before it started again.
+#[test]
+fn verify_worker_that_starts_again_with_an_earlier_start_time_gets_tasks() {
+    let mut world = World::new(1, 1);
+    world.workers.get_mut("w0").unwrap().report.started_at_ms = 10_000;
+    world.set_listed("w0", true);
+    world.submit("job", vec![long_running(1, 0)]);
+    world.run(seconds(2));
+    assert_eq!(world.workers_running("job"), ["w0"]);
+    let now = world.now;
+    let worker = world.workers.get_mut("w0").unwrap();
+    worker.restart(now);
+    worker.report.started_at_ms = 9_000;
+    world.set_listed("w0", true);
+    world.run(seconds(3));
+    assert_eq!(world.workers_running("job"), ["w0"]);
+    assert_no_violations(&world);
+}
+
+// Guards against an entry with a wrong start time that keeps a worker from getting tasks for the rest of
+// the term.
+#[test]
+fn verify_worker_gets_tasks_after_an_entry_with_a_later_start_time() {
+    let mut world = World::new(1, 1);
+    world.submit("job", vec![long_running(1, 0)]);
+    world.run(seconds(2));
+    let mut report = world.workers["w0"].report.clone();
+    report.started_at_ms = 1 << 50;
+    let leader = world.leaders.len() - 1;
+    world.deliver(leader, Event::Listed(report));
+    world.run(seconds(1));
+    world.set_listed("w0", true);
+    world.run(seconds(3));
+    assert_eq!(world.workers_running("job"), ["w0"]);
+    assert_no_violations(&world);
+}
