--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -109,6 +109,11 @@
             } else {
                 worker.host_lists_without.saturating_add(1)
             };
+            if is_hosted && worker.has_terminated {
+                // The host has started it again under its id: it gets tasks once it answers.
+                worker.has_terminated = false;
+                worker.is_confirmed = false;
+            }
             // The host list may not contain a worker yet that has just started.
             let is_replaced = worker.was_seen_on_host && hosted.is_some() && !is_hosted;
             let is_gone =
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -4,6 +4,7 @@
 mod odd;
 mod reachability;
 mod recovery;
+mod restart;
 mod soak;
 mod worker;
 mod world;
