--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -1,5 +1,6 @@
 use std::time::{Duration, Instant};
 
+use super::belief::Change;
 use super::event::{Action, Answer, Inventory, Poll};
 use super::graph::Placement;
 use super::run::{Phase, Run};
@@ -88,8 +89,16 @@
             return;
         };
         worker.poll_state = Polling::Scheduled;
+        // An answer without usable times renews nothing, like none.
+        let answer = answer.and_then(|inventory| {
+            let is_valid = inventory.is_valid();
+            is_valid.then_some(inventory).ok_or(Answer::Refused)
+        });
         let delay = match answer {
             Ok(inventory) => {
+                if worker.missed_polls > 0 {
+                    actions.push(worker.log(now, Change::Reachable));
+                }
                 worker.missed_polls = 0;
                 worker.expired_at = None;
                 if inventory.started_at_ms < worker.report.started_at_ms {
@@ -104,8 +113,11 @@
                 actions.push(Action::Fenced);
                 return;
             }
-            Err(_) => {
+            Err(answer) => {
                 worker.missed_polls += 1;
+                if worker.missed_polls == 1 {
+                    actions.push(worker.log(now, Change::Unreachable(answer)));
+                }
                 (RETRY_DELAY * worker.missed_polls).min(MAX_RETRY_DELAY)
             }
         };
@@ -132,18 +144,29 @@
         worker.record_clock(inventory.clock_ms, now);
         if worker.clock_unknown_since.take().is_some() {
             let max_lease = as_millis(self.options.max_lease);
-            worker.lease_expiry_ms = worker.lease_expiry_ms.max(inventory.clock_ms + max_lease);
+            worker.lease_expiry_ms = worker
+                .lease_expiry_ms
+                .max(inventory.clock_ms.saturating_add(max_lease));
         }
         worker.acknowledged_through = worker.acknowledged_through.max(worker.sent_acknowledgement);
         worker.answered_at = Some(now);
         if !worker.is_confirmed {
             worker.is_confirmed = true;
+            actions.push(worker.log(now, Change::Confirmed));
             self.needs_placement = true;
         }
         for exit in &inventory.exits {
+            if !exit.is_valid() {
+                actions.push(log_run("odd exit skipped", &exit.task, exit.run, id));
+                continue;
+            }
             self.handle_exit(now, id, exit, actions);
         }
         for status in &inventory.running {
+            if !status.is_valid() {
+                actions.push(log_run("odd run skipped", &status.task, status.run, id));
+                continue;
+            }
             let known = self
                 .workers
                 .get_mut(id)
@@ -254,6 +277,7 @@
             return;
         };
         worker.reset(started_at_ms);
+        actions.push(worker.log(now, Change::Restarted));
         let lost_tasks: Vec<Task> = worker
             .runs
             .iter()
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -59,9 +59,9 @@
 
     pub(super) fn plus(self, other: Self) -> Self {
         Self {
-            cpu_millicores: self.cpu_millicores + other.cpu_millicores,
-            memory_mb: self.memory_mb + other.memory_mb,
-            gpus: self.gpus + other.gpus,
+            cpu_millicores: self.cpu_millicores.saturating_add(other.cpu_millicores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            gpus: self.gpus.saturating_add(other.gpus),
         }
     }
 
@@ -204,7 +204,9 @@
     pub(super) fn extend_lease(&mut self, now: Instant) -> Option<u64> {
         let (clock, at) = self.clock?;
         let elapsed = u64::try_from(now.saturating_duration_since(at).as_millis());
-        let lease_expiry_ms = clock + elapsed.unwrap_or(0) + LEASE_MS;
+        let lease_expiry_ms = clock
+            .saturating_add(elapsed.unwrap_or(0))
+            .saturating_add(LEASE_MS);
         self.lease_expiry_ms = self.lease_expiry_ms.max(lease_expiry_ms);
         Some(lease_expiry_ms)
     }
@@ -224,7 +226,7 @@
         let elapsed = now.saturating_duration_since(at).as_millis();
         let elapsed = u64::try_from(elapsed).unwrap_or(u64::MAX);
         let min_elapsed = elapsed - elapsed / u64::from(MAX_CLOCK_LAG_DIVISOR);
-        clock + min_elapsed > self.lease_expiry_ms + CLOCK_SLACK_MS
+        clock.saturating_add(min_elapsed) > self.lease_expiry_ms.saturating_add(CLOCK_SLACK_MS)
     }
 
     /// Returns the resources that its runs reserve.
@@ -250,11 +252,12 @@
             && self.suspended_until.is_none_or(|until| until <= now)
     }
 
-    /// Checks if a poll is needed: for a first answer, for the state of runs, or to acknowledge
-    /// exits.
+    /// Checks if a poll is needed: for a first answer, to learn that it is reachable again, for the
+    /// state of runs, or to acknowledge exits.
     pub(super) fn needs_poll(&self) -> bool {
         !self.has_terminated
             && (!self.is_confirmed
+                || self.missed_polls > 0
                 || !self.runs.is_empty()
                 || self.acknowledged_through < self.recorded_through)
     }
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -1,5 +1,8 @@
 //! Tests of the scheduler against simulated workers that follow the platform's specification.
 
+mod line;
+mod odd;
+mod reachability;
 mod soak;
 mod worker;
 mod world;
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -99,7 +99,11 @@
     pub(crate) stub_count: usize,
     /// Workers that the policy service permits; `None` if the queue uses no policy service.
     pub(crate) permitted_workers: Option<Vec<ids::Worker>>,
+    /// Log lines about workers, recovery and idle tasks.
+    pub(crate) lines: Vec<Action>,
     pub(crate) start_count: u64,
+    /// Polls that were sent.
+    pub(crate) poll_count: u64,
     pub(crate) violations: Vec<String>,
 }
 
@@ -126,7 +130,9 @@
             task_starts: Vec::new(),
             stub_count: 0,
             permitted_workers: None,
+            lines: Vec::new(),
             start_count: 0,
+            poll_count: 0,
             violations: Vec::new(),
         };
         for number in 0..workers {
@@ -283,6 +289,7 @@
                     self.schedule(self.now + wait, Activity::Deliver(leader, event));
                 }
                 Action::Poll(_) | Action::Call(_) => {
+                    self.poll_count += u64::from(matches!(action, Action::Poll(_)));
                     self.schedule(self.now + LATENCY, Activity::Arrive(leader, action));
                 }
                 Action::Fenced => self.leaders[leader].is_up = false,
@@ -314,6 +321,9 @@
                     );
                 }
                 Action::LogRun { .. } | Action::LogStarts { .. } => {}
+                Action::LogWorker(..) | Action::LogIdle(_) | Action::LogRecovery(_) => {
+                    self.lines.push(action);
+                }
             }
         }
     }
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -1,4 +1,3 @@
-use std::fmt::Write;
 use std::time::Duration;
 
 use actix::{
@@ -13,12 +12,14 @@
 use persimmongate_node::clock;
 use slog::{info, warn};
 
+use super::gauge::Counts;
+use super::line;
 use super::{IDLE_READ_PAUSE, Resign, Shard, Transition};
 use crate::leadership::{
     Sequencer, append_with_retry, claim, encoded_or_logged, resign, resignation, resignation_notice,
 };
 use crate::platform::{Append, Failure, Platform};
-use crate::roster::{Subscribe, Unsubscribe, Update};
+use crate::roster::{Change, Subscribe, Unsubscribe, Update};
 
 /// Time between the announcement of a resignation and the resignation itself: the longest pause of the
 /// other processes between two reads.
@@ -40,6 +41,7 @@
     pub(super) scheduler: Scheduler,
     sequencer: Sequencer,
     tick_timer: SpawnHandle,
+    counts: Counts,
 }
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Shard<P, C> {
@@ -103,12 +105,16 @@
         );
         let tick_timer = ctx.run_interval(TICK_INTERVAL, |act, ctx| {
             act.step_scheduler(Event::Tick, ctx);
+            if let Some(led) = &mut act.leadership {
+                led.counts.publish(led.scheduler.counts(clock::now()));
+            }
         });
         self.leadership = Some(Leadership {
             term,
             scheduler,
             sequencer: Sequencer::new(self.partition(), term),
             tick_timer,
+            counts: Counts::new(self.led_shards.clone(), self.setup.shard),
         });
         if let Some(config) = self.config.clone() {
             self.step_scheduler(Event::Config(config), ctx);
@@ -211,6 +217,7 @@
 
     fn perform(&mut self, term: ids::Term, action: Action, ctx: &mut Context<Self>) {
         let platform = self.setup.platform.clone();
+        let (logger, shard) = (&self.setup.logger, self.setup.shard);
         let sent_at = clock::now();
         match action {
             Action::Poll(poll) => {
@@ -265,26 +272,22 @@
                 occurrence,
                 step,
                 tasks,
-            } => {
-                let mut task_list = String::new();
-                for (index, run, worker) in tasks {
-                    // Writing to a string never fails.
-                    let _ = write!(task_list, "{index}:{run}@{worker} ");
-                }
-                info!(self.setup.logger, "starting tasks"; "job" => %job,
-                    "step" => format!("{occurrence}.{step}"), "tasks" => task_list.trim_end(),
-                    "term" => term);
-            }
+            } => line::log_starts(logger, term, &job, (occurrence, step), &tasks),
             Action::LogRun {
                 message,
                 task,
                 run,
                 worker,
             } => {
-                info!(self.setup.logger, "{}", message; "job" => %task.job,
+                info!(logger, "{}", message; "job" => %task.job,
                     "task" => format!("{}.{}.{}", task.occurrence, task.step, task.index),
                     "run" => run, "worker" => %worker, "term" => term);
             }
+            Action::LogWorker(change, belief) => {
+                line::log_worker(logger, shard, term, change, &belief);
+            }
+            Action::LogIdle(idle) => line::log_idle(logger, shard, term, &idle),
+            Action::LogRecovery(wait) => line::log_recovery(logger, shard, term, wait),
         }
     }
 
@@ -330,18 +333,19 @@
 
     fn handle(&mut self, update: Update, ctx: &mut Self::Context) {
         match update {
-            Update::Listed(reports) => {
-                for report in reports {
-                    if self.owns(&report.service) {
-                        self.step_scheduler(Event::Listed(report), ctx);
+            Update::Workers(changes) => {
+                for change in changes {
+                    match change {
+                        Change::Listed(report) if self.owns(&report.service) => {
+                            self.step_scheduler(Event::Listed(report), ctx);
+                        }
+                        Change::Listed(_) => {}
+                        Change::Unlisted(worker) => {
+                            self.step_scheduler(Event::Unlisted(worker), ctx);
+                        }
                     }
                 }
             }
-            Update::Unlisted(workers) => {
-                for worker in workers {
-                    self.step_scheduler(Event::Unlisted(worker), ctx);
-                }
-            }
             Update::Hosts(hosts) => {
                 // A host that moves is listed in another pool while its worker may still be known to this shard.
                 let workers = hosts.into_iter().map(|host| {
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -1,6 +1,8 @@
 //! Jobs of one shard: their state replayed from the log, callers' requests, and leadership of the shard.
 
+mod gauge;
 mod leadership;
+mod line;
 mod request;
 
 pub use request::{Answer, Cancel, Count, Freshness, Query, Status, Submit};
@@ -12,6 +14,7 @@
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, Recipient,
     WrapFuture,
 };
+use opentelemetry::metrics::{Counter, Gauge, Meter};
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Drain, Index, Load, Record};
 use persimmongate_core::map::Map;
@@ -21,7 +24,6 @@
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
 use persimmongate_node::supervisor::Guard;
-use persimmongate_wire::journal;
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 
@@ -29,6 +31,7 @@
 use crate::leadership::{MAX_READ_WAIT, read_pause, read_wait};
 use crate::operator::Configured;
 use crate::platform::{Partition, Platform};
+use crate::reader::Reader;
 use crate::roster::Roster;
 use leadership::Leadership;
 
@@ -105,6 +108,10 @@
     pub leadership_observer: Recipient<Transition>,
     /// Receives what the log records about drains and loads.
     pub observer: Recipient<Observation>,
+    /// Creates the metrics of the shard.
+    pub meter: Meter,
+    /// Counts the records that are skipped, by the label `list`.
+    pub skipped_entries: Counter<u64>,
     /// Logger of the process.
     pub logger: Logger,
 }
@@ -112,6 +119,7 @@
 /// `Shard` owns the replayed state of a shard's jobs and leads the shard while it is elected.
 pub struct Shard<P: Platform, C: Copy + Send + Unpin + 'static> {
     setup: Setup<P, C>,
+    reader: Reader,
     config: Option<Arc<Config>>,
     /// Whether the partition is read, which starts once a service belongs to the shard.
     is_active: bool,
@@ -125,6 +133,8 @@
     last_queried_at: Option<Instant>,
     /// Time of the latest failed call to the log, if no call has succeeded since.
     log_failed_at: Option<Instant>,
+    /// Counts of the shards that this process leads.
+    led_shards: Gauge<u64>,
     leadership: Option<Leadership>,
     _guard: Guard<C>,
 }
@@ -148,8 +158,15 @@
     pub fn new(setup: Setup<P, C>, guard: Guard<C>) -> Self {
         let election_timeout = term::election_timeout(setup.cpu_millicores, 0, rand::random());
         let election = Election::new(setup.node.clone(), rand::random(), election_timeout);
+        let led_shards = setup.meter.u64_gauge("led_shard").build();
+        let reader = Reader::new(
+            setup.shard,
+            setup.skipped_entries.clone(),
+            setup.logger.clone(),
+        );
         Self {
             setup,
+            reader,
             config: None,
             is_active: false,
             job_index: Index::default(),
@@ -159,6 +176,7 @@
             last_complete_read: None,
             last_queried_at: None,
             log_failed_at: None,
+            led_shards,
             leadership: None,
             _guard: guard,
         }
@@ -235,12 +253,8 @@
             self.drains.clear();
         }
         for entry in &batch.records {
-            match journal::decode(&entry.key, entry.value.as_ref()) {
-                Ok(record) => self.apply_record(entry.offset, &record, ctx),
-                Err(error) => {
-                    warn!(self.setup.logger, "record skipped"; "shard" => self.setup.shard,
-                        "offset" => entry.offset, "error" => %error);
-                }
+            if let Some(record) = self.reader.read(entry) {
+                self.apply_record(entry.offset, &record, ctx);
             }
         }
         if !cursor.has_reached(batch.end_offset) {
@@ -332,7 +346,7 @@
 
     fn handle(&mut self, _: Dump, _: &mut Self::Context) -> Self::Result {
         let counts = self.leadership.as_ref().map(|leadership| {
-            let counts = leadership.scheduler.counts().into_iter();
+            let counts = leadership.scheduler.counts(clock::now()).into_iter();
             counts
                 .map(|(name, count)| (name.to_owned(), json!(count)))
                 .collect::<serde_json::Map<_, _>>()
