--- a/crates/jobs/src/platform/mod.rs
+++ b/crates/jobs/src/platform/mod.rs
@@ -28,7 +28,8 @@
 pub struct Entry {
     /// Position in the partition.
     pub offset: ids::Offset,
-    /// Key, of which the newest record counts.
+    /// Key, of which the newest record counts. It is empty if the record can't be read, which the platform
+    /// has then logged and counted.
     pub key: ByteString,
     /// Encoded record.
     pub value: Option<Bytes>,
--- a/crates/jobs/src/reader/mod.rs
+++ b/crates/jobs/src/reader/mod.rs
@@ -34,6 +34,9 @@
 
     /// Decodes an entry, or returns `None` if it was skipped.
     pub(crate) fn read(&self, entry: &Entry) -> Option<Record> {
+        if entry.key.is_empty() {
+            return None;
+        }
         match journal::decode(&entry.key, entry.value.as_ref()) {
             Ok(Record::Heartbeat(heartbeat)) if !heartbeat.is_valid_at(entry.offset) => {
                 self.skip(entry, &"no claim has this term");
