Decode the host list row by row

Operators would see: no new host is enrolled and no vanished host is noticed, while the host list has one row with a port out of range, a number too large, a field of another type or a nested value: the whole list counted as a failed call. Cause: the list was decoded as one value. Fix: each row is kept as text and decoded by itself, then checked by `Listing::check`. The fleet daemon counts skipped rows as `entries_skipped` with `list` = `hosts`, and logs a row when it is new. Not run: a test of the fleet daemon with such a row.

--- a/crates/core/src/record/mod.rs
+++ b/crates/core/src/record/mod.rs
@@ -7,9 +7,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::errors::{Result, value_error};
 use crate::ids;
 use crate::sheet::Intent;
 
+/// Largest generation that is believed. Generations count the starts of a host, so there is room for the next.
+const MAX_GENERATION: ids::Generation = 1 << 53;
+
 /// `Record` is one entry of the log with its author.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Record {
@@ -184,6 +188,26 @@
     pub connections: u16,
 }
 
+impl Listing {
+    /// Checks that the host has a name and an address, and that it can be restarted.
+    ///
+    /// # Errors
+    ///
+    /// Returns a value error that states the first problem.
+    pub fn check(&self) -> Result<()> {
+        let problem = if self.host.is_empty() {
+            "the host has no name"
+        } else if self.address.port() == 0 {
+            "the address has no port"
+        } else if self.generation > MAX_GENERATION {
+            "the generation is too large"
+        } else {
+            return Ok(());
+        };
+        Err(value_error("host", problem))
+    }
+}
+
 /// `Role` is the function of a member.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Role {
--- a/crates/core/src/state/hosts.rs
+++ b/crates/core/src/state/hosts.rs
@@ -6,6 +6,20 @@
 use crate::record::{Body, Listing, Phase, Record};
 
 impl Host {
+    /// Returns what the platform's host list has of the host.
+    #[must_use]
+    pub fn listing(&self, name: &ids::Host) -> Listing {
+        Listing {
+            host: name.clone(),
+            address: self.address,
+            zone: self.zone.clone(),
+            rack: self.rack.clone(),
+            generation: self.generation,
+            slots: self.slots,
+            connections: self.connections,
+        }
+    }
+
     /// Checks that a record refers to the current generation.
     fn check_generation(&self, seen: ids::Generation) -> ApplyResult {
         let current = self.generation;
--- a/crates/fleet/src/manager/mod.rs
+++ b/crates/fleet/src/manager/mod.rs
@@ -6,21 +6,23 @@
 use actix::{
     Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, MessageResult, WrapFuture,
 };
+use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 use persimmongate_core::fleet::{Action, Call, Event, Manager as StateMachine, Options, buffer};
 use persimmongate_core::ids;
 use persimmongate_core::invariant;
+use persimmongate_core::record::Listing;
 use persimmongate_core::trace;
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
 use persimmongate_node::invariant::Notifier;
 use persimmongate_node::log::{Append, Appended, Follower, Update};
 use persimmongate_node::peer::Inbound;
-use persimmongate_node::platform::Client;
+use persimmongate_node::platform::{Client, HostList, SkippedRow};
 use persimmongate_node::supervisor::Guard;
 use persimmongate_node::trace::Recorder;
 use serde_json::json;
-use slog::Logger;
+use slog::{Logger, warn};
 
 use crate::tree::Child;
 
@@ -47,6 +49,10 @@
     repair_percent: u32,
     calls: Counter<u64>,
     failed_calls: Counter<u64>,
+    skipped_entries: Counter<u64>,
+    /// Rows of the latest host list that were skipped.
+    skipped_rows: Vec<SkippedRow>,
+    logger: Logger,
     _guard: Guard<C>,
 }
 
@@ -69,13 +75,16 @@
             repair_percent: options.repair_percent,
             state_machine: StateMachine::new(instance, options),
             invariants: invariant::Fleet::default(),
-            breach_reporter: Notifier::new(meter, logger),
+            breach_reporter: Notifier::new(meter, logger.clone()),
             recorder,
             next_offset: 0,
             platform,
             follower: None,
             calls: meter.u64_counter("platform_calls").build(),
             failed_calls: meter.u64_counter("platform_refusals").build(),
+            skipped_entries: meter.u64_counter("entries_skipped").build(),
+            skipped_rows: Vec::new(),
+            logger,
             _guard: guard,
         }
     }
@@ -154,9 +163,10 @@
         ctx.spawn(host_list.into_actor(self).map(|hosts, act, ctx| {
             let mut interval = LIST_INTERVAL_MIN;
             match hosts {
-                Ok(hosts) => {
-                    interval = interval.max(list_interval(hosts.len()));
-                    act.step(Event::HostsListed(hosts), ctx);
+                Ok(list) => {
+                    interval = interval.max(list_interval(list.hosts.len()));
+                    let listings = act.complete_host_list(list);
+                    act.step(Event::HostsListed(listings), ctx);
                 }
                 Err(_) => act.failed_calls.add(1, &[]),
             }
@@ -165,6 +175,30 @@
     }
 }
 
+impl<C: Copy + Send + Unpin + 'static> Manager<C> {
+    /// Counts and logs the rows of the host list that were skipped. A known host that such a row names
+    /// stays listed as it is known, so that it isn't taken for lost.
+    fn complete_host_list(&mut self, list: HostList) -> Vec<Listing> {
+        let HostList { mut hosts, skipped } = list;
+        for row in &skipped {
+            self.skipped_entries
+                .add(1, &[KeyValue::new("list", "hosts")]);
+            // The list is read again and again; a row is logged when it is new.
+            if !self.skipped_rows.contains(row) {
+                warn!(self.logger, "row of the host list skipped"; "host" => ?row.host,
+                    "reason" => %row.reason);
+            }
+            let known = row.host.as_ref().and_then(|name| {
+                let host = self.state_machine.view().hosts.get(name)?;
+                Some(host.listing(name))
+            });
+            hosts.extend(known);
+        }
+        self.skipped_rows = skipped;
+        hosts
+    }
+}
+
 impl<C: Copy + Send + Unpin + 'static> Actor for Manager<C> {
     type Context = Context<Self>;
 
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -1,11 +1,14 @@
 //! Client of the platform's host service.
 
+mod listing;
+
+pub use listing::{HostList, SkippedRow, decode_host_list};
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use persimmongate_core::fleet::{Call, Status};
 use persimmongate_core::ids;
-use persimmongate_core::record::Listing;
 
 use crate::errors::{Result, platform_error};
 
@@ -35,8 +38,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the platform can't be reached or rejects the call.
-    pub async fn list_hosts(&self) -> Result<Vec<Listing>> {
+    /// Returns an error when the platform can't be reached, rejects the call or answers with no list.
+    pub async fn list_hosts(&self) -> Result<HostList> {
         let url = format!("http://{}/hosts", self.platform_address);
         let mut response = self
             .http
@@ -44,11 +47,12 @@
             .send()
             .await
             .map_err(|error| platform_error(&error))?;
-        response
-            .json()
+        let body = response
+            .body()
             .limit(HOST_LIST_MAX_BYTES)
             .await
-            .map_err(|error| platform_error(&error))
+            .map_err(|error| platform_error(&error))?;
+        decode_host_list(&body)
     }
 
     /// Queries, drains, reboots or undrains one host; returns its status after the call.
