--- a/crates/core/src/record/mod.rs
+++ b/crates/core/src/record/mod.rs
@@ -12,7 +12,7 @@
 use crate::sheet::Intent;
 
 /// Largest generation that is believed. Generations count the starts of a host, so there is room for the next.
-const MAX_GENERATION: ids::Generation = 1 << 53;
+pub(crate) const MAX_GENERATION: ids::Generation = 1 << 53;
 
 /// `Record` is one entry of the log with its author.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/core/src/state/apply.rs
+++ b/crates/core/src/state/apply.rs
@@ -83,7 +83,7 @@
             | Body::Return { .. }
             | Body::Stop { .. } => self.apply_host(offset, record, changes),
             Body::Enroll { hosts } => {
-                for listing in hosts {
+                for listing in hosts.iter().filter(|listing| listing.check().is_ok()) {
                     self.enroll_host(offset, listing, changes);
                 }
                 Ok(())
@@ -123,6 +123,10 @@
                 Ok(())
             }
             Body::Snapshot { next_offset: next } => {
+                if *next > offset {
+                    let problem = "the records that the snapshot covers are not there".to_owned();
+                    return Err(Reason::InvalidState(problem));
+                }
                 self.snapshot_offset = self.snapshot_offset.max(*next);
                 Ok(())
             }
--- a/crates/core/src/state/hosts.rs
+++ b/crates/core/src/state/hosts.rs
@@ -3,7 +3,7 @@
 use super::apply::ApplyResult;
 use super::{Change, Host, Reason, SPARE, Stage, State};
 use crate::ids;
-use crate::record::{Body, Listing, Phase, Record};
+use crate::record::{Body, Listing, MAX_GENERATION, Phase, Record};
 
 impl Host {
     /// Returns what the platform's host list has of the host.
@@ -294,9 +294,16 @@
         if current_host.is_serving() {
             return Err(Reason::InvalidState("the host is serving".to_owned()));
         }
+        if generation > MAX_GENERATION {
+            return Err(Reason::InvalidState(
+                "the generation is too large".to_owned(),
+            ));
+        }
         // A stop of the old generation may arrive late and must not hit a host in service.
-        let min_generation = current_host.generation
-            + u64::from(matches!(current_host.stage, Stage::Stopping { .. }));
+        let is_stopping = matches!(current_host.stage, Stage::Stopping { .. });
+        let min_generation = current_host
+            .generation
+            .saturating_add(u64::from(is_stopping));
         if generation < min_generation {
             return Err(Reason::Conflict {
                 current: current_host.generation,
--- a/crates/core/tests/state/main.rs
+++ b/crates/core/tests/state/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the state that is replayed from the log.
 
 mod fixture;
+mod odd;
 
 use std::time::{Duration, SystemTime};
 
