Reject sheets in the log with numbers that no sheet may have

Operators would see: fleet daemons that end, or plan by sums that have wrapped, and no answers to `status` and `plan`, after another writer appends a sheet with a budget, a size, a batch or slots near the largest number. Cause: the limits of a row were checked where operators hand in a sheet, not where a record of one is applied. Evidence: tests/state/odd.rs before, 4 of 4 rows failed: budget and batch, fleet/buffer.rs:36 "attempt to add with overflow"; hosts, slots and a batch of 0 were accepted. Fix: `Intent::is_valid` has the limits of the parser, and the state rejects a sheet with a row beyond them.

--- a/crates/core/src/sheet/mod.rs
+++ b/crates/core/src/sheet/mod.rs
@@ -15,6 +15,11 @@
 
 use crate::ids;
 
+/// Largest number of hosts in a row.
+const HOSTS_MAX: u32 = 32_000;
+/// Largest number of slots in a row: eight for each of `HOSTS_MAX` hosts.
+const SLOTS_MAX: u32 = 8 * HOSTS_MAX;
+
 /// `Intent` is what one row of the sheet asks for, after its checks.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Intent {
@@ -75,6 +80,17 @@
             Self::Wave { name, .. } => format!("wave {name}"),
         }
     }
+
+    /// Checks that its number is in the range that a row of a sheet may have.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        match self {
+            Self::Move { .. } => true,
+            Self::Budget { hosts, .. } | Self::Pool { hosts, .. } => *hosts <= HOSTS_MAX,
+            Self::Quota { slots, .. } => *slots <= SLOTS_MAX,
+            Self::Wave { batch, .. } => (1..=HOSTS_MAX).contains(batch),
+        }
+    }
 }
 
 impl fmt::Display for Intent {
--- a/crates/core/src/sheet/row.rs
+++ b/crates/core/src/sheet/row.rs
@@ -5,8 +5,8 @@
 use bytestring::ByteString;
 use csv::ByteRecord;
 
-use super::Intent;
 use super::check::Declared;
+use super::{HOSTS_MAX, Intent, SLOTS_MAX};
 use crate::finding::Findings;
 use crate::ids;
 use crate::name;
@@ -19,10 +19,6 @@
 pub(super) const NOTE_COLUMN: &str = "note";
 /// Accepted form of a date in a name, as findings describe it.
 const ACCEPTED_DATE: &str = "a date written as 2026-12-31; the cell must have the format text";
-/// Largest number of hosts in a row.
-const HOSTS_MAX: u32 = 32_000;
-/// Largest number of slots in a row: eight for each of `HOSTS_MAX` hosts.
-const SLOTS_MAX: u32 = 8 * HOSTS_MAX;
 /// Abbreviated months, as spreadsheets write them in dates.
 const MONTHS: [&str; 12] = [
     "jan", "feb", "mar", "apr", "may", "jun", "jul", "aug", "sep", "oct", "nov", "dec",
--- a/crates/core/src/state/sheet.rs
+++ b/crates/core/src/state/sheet.rs
@@ -50,6 +50,10 @@
                 seen: base,
             });
         }
+        if !intents.iter().all(Intent::is_valid) {
+            let problem = "a row has a number out of range".to_owned();
+            return Err(Reason::InvalidState(problem));
+        }
         self.revision = offset;
         let mut pins: Map<ids::Host, ids::Pool> = Map::default();
         let mut quotas: Map<ids::Service, Map<ids::Caller, u32>> = Map::default();
--- a/crates/core/tests/state/odd.rs
+++ b/crates/core/tests/state/odd.rs
@@ -1,7 +1,10 @@
 //! Records with odd values, which a member of another version appended. Each process replays them, so
 //! none may end it or spoil the state.
 
+use persimmongate_core::fleet::{View, buffer};
 use persimmongate_core::record::{Body, Listing};
+use persimmongate_core::report;
+use persimmongate_core::sheet::Intent;
 use persimmongate_core::state::Verdict;
 use test_case::test_case;
 
@@ -64,3 +67,49 @@
     assert_eq!(log.append("a", stop), Verdict::Accepted);
     assert_eq!(log.append("a", give_back(2)), Verdict::Accepted);
 }
+
+fn budget(hosts: u32) -> Intent {
+    Intent::Budget {
+        service: "finder".into(),
+        hosts,
+    }
+}
+
+fn pool(hosts: u32) -> Intent {
+    Intent::Pool {
+        name: "finder".into(),
+        service: Some("finder".into()),
+        hosts,
+    }
+}
+
+fn wave(batch: u32) -> Intent {
+    Intent::Wave {
+        name: "w".into(),
+        pool: "finder".into(),
+        batch,
+    }
+}
+
+// Guards against the end of each fleet process, and of each call of an operator, by a sheet with numbers
+// that no sheet of an operator may have.
+#[test_case(vec![budget(u32::MAX), pool(4), wave(u32::MAX)]; "budget and batch")]
+#[test_case(vec![budget(4), pool(u32::MAX), wave(1)]; "hosts")]
+#[test_case(vec![budget(4), pool(4), wave(0)]; "no batch")]
+#[test_case(vec![Intent::Quota { caller: "c".into(), service: "finder".into(), slots: u32::MAX }]; "slots")]
+fn verify_sheet_with_odd_numbers_is_rejected(intents: Vec<Intent>) {
+    let mut log = Log::new(4, 0);
+    let sheet = Body::Sheet {
+        base_revision: log.state.revision,
+        operator: "o".into(),
+        intents,
+    };
+    let verdict = log.append("a", sheet);
+    let mut view = View::default();
+    for change in log.state.changes() {
+        view.apply(change);
+    }
+    // What operators and the manager compute from the state.
+    let _ = (report::summarize(&log.state), buffer(&view, 5));
+    assert!(matches!(verdict, Verdict::Rejected(_)), "{verdict:?}");
+}
