--- a/crates/node/src/log/follower.rs
+++ b/crates/node/src/log/follower.rs
@@ -125,6 +125,8 @@
     pub(super) failures: Counter<u64>,
     /// Replayed records that were rejected.
     pub(super) rejected: Counter<u64>,
+    /// Records and parts of snapshots that were skipped, by the label `list`.
+    pub(super) skipped: Counter<u64>,
 }
 
 impl<C: Copy + Send + Unpin + 'static> Follower<C> {
@@ -136,6 +138,7 @@
             records: meter.u64_counter("log_records").build(),
             failures: meter.u64_counter("log_failures").build(),
             rejected: meter.u64_counter("log_rejected").build(),
+            skipped: meter.u64_counter("entries_skipped").build(),
         };
         Self {
             client: Client::new(options.platform_address),
--- a/crates/node/src/log/read.rs
+++ b/crates/node/src/log/read.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use actix::{ActorFutureExt, AsyncContext, Context, ContextFutureSpawner, WrapFuture};
+use opentelemetry::KeyValue;
 use persimmongate_core::record::{self, Record};
 use persimmongate_core::state::{Change, Verdict};
 use persimmongate_wire::log::{Entry, Page, decode_record};
@@ -96,6 +97,9 @@
         let record: Record = match decode_record(&entry.record) {
             Ok(record) => record,
             Err(error) => {
+                self.counters
+                    .skipped
+                    .add(1, &[KeyValue::new("list", "log")]);
                 // Every process skips the same bytes, so their states stay equal.
                 warn!(self.logger, "malformed record skipped"; "offset" => entry.offset,
                     "error" => %error);
--- a/crates/node/src/log/snapshot.rs
+++ b/crates/node/src/log/snapshot.rs
@@ -1,16 +1,18 @@
 //! Snapshots of the state in a stream of their own, and the search for one when the log no longer
 //! keeps the next record.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use actix::{ActorFutureExt, Context, ContextFutureSpawner, WrapFuture};
 use bytes::{Bytes, BytesMut};
+use opentelemetry::KeyValue;
 use persimmongate_core::ids;
 use persimmongate_core::record::Body;
 use persimmongate_core::state::{SPARE, State};
 use persimmongate_wire::log::{
-    Batch, Entry, Page, Part, Stream, decode_part, decode_state, encode_batch, encode_part,
-    encode_state,
+    Batch, Entry, Page, Part, STATE_MAX_BYTES, Stream, decode_part, decode_state, encode_batch,
+    encode_part, encode_state,
 };
 use slog::{info, warn};
 
@@ -27,6 +29,9 @@
 /// Maximum number of parts accepted; together they hold more than the largest state.
 const MAX_PARTS: u32 = 64;
 
+/// Maximum number of complete snapshots kept during a search.
+const MAX_COMPLETE: usize = 3;
+
 /// `Search` collects the newest snapshot of the stream while the replay can't continue.
 #[derive(Debug, Default)]
 pub(super) struct Search {
@@ -39,17 +44,20 @@
     data: BytesMut,
     /// Parts collected of that snapshot.
     part_count: u32,
-    /// Encoded state of the newest complete snapshot so far.
-    newest_state: Option<Bytes>,
+    /// Next offsets and encoded states of the latest complete snapshots, the newest last.
+    complete: VecDeque<(ids::Offset, Bytes)>,
 }
 
 impl Search {
-    /// Adds a part; a snapshot that becomes complete replaces the one found before.
-    fn add_part(&mut self, entry: &Entry) {
+    /// Adds a part.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is not a part.
+    fn add_part(&mut self, entry: &Entry) -> Result<()> {
         self.next_offset = entry.offset + 1;
-        let Ok(part) = decode_part(&entry.record) else {
-            return;
-        };
+        let part = decode_part(&entry.record)?;
+        let next_offset = part.next_offset;
         let source = (part.author, part.incarnation, part.next_offset);
         if part.index == 0 {
             self.data.clear();
@@ -57,17 +65,34 @@
             self.source = Some(source);
         } else if self.source != Some(source) || part.index < self.part_count {
             // A part of another snapshot, or a copy from a retried append.
-            return;
+            return Ok(());
         }
-        if part.index != self.part_count || part.count > MAX_PARTS {
+        let size = self.data.len().saturating_add(part.data.len());
+        if part.index != self.part_count || part.count > MAX_PARTS || size > STATE_MAX_BYTES {
             self.source = None;
-            return;
+            self.data.clear();
+            return Ok(());
         }
         self.part_count += 1;
         self.data.extend_from_slice(&part.data);
         if self.part_count == part.count {
-            self.newest_state = Some(self.data.split().freeze());
+            self.source = None;
+            if self.complete.len() == MAX_COMPLETE {
+                self.complete.pop_front();
+            }
+            self.complete
+                .push_back((next_offset, self.data.split().freeze()));
         }
+        Ok(())
+    }
+
+    /// Checks that the state of a snapshot continues a replay at an offset, and is the one announced.
+    fn check(&self, state: &State, announced: ids::Offset, replayed: ids::Offset) -> bool {
+        // The snapshot must cover every record before the oldest one that the log keeps, or the replay
+        // would have a gap.
+        state.next_offset == announced
+            && state.next_offset > replayed
+            && state.next_offset >= self.earliest_offset
     }
 }
 
@@ -101,27 +126,37 @@
             return;
         };
         for entry in &page.entries {
-            search.add_part(entry);
+            if let Err(error) = search.add_part(entry) {
+                self.counters
+                    .skipped
+                    .add(1, &[KeyValue::new("list", "snapshots")]);
+                warn!(self.logger, "part of a snapshot skipped"; "offset" => entry.offset,
+                    "error" => %error);
+            }
         }
         if search.next_offset < page.end_offset {
             search.next_offset = search.next_offset.max(page.earliest_offset);
             return;
         }
-        let Some(bytes) = search.newest_state.take() else {
-            return;
-        };
-        match decode_state(&bytes) {
-            // The snapshot must cover every record before the oldest one that the log keeps, or the
-            // replay would have a gap.
-            Ok(state)
-                if state.next_offset > self.state.next_offset
-                    && state.next_offset >= search.earliest_offset =>
-            {
-                info!(self.logger, "state replaced by a snapshot"; "next" => state.next_offset);
-                self.replace_state(state);
+        // A snapshot that can't be used hides no older one.
+        while let Some((announced, bytes)) = search.complete.pop_back() {
+            match decode_state(&bytes) {
+                Ok(state) if search.check(&state, announced, self.state.next_offset) => {
+                    info!(self.logger, "state replaced by a snapshot"; "next" => state.next_offset);
+                    self.replace_state(state);
+                    return;
+                }
+                Ok(state) => {
+                    info!(self.logger, "snapshot is of no use"; "announced" => announced,
+                        "next" => state.next_offset);
+                }
+                Err(error) => {
+                    self.counters
+                        .skipped
+                        .add(1, &[KeyValue::new("list", "snapshots")]);
+                    warn!(self.logger, "snapshot is malformed"; "error" => %error);
+                }
             }
-            Ok(_) => {}
-            Err(error) => warn!(self.logger, "snapshot is malformed"; "error" => %error),
         }
     }
 
--- a/crates/node/tests/log/fixture.rs
+++ b/crates/node/tests/log/fixture.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use actix::{Actor, Addr, Context, Handler, ResponseFuture};
-use actix_web::web::Data;
+use actix_web::web::{Bytes, Data};
 use actix_web::{App, HttpServer};
 use persimmongate_core::record::{Announcement, Body, Role};
 use persimmongate_core::state::{State, Verdict};
@@ -15,7 +15,7 @@
 use persimmongate_node::{logger, peer};
 use persimmongate_standin::log::{self, Read, SetFault, Store};
 use persimmongate_standin::{faults, ports};
-use persimmongate_wire::log::{Stream, encode_state};
+use persimmongate_wire::log::{Batch, Stream, encode_state};
 use tokio::sync::{mpsc, oneshot};
 
 /// Interval at which a process is polled until it is ready.
@@ -45,6 +45,12 @@
             .expect("a running store");
     }
 
+    /// Appends records as another writer does.
+    pub(crate) async fn append(&self, stream: Stream, records: Vec<Bytes>) {
+        let append = log::Append(stream, Batch { records });
+        self.store.send(append).await.expect("a running store");
+    }
+
     pub(crate) async fn earliest_offset(&self) -> u64 {
         let read = Read {
             stream: Stream::Main,
--- a/crates/node/tests/log/main.rs
+++ b/crates/node/tests/log/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the follower against the stand-in of the platform's log.
 
 mod fixture;
+mod odd;
 
 use fixture::{Platform, Process};
 use persimmongate_core::record::Body;
--- a/crates/wire/src/log/mod.rs
+++ b/crates/wire/src/log/mod.rs
@@ -18,6 +18,9 @@
 /// Largest state accepted, in bytes.
 pub const STATE_MAX_BYTES: usize = 48 * 1024 * 1024;
 
+/// Largest offset that is believed: no log grows to as many records.
+const OFFSET_MAX: ids::Offset = 1 << 53;
+
 /// `Stream` is one stream of the log, with its own offsets.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -209,7 +212,12 @@
 ///
 /// # Errors
 ///
-/// Returns an error for bytes that are too long or not a state.
+/// Returns an error for bytes that are too long or not a state, and for a state of more records than a
+/// log can have.
 pub fn decode_state(bytes: &[u8]) -> Result<State> {
-    decode("state", bytes, STATE_MAX_BYTES)
+    let state: State = decode("state", bytes, STATE_MAX_BYTES)?;
+    if state.next_offset > OFFSET_MAX {
+        return Err(malformed_error("state", &"its offset is too large"));
+    }
+    Ok(state)
 }
