--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -239,9 +239,10 @@
     }
 
     fn apply(&mut self, cursor: &Cursor, batch: &Batch, ctx: &mut Context<Self>) {
+        let mut earlier_drains = Map::default();
         if batch.is_snapshot {
             self.job_index.clear();
-            self.drains.clear();
+            earlier_drains = std::mem::take(&mut self.drains);
         }
         for entry in &batch.records {
             match journal::decode(&entry.key, entry.value.as_ref()) {
@@ -252,6 +253,11 @@
                 }
             }
         }
+        // The withdrawal of a drain may be among the records that the log no longer keeps.
+        earlier_drains.retain(|worker, _| !self.drains.contains_key(worker));
+        for worker in earlier_drains.into_keys() {
+            self.apply_record(batch.end_offset, &Record::Drain(worker, None), ctx);
+        }
         if !cursor.has_reached(batch.end_offset) {
             return;
         }
