--- a/crates/jobs/tests/shard/fixture.rs
+++ b/crates/jobs/tests/shard/fixture.rs
@@ -122,6 +122,7 @@
                 self.roster = Some(roster.start());
             }
             Child::Shard => {
+                let meter = opentelemetry::global::meter("test");
                 let setup = Setup {
                     shard: 1,
                     shard_count: 2,
@@ -132,7 +133,8 @@
                     roster: self.roster.clone().expect("a started roster"),
                     leadership_observer: self.observer.clone().recipient(),
                     observer: self.observer.clone().recipient(),
-                    meter: opentelemetry::global::meter("test"),
+                    skipped_entries: meter.u64_counter("entries_skipped").build(),
+                    meter,
                     logger: logger::discard(),
                 };
                 let shard = Shard::new(setup, guard).start();
