Repeat the withdrawal of a drain until the log holds it

What callers would see: a worker whose drain was withdrawn while the log did not take the record gets no tasks until the leader of the fleet changes.

Cause: the planner forgot a drain with the request to withdraw it, and an append that the log does not take is given up after 5 s. A request for a drain is compared with what the log holds, a withdrawal was not.

Evidence: verify_withdrawal_of_a_drain_is_repeated_until_the_log_holds_it failed with 1 withdrawal in 20 s.

Change: a withdrawal is kept until its record is read, and repeated every 6 s unless the worker is drained anew.

--- a/crates/core/src/upkeep/drain.rs
+++ b/crates/core/src/upkeep/drain.rs
@@ -12,6 +12,8 @@
 /// Time after which a drain for maintenance is canceled. It is longer than for a move, as long-running
 /// tasks are moved one by one.
 const MAINTENANCE_DRAIN_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after which a withdrawal that the log does not hold is repeated: longer than its append is retried.
+const WITHDRAWAL_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time for which the host list may still name the worker of a host that was maintained or moved, as the
 /// list keeps a worker for several heartbeats.
 const DEPARTED_RETENTION: Duration = Duration::from_secs(12);
@@ -41,7 +43,7 @@
             }
         }
         for host in stale {
-            self.cancel_transition(&host, actions);
+            self.cancel_transition(now, &host, actions);
         }
     }
 
@@ -68,14 +70,40 @@
             .map(|(worker, drain)| (worker.clone(), drain.clone()))
             .collect();
         for (worker, drain) in orphans {
-            self.drains.remove(&worker);
-            actions.push(Action::Undrain(worker, drain));
+            self.withdraw_drain(now, worker, drain, actions);
+        }
+    }
+
+    fn withdraw_drain(
+        &mut self,
+        now: Instant,
+        worker: ids::Worker,
+        drain: Drain,
+        actions: &mut Vec<Action>,
+    ) {
+        self.drains.remove(&worker);
+        self.withdrawals
+            .insert(worker.clone(), (drain.clone(), now));
+        actions.push(Action::Undrain(worker, drain));
+    }
+
+    /// Withdraws drains again whose withdrawal the log does not hold yet.
+    pub(super) fn repeat_withdrawals(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let drains = &self.drains;
+        self.withdrawals
+            .retain(|worker, _| !drains.contains_key(worker));
+        for (worker, (drain, withdrawn_at)) in &mut self.withdrawals {
+            if now.saturating_duration_since(*withdrawn_at) >= WITHDRAWAL_TIMEOUT {
+                *withdrawn_at = now;
+                actions.push(Action::Undrain(worker.clone(), drain.clone()));
+            }
         }
     }
 
     /// Handles the record that withdraws the drain of a worker, which may run tasks again.
     pub(super) fn note_withdrawn_drain(&mut self, worker: &ids::Worker) {
         self.drains.remove(worker);
+        self.withdrawals.remove(worker);
         for transition in self
             .transitions
             .values_mut()
@@ -106,12 +134,16 @@
     }
 
     /// Cancels the transition of a host and withdraws the drain of its worker.
-    pub(super) fn cancel_transition(&mut self, host: &ids::Host, actions: &mut Vec<Action>) {
+    pub(super) fn cancel_transition(
+        &mut self,
+        now: Instant,
+        host: &ids::Host,
+        actions: &mut Vec<Action>,
+    ) {
         if let Some(transition) = self.transitions.remove(host)
             && let Some((worker, drain)) = transition.drain
         {
-            self.drains.remove(&worker);
-            actions.push(Action::Undrain(worker, drain));
+            self.withdraw_drain(now, worker, drain, actions);
         }
     }
 }
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -71,6 +71,8 @@
     pub(super) down_since: Map<ids::Host, Instant>,
     /// Drains that the log records or that were requested.
     pub(super) drains: Map<ids::Worker, Drain>,
+    /// Drains whose withdrawal the log does not hold yet, with the time of the latest withdrawal.
+    pub(super) withdrawals: Map<ids::Worker, (Drain, Instant)>,
     /// Workers of hosts that were maintained or moved, with the time. The host list may still name them.
     pub(super) departed: Map<ids::Worker, Instant>,
     /// Time of the latest read of the log that found no newer term.
@@ -109,6 +111,7 @@
             transitions: Map::default(),
             down_since: Map::default(),
             drains: Map::default(),
+            withdrawals: Map::default(),
             departed: Map::default(),
             term_confirmed_at: now,
             active_from: now + wait,
@@ -210,7 +213,7 @@
             }
             Answer::Fenced => transition.not_before = now + self.options.lease,
             // A host whose command is rejected is not maintained, so operators see the wave as incomplete.
-            Answer::Refused => self.cancel_transition(&command.host, actions),
+            Answer::Refused => self.cancel_transition(now, &command.host, actions),
         }
     }
 
@@ -246,6 +249,7 @@
         self.plan_moves(now, actions);
         self.withdraw_orphaned_drains(now, actions);
         self.repeat_drains(actions);
+        self.repeat_withdrawals(now, actions);
         self.send_commands(now, actions);
     }
 
