--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -69,13 +69,16 @@
     }
 
     fn handle_listed(&mut self, now: Instant, report: Report, actions: &mut Vec<Action>) {
+        if !report.is_valid() {
+            return;
+        }
         self.needs_placement = true;
         let id = report.worker.clone();
         // From now on it counts as unconfirmed, until it answers.
         self.recovery.forget_unlisted(&id);
         let is_shutting_down = report.is_shutting_down;
         let Some(worker) = self.workers.get_mut(&id) else {
-            let mut worker = Worker::new(report);
+            let mut worker = Worker::new(report, now);
             worker.is_draining = self.draining.contains(&id);
             actions.push(worker.log(now, Change::Joined));
             self.workers.insert(id.clone(), worker);
@@ -144,16 +147,14 @@
             return;
         }
         let queue = self.config.queue(&job.queue);
-        let (stretch, allowance) = queue.map_or((2.0, Duration::ZERO), |queue| {
-            (queue.stretch, queue.allowance)
-        });
-        let objective = job.critical_path().mul_f64(stretch) + allowance;
+        let critical_path = job.critical_path();
+        let objective = queue.map_or(critical_path * 2, |queue| queue.objective(critical_path));
         let age = Duration::from_millis(self.unix_ms.saturating_sub(job.accepted_at_ms))
             .min(MAX_ACCEPTANCE_AGE);
         let accepted_at = now.checked_sub(age).unwrap_or(now);
         let mut graph = Graph::new(job.clone(), progress, is_canceled, accepted_at, objective);
         // No older leader could act on a record that follows the claim of this term.
-        graph.predates_term = offset < self.term - 1;
+        graph.predates_term = offset.saturating_add(1) < self.term;
         graph.ended_at = graph.is_over().then_some(now);
         if !graph.is_over() {
             let service = self.service_of(&graph);
--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -89,6 +89,11 @@
             return;
         };
         worker.poll_state = Polling::Scheduled;
+        // An answer without usable times renews nothing, like none.
+        let answer = answer.and_then(|inventory| {
+            let is_valid = inventory.is_valid();
+            is_valid.then_some(inventory).ok_or(Answer::Refused)
+        });
         let delay = match answer {
             Ok(inventory) => {
                 if worker.missed_polls > 0 {
@@ -96,7 +101,11 @@
                 }
                 worker.missed_polls = 0;
                 worker.expired_at = None;
-                if inventory.started_at_ms < worker.report.started_at_ms {
+                // Start times are read from clocks that may be set back, so an earlier one is of an earlier
+                // incarnation only if the leader did not know the present one yet.
+                if inventory.started_at_ms < worker.report.started_at_ms
+                    && sent_at < worker.incarnation_known_at
+                {
                     RETRY_DELAY
                 } else {
                     self.apply_inventory(now, id, sent_at, &inventory, actions);
@@ -130,7 +139,7 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        if inventory.started_at_ms > worker.report.started_at_ms {
+        if inventory.started_at_ms != worker.report.started_at_ms {
             self.handle_restart(now, id, inventory.started_at_ms, actions);
         }
         let Some(worker) = self.workers.get_mut(id) else {
@@ -139,7 +148,9 @@
         worker.record_clock(inventory.clock_ms, now);
         if worker.clock_unknown_since.take().is_some() {
             let max_lease = as_millis(self.options.max_lease);
-            worker.lease_expiry_ms = worker.lease_expiry_ms.max(inventory.clock_ms + max_lease);
+            worker.lease_expiry_ms = worker
+                .lease_expiry_ms
+                .max(inventory.clock_ms.saturating_add(max_lease));
         }
         worker.acknowledged_through = worker.acknowledged_through.max(worker.sent_acknowledgement);
         worker.answered_at = Some(now);
@@ -149,9 +160,17 @@
             self.needs_placement = true;
         }
         for exit in &inventory.exits {
+            if !exit.is_valid() {
+                actions.push(log_run("odd exit skipped", &exit.task, exit.run, id));
+                continue;
+            }
             self.handle_exit(now, id, exit, actions);
         }
         for status in &inventory.running {
+            if !status.is_valid() {
+                actions.push(log_run("odd run skipped", &status.task, status.run, id));
+                continue;
+            }
             let known = self
                 .workers
                 .get_mut(id)
@@ -261,7 +280,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.reset(started_at_ms);
+        worker.reset(now, started_at_ms);
         actions.push(worker.log(now, Change::Restarted));
         let lost_tasks: Vec<Task> = worker
             .runs
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -59,9 +59,9 @@
 
     pub(super) fn plus(self, other: Self) -> Self {
         Self {
-            cpu_millicores: self.cpu_millicores + other.cpu_millicores,
-            memory_mb: self.memory_mb + other.memory_mb,
-            gpus: self.gpus + other.gpus,
+            cpu_millicores: self.cpu_millicores.saturating_add(other.cpu_millicores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            gpus: self.gpus.saturating_add(other.gpus),
         }
     }
 
@@ -93,6 +93,8 @@
 )]
 pub(super) struct Worker {
     pub(super) report: Report,
+    /// Time at which the leader learned of its incarnation.
+    pub(super) incarnation_known_at: Instant,
     /// Whether the worker list contains it.
     pub(super) is_listed: bool,
     /// Whether the host list has contained it.
@@ -139,9 +141,10 @@
 }
 
 impl Worker {
-    pub(super) fn new(report: Report) -> Self {
+    pub(super) fn new(report: Report, now: Instant) -> Self {
         Self {
             report,
+            incarnation_known_at: now,
             is_listed: true,
             was_seen_on_host: false,
             host_lists_without: 0,
@@ -168,8 +171,9 @@
     }
 
     /// Resets everything that an earlier incarnation of the worker reported.
-    pub(super) fn reset(&mut self, started_at_ms: u64) {
+    pub(super) fn reset(&mut self, now: Instant, started_at_ms: u64) {
         self.report.started_at_ms = started_at_ms;
+        self.incarnation_known_at = now;
         self.is_confirmed = false;
         self.clock = None;
         self.lease_expiry_ms = 0;
@@ -207,7 +211,9 @@
     pub(super) fn extend_lease(&mut self, now: Instant) -> Option<u64> {
         let (clock, at) = self.clock?;
         let elapsed = u64::try_from(now.saturating_duration_since(at).as_millis());
-        let lease_expiry_ms = clock + elapsed.unwrap_or(0) + LEASE_MS;
+        let lease_expiry_ms = clock
+            .saturating_add(elapsed.unwrap_or(0))
+            .saturating_add(LEASE_MS);
         self.lease_expiry_ms = self.lease_expiry_ms.max(lease_expiry_ms);
         Some(lease_expiry_ms)
     }
@@ -227,7 +233,7 @@
         let elapsed = now.saturating_duration_since(at).as_millis();
         let elapsed = u64::try_from(elapsed).unwrap_or(u64::MAX);
         let min_elapsed = elapsed - elapsed / u64::from(MAX_CLOCK_LAG_DIVISOR);
-        clock + min_elapsed > self.lease_expiry_ms + CLOCK_SLACK_MS
+        clock.saturating_add(min_elapsed) > self.lease_expiry_ms.saturating_add(CLOCK_SLACK_MS)
     }
 
     /// Returns the resources that its runs reserve.
@@ -253,11 +259,12 @@
             && self.suspended_until.is_none_or(|until| until <= now)
     }
 
-    /// Checks if a poll is needed: for a first answer, for the state of runs, or to acknowledge
-    /// exits.
+    /// Checks if a poll is needed: for a first answer, to learn that it is reachable again, for the
+    /// state of runs, or to acknowledge exits.
     pub(super) fn needs_poll(&self) -> bool {
         !self.has_terminated
             && (!self.is_confirmed
+                || self.missed_polls > 0
                 || !self.runs.is_empty()
                 || self.acknowledged_through < self.recorded_through)
     }
--- a/crates/core/src/term/mod.rs
+++ b/crates/core/src/term/mod.rs
@@ -192,6 +192,10 @@
         actions: &mut Vec<Action>,
     ) {
         let is_claim = heartbeat.term == 0;
+        // No claim could follow a heartbeat with a term above those of all claims.
+        if !heartbeat.is_valid_at(offset) {
+            return;
+        }
         let term = if is_claim { offset + 1 } else { heartbeat.term };
         if term < self.term {
             return;
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -1,7 +1,10 @@
 //! Tests of the scheduler against simulated workers that follow the platform's specification.
 
 mod line;
+mod odd;
+mod reachability;
 mod recovery;
+mod restart;
 mod soak;
 mod worker;
 mod world;
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -110,6 +110,8 @@
     /// Leaders that can't reach a worker that others reach.
     pub(crate) cuts: BTreeSet<(usize, String)>,
     pub(crate) start_count: u64,
+    /// Polls that were sent.
+    pub(crate) poll_count: u64,
     pub(crate) violations: Vec<String>,
 }
 
@@ -142,6 +144,7 @@
             removed: BTreeSet::new(),
             cuts: BTreeSet::new(),
             start_count: 0,
+            poll_count: 0,
             violations: Vec::new(),
         };
         for number in 0..workers {
@@ -315,6 +318,7 @@
                     self.schedule(self.now + wait, Activity::Deliver(leader, event));
                 }
                 Action::Poll(_) | Action::Call(_) => {
+                    self.poll_count += u64::from(matches!(action, Action::Poll(_)));
                     self.schedule(self.now + LATENCY, Activity::Arrive(leader, action));
                 }
                 Action::Fenced => self.leaders[leader].is_up = false,
