--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -13,6 +13,11 @@
 /// Tolerance for late timers and for clocks that run at different rates.
 const CLOCK_MARGIN: Duration = Duration::from_millis(500);
 
+/// Consecutive host lists without a worker that doesn't answer after which it has terminated. A list is
+/// requested once the one before has arrived, so the third was requested after the worker was known, even
+/// if the first was sent before and the second was already requested then.
+const LISTS_WITHOUT_TERMINATED: u32 = 3;
+
 /// `Rule` is what ends the wait for the runs of older terms.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Rule {
@@ -65,12 +70,20 @@
             unlisted_workers: None,
         }
     }
+
+    /// Removes a worker that the worker list contains from those that it lacks.
+    pub(super) fn forget_unlisted(&mut self, worker: &ids::Worker) {
+        if let Some(unlisted) = &mut self.unlisted_workers {
+            unlisted.remove(worker);
+        }
+    }
 }
 
 impl Scheduler {
     /// Applies the host list and the workers that they run.
     ///
-    /// A worker whose host now runs another worker, or none, has terminated.
+    /// A worker whose host now runs another worker, or none, has terminated, and so has one whose host is
+    /// gone. A worker that is only cut off stays in the host list.
     pub(super) fn handle_hosts(
         &mut self,
         now: Instant,
@@ -84,18 +97,28 @@
             hosts.iter().map(|(host, worker)| (host, worker)).collect();
         let mut terminated = Vec::new();
         for (id, worker) in &mut self.workers {
-            let Some(hosted) = worker
-                .report
-                .host
-                .as_ref()
-                .and_then(|host| worker_by_host.get(host))
-            else {
+            // Without a host service the list has no hosts.
+            let Some(host) = worker.report.host.as_ref().filter(|_| !hosts.is_empty()) else {
                 continue;
             };
-            let is_hosted = hosted.as_ref() == Some(id);
+            let hosted = worker_by_host.get(host);
+            let is_hosted = hosted.is_some_and(|hosted| hosted.as_ref() == Some(id));
             worker.was_seen_on_host |= is_hosted;
+            worker.host_lists_without = if is_hosted {
+                0
+            } else {
+                worker.host_lists_without.saturating_add(1)
+            };
+            if is_hosted && worker.has_terminated {
+                // The host has started it again under its id: it gets tasks once it answers.
+                worker.has_terminated = false;
+                worker.is_confirmed = false;
+            }
             // The host list may not contain a worker yet that has just started.
-            if worker.was_seen_on_host && !is_hosted && !worker.has_terminated {
+            let is_replaced = worker.was_seen_on_host && hosted.is_some() && !is_hosted;
+            let is_gone =
+                worker.missed_polls > 0 && worker.host_lists_without >= LISTS_WITHOUT_TERMINATED;
+            if (is_replaced || is_gone) && !worker.has_terminated {
                 worker.has_terminated = true;
                 actions.push(worker.log(now, Change::Terminated));
                 terminated.push((id.clone(), worker.runs.keys().cloned().collect::<Vec<_>>()));
@@ -126,11 +149,11 @@
 
     /// Writes a log line when recovery ends or begins again.
     pub(super) fn log_recovery(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let is_past_deadline = now >= self.recovery.deadline;
+        let is_past_deadline = self.is_past_deadline();
         if self.recovery.has_ended && is_past_deadline {
             return;
         }
-        let has_ended = self.has_recovered(now);
+        let has_ended = self.has_recovered();
         if has_ended == self.recovery.has_ended {
             return;
         }
@@ -149,14 +172,16 @@
         }));
     }
 
-    /// Returns the time after which no unanswered worker can run a task of an older term.
-    pub(super) fn recovery_deadline(&self) -> Instant {
-        self.recovery.deadline
+    /// Checks if no unanswered worker can run a task of another term.
+    ///
+    /// The term must have been confirmed since: a newer leader may have adopted tasks before.
+    pub(super) fn is_past_deadline(&self) -> bool {
+        self.term_confirmed_at >= self.recovery.deadline
     }
 
     /// Checks if every run of an older term that may still exist is known.
-    pub(super) fn has_recovered(&self, now: Instant) -> bool {
-        now >= self.recovery.deadline
+    pub(super) fn has_recovered(&self) -> bool {
+        self.is_past_deadline()
             || (self.recovery.unlisted_workers.is_some() && self.unconfirmed_count() == 0)
     }
 }
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -93,10 +93,14 @@
 )]
 pub(super) struct Worker {
     pub(super) report: Report,
+    /// Time at which the leader learned of its incarnation.
+    pub(super) incarnation_known_at: Instant,
     /// Whether the worker list contains it.
     pub(super) is_listed: bool,
     /// Whether the host list has contained it.
     pub(super) was_seen_on_host: bool,
+    /// Consecutive host lists that did not contain it.
+    pub(super) host_lists_without: u32,
     /// Whether its host runs it no longer, so that it never comes back.
     pub(super) has_terminated: bool,
     /// Whether it has answered a poll under the term of this leader.
@@ -137,11 +141,13 @@
 }
 
 impl Worker {
-    pub(super) fn new(report: Report) -> Self {
+    pub(super) fn new(report: Report, now: Instant) -> Self {
         Self {
             report,
+            incarnation_known_at: now,
             is_listed: true,
             was_seen_on_host: false,
+            host_lists_without: 0,
             has_terminated: false,
             is_confirmed: false,
             clock: None,
@@ -165,8 +171,9 @@
     }
 
     /// Resets everything that an earlier incarnation of the worker reported.
-    pub(super) fn reset(&mut self, started_at_ms: u64) {
+    pub(super) fn reset(&mut self, now: Instant, started_at_ms: u64) {
         self.report.started_at_ms = started_at_ms;
+        self.incarnation_known_at = now;
         self.is_confirmed = false;
         self.clock = None;
         self.lease_expiry_ms = 0;
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -3,6 +3,8 @@
 mod line;
 mod odd;
 mod reachability;
+mod recovery;
+mod restart;
 mod soak;
 mod worker;
 mod world;
