--- a/crates/wire/tests/fuzz/main.rs
+++ b/crates/wire/tests/fuzz/main.rs
@@ -149,3 +149,53 @@
         }
     }
 }
+
+/// Depth of nested values, far above what a stack holds.
+const DEPTH: usize = 100_000;
+
+/// Encodes a map with one field, whose value is given.
+fn field(name: &str, value: &[u8]) -> Vec<u8> {
+    let length = 0x60 | u8::try_from(name.len()).unwrap();
+    [&[0xa1, length], name.as_bytes(), value].concat()
+}
+
+// Guards against the end of a process, or a reader that stops, because of one message.
+#[test_case(&[0x81].repeat(DEPTH); "nested arrays")]
+#[test_case(&[0xa1, 0x00].repeat(DEPTH); "nested maps")]
+#[test_case(&[0xc1].repeat(DEPTH); "nested tags")]
+#[test_case(&field("author", &[0x81].repeat(DEPTH)); "nested arrays in a field")]
+#[test_case(&field("later", &[0x81].repeat(DEPTH)); "nested arrays in an unknown field")]
+#[test_case(&[0x9b, 0x10, 0, 0, 0, 0, 0, 0, 0]; "2^60 items")]
+#[test_case(&field("items", &[0x9b, 0x10, 0, 0, 0, 0, 0, 0, 0]); "2^60 items in a field")]
+#[test_case(&field("records", &[0x5b, 0x10, 0, 0, 0, 0, 0, 0, 0]); "2^60 bytes in a field")]
+#[test_case(&[0x62, 0xff, 0xfe]; "text that is not UTF-8")]
+#[test_case(&field("author", &[0x62, 0xff, 0xfe]); "field that is not UTF-8")]
+#[test_case(&field("end", &[0x3b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff]); "negative number")]
+#[test_case(&field("end", &[0xc2, 0x49, 1, 0, 0, 0, 0, 0, 0, 0, 0]); "number above 64 bits")]
+#[test_case(&field("end", &[0xf9, 0x7e, 0]); "not a number")]
+#[test_case(&[0xf6]; "null")]
+#[test_case(&[]; "nothing")]
+fn verify_odd_message_is_rejected(bytes: &[u8]) {
+    for kind in [
+        Kind::Batch,
+        Kind::Frame,
+        Kind::Page,
+        Kind::Record,
+        Kind::State,
+        Kind::Trace,
+    ] {
+        assert!(decode(kind, bytes).is_err(), "{kind:?}");
+    }
+    assert!(log::decode_part(bytes).is_err());
+}
+
+// Guards against a replay that no record follows.
+#[test]
+fn verify_state_behind_all_records_is_rejected() {
+    let state = State {
+        next_offset: u64::MAX,
+        ..State::default()
+    };
+    let bytes = log::encode_state(&state).unwrap();
+    assert!(log::decode_state(&bytes).is_err());
+}
