Refuse paths that workers can't read

Callers see: 502 with outcome unknown for a path of 65 KB, after sends to several workers, each counted as a failure of a healthy worker. Cause: the path was passed on up to the longest one that the entry's HTTP library reads, where workers answer with an error. Evidence: tests/long_path before: "http/1.1 502 ... x-outcome: unknown, x-reason: unrunnable". A call after 40 such requests was answered before as well, so no lasting harm to other callers was seen. Fix: a path above 8 KiB is refused with 400 and outcome not-run, like other invalid parts of a request.

--- a/crates/entry/src/api/request.rs
+++ b/crates/entry/src/api/request.rs
@@ -13,6 +13,8 @@
     CALLER_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, URGENCY_HEADER,
 };
 
+/// Longest path of a request, in bytes. Backend servers read it with their limits for a head.
+const PATH_MAX_BYTES: usize = 8 * 1024;
 /// Longest name of a service or client account, in bytes.
 const NAME_MAX_BYTES: usize = 64;
 /// Longest time that a caller may set as a deadline.
@@ -30,6 +32,9 @@
     body: Bytes,
     default_deadline: Duration,
 ) -> Result<Request> {
+    if http.path().len() > PATH_MAX_BYTES {
+        return Err(value_error("path", "expected at most 8192 bytes"));
+    }
     let path = http.path().trim_start_matches('/');
     let (service, service_path) = path.split_once('/').unwrap_or((path, ""));
     let caller = header_value(http, CALLER_HEADER).unwrap_or(DEFAULT_CALLER.as_bytes());
