Use no entry of a worker whose service the configuration does not name

What callers would see: no task of a service starts any more. The leader of its shard loses its term again and again, until its terms have passed those of another shard.

Cause: an entry belongs to the shard of its service's hash, whether or not the configuration names that service. When another writer overwrites the entry of a worker with such a service, the leader of another shard polls the worker with the token of its own term. Terms of different shards don't compare. If that one is higher, the worker fences the leader of its own shard from then on, after its next heartbeat too. Also, an entry of another service left a worker known to its former shard.

Evidence: verify_entry_with_an_unnamed_service_leaves_the_worker_to_its_leader, case 1: a job is not completed 30 s after the worker's own entry is back. Case 2, with an unnamed service of the same shard, passed before. verify_worker_of_a_service_that_is_named_later_gets_tasks fails in a trial without the new subscription.

Change: a leader uses entries of its shard whose service the configuration names; any other entry of a worker withdraws it. As a service may be named after its entries were read, a leader subscribes again when the services change and gets all entries.

Result: the three cases pass.

--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -7,7 +7,7 @@
 use futures_util::future::join;
 use persimmongate_core::ids;
 use persimmongate_core::journal::Record;
-use persimmongate_core::sched::{Action, Event, Scheduler};
+use persimmongate_core::sched::{Action, Event, Report, Scheduler};
 use persimmongate_core::term::{self, Action as Elected};
 use persimmongate_node::clock;
 use slog::{info, warn};
@@ -19,7 +19,7 @@
     Sequencer, append_with_retry, claim, encoded_or_logged, resign, resignation, resignation_notice,
 };
 use crate::platform::{Append, Failure, Platform};
-use crate::roster::{Change, Subscribe, Unsubscribe, Update};
+use crate::roster::{Change, Unsubscribe, Update};
 
 /// Time between the announcement of a resignation and the resignation itself: the longest pause of the
 /// other processes between two reads.
@@ -131,10 +131,7 @@
         for job in jobs {
             self.schedule_job(&job, ctx);
         }
-        let recipient = ctx.address().recipient();
-        self.setup
-            .roster
-            .do_send(Subscribe(self.setup.shard, recipient));
+        self.subscribe(ctx);
         self.setup.leadership_observer.do_send(Transition {
             shard: self.setup.shard,
             is_leader: true,
@@ -336,11 +333,11 @@
             Update::Workers(changes) => {
                 for change in changes {
                     match change {
-                        Change::Listed(report) if self.owns(&report.service) => {
+                        Change::Listed(report) if self.serves(&report.service) => {
                             self.step_scheduler(Event::Listed(report), ctx);
                         }
-                        Change::Listed(_) => {}
-                        Change::Unlisted(worker) => {
+                        // An earlier entry may have listed it as a worker of this shard.
+                        Change::Listed(Report { worker, .. }) | Change::Unlisted(worker) => {
                             self.step_scheduler(Event::Unlisted(worker), ctx);
                         }
                     }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -32,7 +32,7 @@
 use crate::operator::Configured;
 use crate::platform::{Partition, Platform};
 use crate::reader::Reader;
-use crate::roster::Roster;
+use crate::roster::{Roster, Subscribe};
 use leadership::Leadership;
 
 /// Pause of a leader between two reads, so that one read returns several records. It is short compared
@@ -190,6 +190,20 @@
         shard_of(service, self.setup.shard_count) == self.setup.shard
     }
 
+    /// Checks if the workers of a service are workers of the shard.
+    fn serves(&self, service: &ids::Service) -> bool {
+        let config = self.config.as_ref();
+        self.owns(service) && config.is_some_and(|config| config.service(service).is_some())
+    }
+
+    /// Subscribes to the roster, which sends all that it knows.
+    fn subscribe(&self, ctx: &mut Context<Self>) {
+        let recipient = ctx.address().recipient();
+        self.setup
+            .roster
+            .do_send(Subscribe(self.setup.shard, recipient));
+    }
+
     /// Checks if the replayed state holds all jobs accepted until [`FRESH_MAX_AGE`] ago.
     fn is_fresh(&self) -> bool {
         let now = clock::now();
@@ -321,13 +335,18 @@
             .services
             .iter()
             .any(|service| !service.is_spare && self.owns(&service.name));
-        self.config = Some(config.clone());
+        let replaced = self.config.replace(config.clone());
+        let has_new_services = replaced.is_none_or(|known| known.services != config.services);
         if owns_service && !self.is_active {
             info!(self.setup.logger, "shard active: a service belongs to it"; "shard" => self.setup.shard);
             self.is_active = true;
             self.read_next(Cursor::new(self.partition(), MAX_READ_WAIT), ctx);
         }
         self.step_scheduler(Event::Config(config), ctx);
+        if has_new_services && self.leadership.is_some() {
+            // Entries with a service that was not named before were not used.
+            self.subscribe(ctx);
+        }
     }
 }
 
