Check the answer to a command for a wave

Operators would see: "wave w is paused" and exit code 0 for any answer with a status of 200, also one that is no JSON, so that the next step of a procedure runs although nothing is known. Cause: each answer without `"changed": false` counted as a change. Fix: without a readable `changed` the state of the wave is looked up, as after an answer that was lost.

--- a/crates/ctl/src/commands/wave.rs
+++ b/crates/ctl/src/commands/wave.rs
@@ -30,14 +30,14 @@
     let (name, operator) = (escape(wave), escape(&operator));
     let path = format!("/v1/waves/{name}/{verb}?operator={operator}");
     match client.post(&path, Bytes::new()).await {
-        Ok(value) => {
-            let changed = value.get("changed").and_then(Value::as_bool);
-            let text = match changed {
-                Some(false) => format!("no change: wave {wave} is already {phase}"),
-                _ => format!("wave {wave} is {phase}"),
-            };
-            Output::new(Exit::Done, text, value)
-        }
+        Ok(value) => match value.get("changed").and_then(Value::as_bool) {
+            Some(true) => Output::new(Exit::Done, format!("wave {wave} is {phase}"), value),
+            Some(false) => {
+                let text = format!("no change: wave {wave} is already {phase}");
+                Output::new(Exit::Done, text, value)
+            }
+            None => recheck(client, command, wave, "the answer can't be decoded").await,
+        },
         Err(Failure::AnswerLost(problem)) => recheck(client, command, wave, &problem).await,
         Err(failure) => failure_output(failure),
     }
--- a/crates/ctl/tests/cli/fake.rs
+++ b/crates/ctl/tests/cli/fake.rs
@@ -14,6 +14,8 @@
     Close,
     /// Answers with a status and a body.
     Json(u16, Value),
+    /// Answers with a status and a body that may be no JSON.
+    Raw(u16, Vec<u8>),
 }
 
 /// `Fake` is a running fake instance.
@@ -63,13 +65,16 @@
     reader.read_exact(&mut body).expect("body");
     let call = request_line.rsplit_once(' ').map_or("", |(call, _)| call);
     calls.send(call.to_owned()).expect("call");
-    if let Reply::Json(status, value) = reply {
-        let body = value.to_string();
-        let head = format!(
-            "HTTP/1.1 {status} X\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
-            body.len()
-        );
-        let mut stream = reader.into_inner();
-        stream.write_all((head + &body).as_bytes()).expect("answer");
-    }
+    let (status, body) = match reply {
+        Reply::Close => return,
+        Reply::Json(status, value) => (status, value.to_string().into_bytes()),
+        Reply::Raw(status, body) => (status, body.clone()),
+    };
+    let head = format!(
+        "HTTP/1.1 {status} X\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
+        body.len()
+    );
+    let mut stream = reader.into_inner();
+    stream.write_all(head.as_bytes()).expect("answer");
+    stream.write_all(&body).expect("answer");
 }
--- a/crates/ctl/tests/cli/main.rs
+++ b/crates/ctl/tests/cli/main.rs
@@ -181,3 +181,31 @@
     );
     assert!(text.contains("--base 7"), "{text}");
 }
+
+// Guards against a command that ends by a panic, or calls an answer that it can't read a success.
+#[test_case(&"[".repeat(100_000).into_bytes(); "nested lists")]
+#[test_case(&r#"{"x":"#.repeat(100_000).into_bytes(); "nested objects")]
+#[test_case(b"\xff\xfe"; "not UTF-8")]
+#[test_case(b""; "nothing")]
+#[test_case(b"null"; "null")]
+#[test_case(b"1e400"; "number above all floats")]
+#[test_case(b"{}"; "no fields")]
+#[test_case(br#"{"revision":-1}"#; "negative revision")]
+#[test_case(br#"{"revision":18446744073709551616}"#; "revision above 64 bits")]
+#[test_case(br#"{"revision":7,"sheet":{"operator":"o","at":{"secs_since_epoch":18446744073709551615,"nanos_since_epoch":0},"intents":[]}}"#; "time out of range")]
+fn verify_odd_answer_is_no_success(body: &[u8]) {
+    let commands: [&[&str]; 5] = [
+        &["status"],
+        &["explain", "wave", "w"],
+        &["plan", KUISEB_SHEET],
+        &["apply", KUISEB_SHEET],
+        &["wave", "pause", "w"],
+    ];
+    for command in commands {
+        let fake = Fake::start(vec![Reply::Raw(200, body.to_vec()); 8]);
+        let output = with_fleet(fake.address, command);
+        let code = exit_code(&output);
+        assert!(matches!(code, Some(1..=3)), "{command:?}: {code:?}");
+        assert!(!text_of(&output).contains("panicked"), "{command:?}");
+    }
+}
