--- a/crates/core/tests/sched/reachability.rs
+++ b/crates/core/tests/sched/reachability.rs
@@ -7,9 +7,11 @@
 
 // Guards against a leader that never polls a worker again once the lease of its runs has expired,
 // and so gives it no task for the rest of the term.
-#[test_case(true; "with a long-running task")]
-#[test_case(false; "with a short task")]
-fn verify_worker_that_is_reachable_again_gets_tasks(is_long_running: bool) {
+#[test_case(true, 12; "with a long-running task")]
+#[test_case(false, 12; "with a short task")]
+#[test_case(true, 60; "with a long-running task after a minute")]
+#[test_case(false, 60; "with a short task after a minute")]
+fn verify_worker_that_is_reachable_again_gets_tasks(is_long_running: bool, cut_seconds: u64) {
     let mut world = World::new(1, 1);
     if is_long_running {
         world.submit("job", vec![long_running(1, 0)]);
@@ -20,7 +22,7 @@
     world.submit("cut", vec![step(1, 5_000, &[])]);
     world.run(seconds(1));
     world.workers.get_mut("w0").unwrap().is_reachable = false;
-    world.run(seconds(12));
+    world.run(seconds(cut_seconds));
     assert_eq!(world.workers_running("job"), Vec::<String>::new());
     world.workers.get_mut("w0").unwrap().is_reachable = true;
     world.submit("later", vec![long_running(1, 0)]);
