Tell incomplete host lists from complete ones

What callers would see: a task runs twice.

Cause: the reader of the host list skips rows and pages that can't be read, and the scheduler takes a silent worker that three lists lack for terminated and releases its runs. A worker that is only cut off, and whose row can't be read, looked as if it had terminated while its lease held. In the same way, recovery ended without the workers of hosts that could not be read, and the planner took such hosts for lost.

Change: a host list says whether it has all hosts; only such a list shows that a host is gone or that all workers are known. The list of a process without a host service says nothing.

--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -200,8 +200,13 @@
     Listed(Report),
     /// A worker is no longer listed.
     Unlisted(ids::Worker),
-    /// All hosts, each with the worker of this shard that it runs.
-    Hosts(Vec<(ids::Host, Option<ids::Worker>)>),
+    /// The host list was read.
+    Hosts {
+        /// Hosts, each with the worker of this shard that it runs.
+        hosts: Vec<(ids::Host, Option<ids::Worker>)>,
+        /// Whether these are all hosts, so that one that is missing is gone.
+        is_complete: bool,
+    },
     /// A job of the shard, with its state in the log.
     Job {
         /// The job.
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -23,7 +23,9 @@
             }
             Event::Listed(report) => self.handle_listed(now, report, actions),
             Event::Unlisted(worker) => self.handle_unlisted(now, &worker, actions),
-            Event::Hosts(hosts) => self.handle_hosts(now, &hosts, actions),
+            Event::Hosts { hosts, is_complete } => {
+                self.handle_hosts(now, &hosts, is_complete, actions);
+            }
             Event::Job {
                 job,
                 offset,
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -83,25 +83,35 @@
     /// Applies the host list and the workers that they run.
     ///
     /// A worker whose host now runs another worker, or none, has terminated, and so has one whose host is
-    /// gone. A worker that is only cut off stays in the host list.
+    /// gone from a complete list. A worker that is only cut off stays in the host list.
     pub(super) fn handle_hosts(
         &mut self,
         now: Instant,
         hosts: &[(ids::Host, Option<ids::Worker>)],
+        is_complete: bool,
         actions: &mut Vec<Action>,
     ) {
+        // Without a host service the list has no hosts.
+        let is_complete = is_complete && !hosts.is_empty();
         let hosted_workers = hosts.iter().filter_map(|(_, worker)| worker.clone());
         let unlisted = hosted_workers.filter(|worker| !self.workers.contains_key(worker));
-        self.recovery.unlisted_workers = Some(unlisted.collect());
+        let unlisted: Set<ids::Worker> = unlisted.collect();
+        if is_complete {
+            self.recovery.unlisted_workers = Some(unlisted);
+        } else if let Some(known) = &mut self.recovery.unlisted_workers {
+            known.extend(unlisted);
+        }
         let worker_by_host: Map<&ids::Host, &Option<ids::Worker>> =
             hosts.iter().map(|(host, worker)| (host, worker)).collect();
         let mut terminated = Vec::new();
         for (id, worker) in &mut self.workers {
-            // Without a host service the list has no hosts.
-            let Some(host) = worker.report.host.as_ref().filter(|_| !hosts.is_empty()) else {
+            let Some(host) = &worker.report.host else {
                 continue;
             };
             let hosted = worker_by_host.get(host);
+            if hosted.is_none() && !is_complete {
+                continue;
+            }
             let is_hosted = hosted.is_some_and(|hosted| hosted.as_ref() == Some(id));
             worker.was_seen_on_host |= is_hosted;
             worker.host_lists_without = if is_hosted {
--- a/crates/core/src/upkeep/event.rs
+++ b/crates/core/src/upkeep/event.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use super::{Host, Wave};
+use super::{Listing, Wave};
 use crate::ids;
 use crate::journal::{Drain, Load};
 use crate::queue::Config;
@@ -51,7 +51,7 @@
     /// The configuration in force changed.
     Config(Arc<Config>),
     /// The host service listed hosts of the fleet.
-    Hosts(Vec<Host>),
+    Hosts(Listing),
     /// Operators requested a wave; the time is when this process read the request.
     WaveRequested(Wave, Instant),
     /// The log records these hosts as maintained in a wave.
--- a/crates/core/src/upkeep/host.rs
+++ b/crates/core/src/upkeep/host.rs
@@ -14,6 +14,15 @@
     Down,
 }
 
+/// `Listing` is an answer of the host service to a request for its hosts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listing {
+    /// Hosts that could be read.
+    pub hosts: Vec<Host>,
+    /// Whether these are all hosts, so that one that is missing is gone.
+    pub is_complete: bool,
+}
+
 /// `Host` is a host as the host service lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Host {
--- a/crates/core/src/upkeep/mod.rs
+++ b/crates/core/src/upkeep/mod.rs
@@ -13,6 +13,6 @@
 mod wave;
 
 pub use event::{Action, Answer, Command, Event, Operation};
-pub use host::{Host, State};
+pub use host::{Host, Listing, State};
 pub use planner::{Options, Planner};
 pub use wave::Wave;
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -3,7 +3,7 @@
 
 use super::balance::Balance;
 use super::event::{Action, Answer, Command, Event, Operation};
-use super::host::{Host, State};
+use super::host::{Host, Listing, State};
 use super::wave::Rollout;
 use crate::ids;
 use crate::journal::{Drain, Load};
@@ -122,7 +122,7 @@
     pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Config(config) => self.config = config,
-            Event::Hosts(hosts) => self.update_hosts(now, hosts),
+            Event::Hosts(listing) => self.update_hosts(now, listing),
             Event::WaveRequested(wave, requested_at) => {
                 if !self
                     .rollouts
@@ -174,8 +174,14 @@
         self.plan(now, actions);
     }
 
-    fn update_hosts(&mut self, now: Instant, hosts: Vec<Host>) {
-        for host in hosts {
+    fn update_hosts(&mut self, now: Instant, listing: Listing) {
+        if !listing.is_complete {
+            // A host that is missing may be one that could not be read.
+            for listed_at in self.listed_at.values_mut() {
+                *listed_at = now;
+            }
+        }
+        for host in listing.hosts {
             self.listed_at.insert(host.name.clone(), now);
             self.balance.update_move(now, &host);
             if host.state == State::Maintenance {
--- a/crates/core/tests/sched/line.rs
+++ b/crates/core/tests/sched/line.rs
@@ -143,7 +143,13 @@
     world.set_listed("w0", true);
     world.set_listed("w0", true);
     for _ in 0..2 {
-        world.deliver(0, Event::Hosts(vec![("h0".into(), None)]));
+        world.deliver(
+            0,
+            Event::Hosts {
+                hosts: vec![("h0".into(), None)],
+                is_complete: true,
+            },
+        );
         world.run(seconds(1));
     }
     let kinds = take_kinds(&mut world, "w0");
--- a/crates/core/tests/sched/recovery.rs
+++ b/crates/core/tests/sched/recovery.rs
@@ -157,6 +157,43 @@
     assert_eq!(world.violations_found(), Vec::<String>::new());
 }
 
+// A task ran twice: host lists without rows that could not be read made a worker that was only cut off look
+// as if it had terminated, while its lease held.
+#[test]
+fn verify_incomplete_host_list_terminates_no_worker() {
+    let mut world = World::new(2, 1);
+    world.submit("job", vec![long_running(1, 0)]);
+    world.run(Duration::from_secs(2));
+    let worker = world.workers_running("job")[0].clone();
+    world.has_complete_hosts = false;
+    world.removed.insert(worker.clone());
+    world.cuts.insert((0, worker.clone()));
+    // Three host lists, before the lease expires.
+    run_with_hosts(&mut world, HOST_POLL_INTERVAL * 3);
+    assert_eq!(world.workers_running("job"), [worker]);
+    run_with_hosts(&mut world, Duration::from_secs(5));
+    assert_eq!(world.workers_running("job").len(), 1);
+    assert_eq!(world.violations_found(), Vec::<String>::new());
+}
+
+// A new leader must wait for the workers of hosts whose rows it could not read.
+#[test]
+fn verify_incomplete_host_list_ends_no_wait() {
+    let mut world = World::new(2, 1);
+    world.submit("job", vec![long_running(1, 0)]);
+    world.run(Duration::from_secs(2));
+    let worker = world.workers_running("job")[0].clone();
+    world.leaders[0].is_log_reachable = false;
+    world.cuts.insert((1, worker.clone()));
+    world.has_complete_hosts = false;
+    world.removed.insert(worker.clone());
+    world.lapsed.insert(worker.clone());
+    world.elect_leader();
+    run_with_hosts(&mut world, Duration::from_secs(5));
+    assert_eq!(world.workers_running("job"), [worker]);
+    assert_eq!(world.violations_found(), Vec::<String>::new());
+}
+
 // A host list without hosts, as where there is no host service, says nothing about the workers.
 #[test]
 fn verify_empty_host_list_ends_no_wait() {
--- a/crates/core/tests/sched/restart.rs
+++ b/crates/core/tests/sched/restart.rs
@@ -11,7 +11,13 @@
     let report = world.workers[name].report.clone();
     let hosts = vec![(report.host.unwrap(), is_running.then_some(report.worker))];
     let leader = world.leaders.len() - 1;
-    world.deliver(leader, Event::Hosts(hosts));
+    world.deliver(
+        leader,
+        Event::Hosts {
+            hosts,
+            is_complete: true,
+        },
+    );
 }
 
 // Guards against a leader that never uses a worker again once the host list has shown its host
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -107,6 +107,8 @@
     pub(crate) vacated: BTreeSet<String>,
     /// Workers whose host is no longer listed.
     pub(crate) removed: BTreeSet<String>,
+    /// Whether the host list is said to have all hosts.
+    pub(crate) has_complete_hosts: bool,
     /// Leaders that can't reach a worker that others reach.
     pub(crate) cuts: BTreeSet<(usize, String)>,
     pub(crate) start_count: u64,
@@ -142,6 +144,7 @@
             lapsed: BTreeSet::new(),
             vacated: BTreeSet::new(),
             removed: BTreeSet::new(),
+            has_complete_hosts: true,
             cuts: BTreeSet::new(),
             start_count: 0,
             poll_count: 0,
@@ -216,7 +219,9 @@
             (worker.report.host.clone().unwrap(), hosted)
         });
         let hosts = hosts.collect();
-        self.deliver(self.leaders.len() - 1, Event::Hosts(hosts));
+        let is_complete = self.has_complete_hosts;
+        let event = Event::Hosts { hosts, is_complete };
+        self.deliver(self.leaders.len() - 1, event);
     }
 
     pub(crate) fn random(&mut self) -> &mut impl Rng {
--- a/crates/core/tests/upkeep/fixture.rs
+++ b/crates/core/tests/upkeep/fixture.rs
@@ -8,7 +8,7 @@
 use persimmongate_core::queue::{Config, Service};
 use persimmongate_core::sched::Resources;
 use persimmongate_core::upkeep::{
-    Action, Answer, Command, Event, Host, Operation, Options, Planner, State, Wave,
+    Action, Answer, Command, Event, Host, Listing, Operation, Options, Planner, State, Wave,
 };
 
 /// Processor capacity of a host.
@@ -113,10 +113,18 @@
         self.hosts.iter().find(|entry| entry.name == *host).unwrap()
     }
 
+    /// Returns the host list as the host service sends it.
+    pub(crate) fn listing(&self) -> Listing {
+        Listing {
+            hosts: self.hosts.clone(),
+            is_complete: true,
+        }
+    }
+
     /// Sends the current state of the log, the hosts and the loads to the planner.
     pub(crate) fn refresh(&mut self) {
         self.step(Event::TermConfirmed(self.now));
-        self.step(Event::Hosts(self.hosts.clone()));
+        self.step(Event::Hosts(self.listing()));
         self.step(Event::Loads(self.loads.clone()));
     }
 
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -36,7 +36,7 @@
     for _ in 0..10 {
         fixture.now += Duration::from_millis(200);
         fixture.step(Event::TermConfirmed(fixture.now));
-        fixture.step(Event::Hosts(fixture.hosts.clone()));
+        fixture.step(Event::Hosts(fixture.listing()));
     }
     assert!(!fixture.drains.is_empty());
     assert_eq!(fixture.commands, []);
@@ -56,7 +56,7 @@
 fn verify_leader_without_the_log_plans_nothing() {
     let mut fixture = Fixture::new(false);
     fixture.now += Duration::from_secs(5);
-    fixture.step(Event::Hosts(fixture.hosts.clone()));
+    fixture.step(Event::Hosts(fixture.listing()));
     fixture.request_wave(wave(1));
     fixture.step(Event::Tick);
     assert_eq!(fixture.drains, []);
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -172,8 +172,8 @@
     type Result = ();
 
     fn handle(&mut self, update: Update, ctx: &mut Self::Context) {
-        if let Update::Hosts(hosts) = update {
-            self.step_planner(Event::Hosts(hosts), ctx);
+        if let Update::Hosts(listing) = update {
+            self.step_planner(Event::Hosts(listing), ctx);
         }
     }
 }
--- a/crates/jobs/src/platform/mod.rs
+++ b/crates/jobs/src/platform/mod.rs
@@ -8,7 +8,7 @@
 use persimmongate_core::ids;
 use persimmongate_core::queue::Config;
 use persimmongate_core::sched::{Answer, Call, Inventory, Poll, Query, Report, Ticket};
-use persimmongate_core::upkeep::{self, Host, Wave};
+use persimmongate_core::upkeep::{self, Listing, Wave};
 
 /// `Partition` is a partition of the platform's log.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -144,7 +144,7 @@
     /// # Errors
     ///
     /// The reply is an error if the host service did not answer or refused.
-    fn list_hosts(&self) -> Reply<Vec<Host>>;
+    fn list_hosts(&self) -> Reply<Listing>;
 
     /// Sends a command about a host to the host service.
     fn send_host_command(
--- a/crates/jobs/src/roster/mod.rs
+++ b/crates/jobs/src/roster/mod.rs
@@ -8,7 +8,7 @@
 use persimmongate_core::ids;
 use persimmongate_core::map::Map;
 use persimmongate_core::sched::Report;
-use persimmongate_core::upkeep::Host;
+use persimmongate_core::upkeep::Listing;
 use persimmongate_node::supervisor::Guard;
 use slog::{Logger, debug, info, warn};
 
@@ -37,8 +37,8 @@
 pub enum Update {
     /// Changes of the worker list since the preceding update, at most one for each worker.
     Workers(Vec<Change>),
-    /// All hosts of the fleet.
-    Hosts(Vec<Host>),
+    /// The host list.
+    Hosts(Listing),
 }
 
 /// `Subscribe` adds the leader of a shard as a subscriber, or replaces the shard's earlier one.
@@ -55,7 +55,7 @@
 pub struct Roster<P: Platform, C: Copy + Send + Unpin + 'static> {
     platform: P,
     reports: Map<ids::Worker, Report>,
-    hosts: Option<Vec<Host>>,
+    hosts: Option<Listing>,
     /// Whether the worker list was read since the first subscription.
     has_worker_list: bool,
     subscribers: Map<ids::Shard, Recipient<Update>>,
@@ -114,7 +114,7 @@
         }));
     }
 
-    fn apply_hosts(&mut self, hosts: Result<Vec<Host>, Failure>) {
+    fn apply_hosts(&mut self, hosts: Result<Listing, Failure>) {
         match hosts {
             Ok(hosts) => {
                 self.hosts = Some(hosts.clone());
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -343,14 +343,17 @@
                     }
                 }
             }
-            Update::Hosts(hosts) => {
+            Update::Hosts(listing) => {
                 // A host that moves is listed in another pool while its worker may still be known to this shard.
-                let workers = hosts.into_iter().map(|host| {
+                let hosts = listing.hosts.into_iter().map(|host| {
                     let is_own = self.owns(&host.service);
                     (host.name, host.worker.filter(|_| is_own))
                 });
-                let workers = workers.collect();
-                self.step_scheduler(Event::Hosts(workers), ctx);
+                let event = Event::Hosts {
+                    hosts: hosts.collect(),
+                    is_complete: listing.is_complete,
+                };
+                self.step_scheduler(event, ctx);
             }
         }
     }
--- a/crates/jobs/tests/roster/fixture.rs
+++ b/crates/jobs/tests/roster/fixture.rs
@@ -9,7 +9,7 @@
 use persimmongate_core::ids;
 use persimmongate_core::map::Map;
 use persimmongate_core::sched::{Answer, Call, Inventory, Poll, Query, Report, Resources, Ticket};
-use persimmongate_core::upkeep::{self, Host};
+use persimmongate_core::upkeep::{self, Listing};
 use persimmongate_jobs::platform::{
     Append, Change, Entry, Failure, Page, Partition, Platform, Reply,
 };
@@ -95,8 +95,8 @@
         unimplemented!("the roster asks for no advice")
     }
 
-    fn list_hosts(&self) -> Reply<Vec<Host>> {
-        Box::pin(ready(Ok(Vec::new())))
+    fn list_hosts(&self) -> Reply<Listing> {
+        Box::pin(ready(Ok(Listing::default())))
     }
 
     fn send_host_command(&self, _: upkeep::Command) -> LocalBoxFuture<'static, upkeep::Answer> {
--- a/crates/jobs/tests/shard/fixture.rs
+++ b/crates/jobs/tests/shard/fixture.rs
@@ -11,7 +11,7 @@
 use persimmongate_core::journal::{Drain, Record};
 use persimmongate_core::queue::{Config, Service};
 use persimmongate_core::sched::{Answer, Call, Inventory, Options, Poll, Query, Report, Ticket};
-use persimmongate_core::upkeep::{self, Host};
+use persimmongate_core::upkeep::{self, Listing};
 use persimmongate_jobs::operator::Configured;
 use persimmongate_jobs::platform::{
     Append, Change, Entry, Failure, Page, Partition, Platform, Reply,
@@ -73,7 +73,7 @@
         unimplemented!("only a leader asks for advice")
     }
 
-    fn list_hosts(&self) -> Reply<Vec<Host>> {
+    fn list_hosts(&self) -> Reply<Listing> {
         unimplemented!("the roster has no subscriber")
     }
 
