Count runs that an older leader may be stopping as away

Cause: a leader resigns while a stop that it sent is in progress. Its successor adopts the run, as the worker still lists it, takes it for one that serves, and stops the next task of the step for the same drain.

Evidence: verify_new_leader_counts_runs_that_its_predecessor_stops_as_away failed: "hand-over 180 ms after the drain: 2 at work", of 4 of which 1 may be away.

--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -55,14 +55,14 @@
             .filter(|(_, run)| run.is_long_running && run.state == Phase::Running);
         let long_running_tasks: Vec<Task> = long_running.map(|(task, _)| task.clone()).collect();
         for task in long_running_tasks {
-            if is_shutting_down || self.is_stop_allowed(&task) {
+            if is_shutting_down || self.is_stop_allowed(now, &task) {
                 self.stop_run(now, id, &task, actions);
             }
         }
     }
 
     /// Checks if a long-running task may be stopped in view of the unavailable tasks of its step.
-    fn is_stop_allowed(&self, task: &Task) -> bool {
+    fn is_stop_allowed(&self, now: Instant, task: &Task) -> bool {
         let Some(graph) = self.jobs.get(&task.job) else {
             return true;
         };
@@ -73,11 +73,17 @@
             return true;
         };
         let max_unavailable = graph.step_of(stage).max_unavailable as usize;
-        max_unavailable == 0 || self.count_unavailable(graph, stage, index) < max_unavailable
+        max_unavailable == 0 || self.count_unavailable(now, graph, stage, index) < max_unavailable
     }
 
     /// Counts the tasks of a stage that are not ready, without the one at the index `excluded`.
-    fn count_unavailable(&self, graph: &Graph, stage: usize, excluded: usize) -> usize {
+    fn count_unavailable(
+        &self,
+        now: Instant,
+        graph: &Graph,
+        stage: usize,
+        excluded: usize,
+    ) -> usize {
         let current = &graph.stages[stage];
         let mut availability: Map<u32, bool> = Map::default();
         for (index, task_state) in (0_u32..).zip(&current.tasks) {
@@ -88,8 +94,11 @@
             let worker = self.workers.get(id);
             let task = graph.task(current.occurrence, current.step, index);
             let run = worker.and_then(|worker| worker.runs.get(&task));
-            let is_serving =
-                run.is_some_and(|run| run.state == Phase::Running && run.percent >= READY_PERCENT);
+            let is_serving = run.is_some_and(|run| {
+                run.state == Phase::Running
+                    && run.percent >= READY_PERCENT
+                    && run.may_stop_until.is_none_or(|until| until <= now)
+            });
             let is_reachable = worker.is_some_and(|worker| {
                 worker.missed_polls == 0 && worker.is_listed && !worker.report.is_shutting_down
             });
--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -211,6 +211,8 @@
         run.state = Phase::Running;
         run.confirmed_at = Some(now);
         run.has_been_in_inventory = true;
+        // The worker refuses later commands of older leaders.
+        run.may_stop_until = Some(now + self.options.stop_timeout * 2);
         run.is_assigned = false;
         if let Some(graph) = self.jobs.get_mut(&task.job)
             && let Some((stage, index)) = graph.find(task)
--- a/crates/core/src/sched/run.rs
+++ b/crates/core/src/sched/run.rs
@@ -29,6 +29,8 @@
     pub(super) is_assigned: bool,
     /// Time at which the start was sent, or at which the run was found on the worker.
     pub(super) created_at: Instant,
+    /// Time until which a stop that an older leader sent may be in progress.
+    pub(super) may_stop_until: Option<Instant>,
     /// Time of the answer after which the worker's inventory must contain it.
     pub(super) confirmed_at: Option<Instant>,
     /// Whether an inventory of the worker's present incarnation has contained it.
@@ -61,6 +63,7 @@
             resources,
             is_assigned: true,
             created_at: now,
+            may_stop_until: None,
             confirmed_at: None,
             has_been_in_inventory: false,
             stop_sent_at: None,
--- a/crates/core/tests/sched/recovery.rs
+++ b/crates/core/tests/sched/recovery.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use persimmongate_core::sched::Event;
 use rand::RngExt;
 use test_case::test_case;
 
@@ -194,6 +195,51 @@
     assert_eq!(world.violations_found(), Vec::<String>::new());
 }
 
+// More tasks of a step were away than it may miss: a new leader took a run that its predecessor was stopping for
+// one that serves, and stopped the next one.
+#[test]
+fn verify_new_leader_counts_runs_that_its_predecessor_stops_as_away() {
+    for delay_ms in (20..300).step_by(20) {
+        let mut world = World::new(6, 1);
+        world.submit("job", vec![long_running(4, 1)]);
+        world.run(Duration::from_secs(2));
+        let mut workers = world.workers_running("job");
+        assert_eq!(workers.len(), 4);
+        workers.truncate(2);
+        let drain = |world: &mut World, leader: usize, worker: usize| {
+            let worker = workers[worker].as_str().into();
+            world.deliver(leader, Event::Drain(worker, true));
+        };
+        // Exits of short tasks make the workers answer polls at once.
+        for millis in (60..460).step_by(20) {
+            world.submit(&format!("short-{millis}"), vec![step(1, millis, &[])]);
+        }
+        world.run(Duration::from_millis(20));
+        drain(&mut world, 0, 1);
+        world.run(Duration::from_millis(delay_ms));
+        world.leaders[0].is_up = false;
+        let leader = world.elect_leader();
+        drain(&mut world, leader, 0);
+        drain(&mut world, leader, 1);
+        for _ in 0..500 {
+            world.run(Duration::from_millis(20));
+            let runs = world
+                .workers
+                .values()
+                .flat_map(|worker| worker.runs.values());
+            let at_work = runs.filter(|run| run.exit.is_none() && run.stop_requested_at.is_none());
+            let at_work = at_work.count();
+            assert!(
+                at_work >= 3,
+                "hand-over {delay_ms} ms after the drain: {at_work} at work"
+            );
+        }
+        let running = world.workers_running("job");
+        assert!(workers.iter().all(|worker| !running.contains(worker)));
+        assert_eq!(world.violations_found(), Vec::<String>::new());
+    }
+}
+
 // A host list without hosts, as where there is no host service, says nothing about the workers.
 #[test]
 fn verify_empty_host_list_ends_no_wait() {
