Log why a run is stopped, expired leases and leaders that lag

The lines of that time could not tell the hypotheses apart: `stop` had no reason, and `interrupted` covered a stop, a lease that expired and a gang that broke up.

Change: `stop` names its reason and how many tasks of the step are unavailable; `lease expired on worker` is a line of its own; `leader lags` tells when the periodic work of a leader is late, and which step took longest.

--- a/crates/core/src/sched/command.rs
+++ b/crates/core/src/sched/command.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use super::check::MAX_NUMBER;
-use super::event::{Action, Answer, Call, Command};
+use super::event::{Action, Answer, Call, Command, Reason, Stop};
 use super::graph::Advice;
 use super::poll::log_run;
 use super::run::Phase;
@@ -83,7 +83,8 @@
             }
             Answer::Unknown => {
                 if run.confirmed_at.is_none() {
-                    self.stop_run(now, &call.worker, &call.task, actions);
+                    let reason = Reason::UnansweredStart;
+                    self.stop_run(now, &call.worker, &call.task, reason, actions);
                 }
             }
             Answer::Old | Answer::Late | Answer::Stranger => {
@@ -133,8 +134,10 @@
         now: Instant,
         id: &ids::Worker,
         task: &Task,
+        reason: Reason,
         actions: &mut Vec<Action>,
     ) {
+        let unavailable = self.unavailability(now, task);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -149,6 +152,7 @@
         run.stop_sent_at = Some(now);
         run.is_stop_in_flight = true;
         let number = run.number;
+        let is_known_to_run = run.has_been_in_inventory;
         actions.push(Action::Call(Call {
             worker: id.clone(),
             address,
@@ -157,7 +161,14 @@
             run: number,
             command: Command::Stop,
         }));
-        actions.push(log_run("stop", task, number, id));
+        actions.push(Action::LogStop(Box::new(Stop {
+            task: task.clone(),
+            run: number,
+            worker: id.clone(),
+            reason,
+            is_known_to_run,
+            unavailable,
+        })));
         self.poll_worker(now, id, actions);
     }
 
@@ -169,7 +180,7 @@
             runs.extend(tasks.map(|task| (id.clone(), task.clone())));
         }
         for (id, task) in runs {
-            self.stop_run(now, &id, &task, actions);
+            self.stop_run(now, &id, &task, Reason::JobOver, actions);
         }
     }
 
@@ -197,7 +208,7 @@
             }
         }
         for (id, task) in due_stops {
-            self.stop_run(now, &id, &task, actions);
+            self.stop_run(now, &id, &task, Reason::Repeat, actions);
         }
     }
 
@@ -231,7 +242,7 @@
                     .push(id.clone());
             }
             actions.push(log_run("stalled", &task, 0, &id));
-            self.stop_run(now, &id, &task, actions);
+            self.stop_run(now, &id, &task, Reason::Stalled, actions);
         }
     }
 }
--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -1,6 +1,6 @@
 use std::time::Instant;
 
-use super::event::Action;
+use super::event::{Action, Reason};
 use super::graph::{Graph, Placement};
 use super::run::Phase;
 use super::scheduler::Scheduler;
@@ -56,24 +56,27 @@
         let long_running_tasks: Vec<Task> = long_running.map(|(task, _)| task.clone()).collect();
         for task in long_running_tasks {
             if is_shutting_down || self.is_stop_allowed(now, &task) {
-                self.stop_run(now, id, &task, actions);
+                self.stop_run(now, id, &task, Reason::Drain, actions);
             }
         }
     }
 
     /// Checks if a long-running task may be stopped in view of the unavailable tasks of its step.
     fn is_stop_allowed(&self, now: Instant, task: &Task) -> bool {
-        let Some(graph) = self.jobs.get(&task.job) else {
-            return true;
-        };
-        if graph.is_over() {
-            return true;
-        }
-        let Some((stage, index)) = graph.find(task) else {
-            return true;
-        };
-        let max_unavailable = graph.step_of(stage).max_unavailable as usize;
-        max_unavailable == 0 || self.count_unavailable(now, graph, stage, index) < max_unavailable
+        self.unavailability(now, task)
+            .is_none_or(|(unavailable, max)| unavailable < max as usize)
+    }
+
+    /// Returns how many other tasks of a task's step are unavailable and how many may be; `None` if the
+    /// step does not limit them or its job is over.
+    pub(super) fn unavailability(&self, now: Instant, task: &Task) -> Option<(usize, u32)> {
+        let graph = self.jobs.get(&task.job).filter(|graph| !graph.is_over())?;
+        let (stage, index) = graph.find(task)?;
+        let max_unavailable = graph.step_of(stage).max_unavailable;
+        (max_unavailable > 0).then(|| {
+            let unavailable = self.count_unavailable(now, graph, stage, index);
+            (unavailable, max_unavailable)
+        })
     }
 
     /// Counts the tasks of a stage that are not ready, without the one at the index `excluded`.
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -57,7 +57,9 @@
     Done,
     /// The task failed, through its own fault or the worker's.
     Failed,
-    /// The run was stopped, its lease expired, or another member of its gang ended.
+    /// The lease of its worker expired.
+    Expired,
+    /// The run was stopped, or another member of its gang ended.
     Interrupted,
 }
 
@@ -266,6 +268,63 @@
     Tick,
 }
 
+impl Event {
+    /// Returns the name of its kind, for the log.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Config(_) => "config",
+            Self::Listed(_) => "listed",
+            Self::Unlisted(_) => "unlisted",
+            Self::Hosts { .. } => "hosts",
+            Self::Job { .. } => "job",
+            Self::Canceled(_) => "canceled",
+            Self::Drain(..) => "drain",
+            Self::Polled { .. } => "polled",
+            Self::Called { .. } => "called",
+            Self::Advised { .. } => "advised",
+            Self::Appended => "appended",
+            Self::TermConfirmed(_) => "term confirmed",
+            Self::PollDue(_) => "poll due",
+            Self::Tick => "tick",
+        }
+    }
+}
+
+/// `Reason` is why a run is stopped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// The worker is to be drained, or has announced that it will shut down.
+    Drain,
+    /// The job has ended or was canceled.
+    JobOver,
+    /// The task is done or runs elsewhere.
+    Redundant,
+    /// An earlier stop has had no effect yet.
+    Repeat,
+    /// The task makes no progress.
+    Stalled,
+    /// The start had no answer, so that the run may or may not exist.
+    UnansweredStart,
+}
+
+/// `Stop` is a stop of a run, with what decided it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stop {
+    /// Task of the run.
+    pub task: Task,
+    /// Number of the run.
+    pub run: ids::Run,
+    /// Worker of the run.
+    pub worker: ids::Worker,
+    /// Why it is stopped.
+    pub reason: Reason,
+    /// Whether the worker has shown the run in its inventory.
+    pub is_known_to_run: bool,
+    /// Other tasks of its step that are unavailable, and how many may be, if the step limits them.
+    pub unavailable: Option<(usize, u32)>,
+}
+
 /// `Action` is an output of the scheduler, to be carried out by its owner.
 #[derive(Clone, Debug)]
 pub enum Action {
@@ -303,6 +362,8 @@
         /// Worker of the run.
         worker: ids::Worker,
     },
+    /// Write a log line about a stop.
+    LogStop(Box<Stop>),
     /// Write a log line about a change of what the leader holds for true about a worker.
     LogWorker(Change, Belief),
     /// Write a log line about long-running tasks that stay idle.
--- a/crates/core/src/sched/exit.rs
+++ b/crates/core/src/sched/exit.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::event::{Action, Cause, Exit};
+use super::event::{Action, Cause, Exit, Reason};
 use super::graph::Placement;
 use super::poll::log_run;
 use super::scheduler::Scheduler;
@@ -46,7 +46,7 @@
                 }
                 self.handle_failed(now, id, task, run, actions);
             }
-            Cause::Done | Cause::Failed | Cause::Interrupted => {}
+            Cause::Done | Cause::Failed | Cause::Expired | Cause::Interrupted => {}
         }
         if let Some(graph) = self.jobs.get_mut(&task.job)
             && let Some((stage, index)) = graph.find(task)
@@ -63,6 +63,7 @@
         let message = match exit.status {
             Cause::Done => "done",
             Cause::Failed => "failed",
+            Cause::Expired => "lease expired on worker",
             Cause::Interrupted => "interrupted",
         };
         if current.is_some_and(|known| known.number <= run) {
@@ -112,7 +113,7 @@
             graph.ended_at = Some(now);
         }
         for (other, member) in other_runs {
-            self.stop_run(now, &other, &member, actions);
+            self.stop_run(now, &other, &member, Reason::Redundant, actions);
         }
         self.needs_placement = true;
     }
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -29,8 +29,8 @@
 
 pub use belief::{Belief, Census, Change};
 pub use event::{
-    Action, Answer, Call, Cause, Command, Event, Exit, Inventory, Poll, Query, Report, Status,
-    Ticket,
+    Action, Answer, Call, Cause, Command, Event, Exit, Inventory, Poll, Query, Reason, Report,
+    Status, Stop, Ticket,
 };
 pub use idle::Idle;
 pub use recovery::{Rule, Wait};
--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use super::belief::Change;
-use super::event::{Action, Answer, Inventory, Poll};
+use super::event::{Action, Answer, Inventory, Poll, Reason};
 use super::graph::Placement;
 use super::run::{Phase, Run};
 use super::scheduler::Scheduler;
@@ -238,7 +238,7 @@
         let message = if is_assigned { "adopted" } else { "unwanted" };
         actions.push(log_run(message, task, number, id));
         if !is_assigned {
-            self.stop_run(now, id, task, actions);
+            self.stop_run(now, id, task, Reason::Redundant, actions);
         }
     }
 
--- a/crates/core/tests/sched/worker.rs
+++ b/crates/core/tests/sched/worker.rs
@@ -109,7 +109,8 @@
                 .is_some_and(|at| at + STOP_DURATION <= now);
             let status = match run.exit {
                 Some((at, status)) if at <= now => Some(status),
-                _ if is_stopped || is_lease_expired => Some(Cause::Interrupted),
+                _ if is_lease_expired => Some(Cause::Expired),
+                _ if is_stopped => Some(Cause::Interrupted),
                 _ => None,
             };
             exits.extend(status.map(|status| (task.clone(), run.run, status)));
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -354,7 +354,7 @@
                         Activity::Deliver(leader, Box::new(event)),
                     );
                 }
-                Action::LogRun { .. } | Action::LogStarts { .. } => {}
+                Action::LogRun { .. } | Action::LogStarts { .. } | Action::LogStop(_) => {}
                 Action::LogWorker(..) | Action::LogIdle(_) | Action::LogRecovery(_) => {
                     self.lines.push(action);
                 }
@@ -430,7 +430,7 @@
             if status == Cause::Done {
                 self.done.insert(task.clone());
             }
-            if status != Cause::Interrupted {
+            if matches!(status, Cause::Done | Cause::Failed) {
                 self.exits.insert((task, run, status == Cause::Done));
             }
         }
@@ -739,7 +739,7 @@
         let is_recorded = match status {
             Cause::Done => entry.progress.is_done(task),
             Cause::Failed => entry.progress.failure_count(task) > 0 || entry.progress.is_done(task),
-            Cause::Interrupted => true,
+            Cause::Expired | Cause::Interrupted => true,
         };
         if !is_recorded && !is_long_running && !has_ended {
             let at = self.now - self.started_at;
@@ -747,7 +747,7 @@
                 "{at:?}: exit of {task:?} run {run} is not in the log"
             ));
         }
-        if status != Cause::Interrupted && !is_long_running {
+        if matches!(status, Cause::Done | Cause::Failed) && !is_long_running {
             self.acknowledged
                 .insert((task.clone(), run, status == Cause::Done));
         }
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -13,6 +13,7 @@
 use slog::{info, warn};
 
 use super::gauge::Counts;
+use super::lag::Lag;
 use super::line;
 use super::{IDLE_READ_PAUSE, Resign, Shard, Transition};
 use crate::leadership::{
@@ -25,7 +26,7 @@
 /// other processes between two reads.
 const RESIGNATION_DELAY: Duration = IDLE_READ_PAUSE;
 /// Interval of the scheduler's time-driven work.
-const TICK_INTERVAL: Duration = Duration::from_millis(200);
+pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// `Notice` is an event for the scheduler of one term; it is dropped after that term.
 #[derive(Message)]
@@ -42,6 +43,7 @@
     sequencer: Sequencer,
     tick_timer: SpawnHandle,
     counts: Counts,
+    lag: Lag,
 }
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Shard<P, C> {
@@ -104,6 +106,7 @@
             clock::now(),
         );
         let tick_timer = ctx.run_interval(TICK_INTERVAL, |act, ctx| {
+            act.report_lag();
             act.step_scheduler(Event::Tick, ctx);
             if let Some(led) = &mut act.leadership {
                 led.counts.publish(led.scheduler.counts(clock::now()));
@@ -115,6 +118,7 @@
             sequencer: Sequencer::new(self.partition(), term),
             tick_timer,
             counts: Counts::new(self.led_shards.clone(), self.setup.shard),
+            lag: Lag::new(clock::now()),
         });
         if let Some(config) = self.config.clone() {
             self.step_scheduler(Event::Config(config), ctx);
@@ -171,15 +175,31 @@
         }
     }
 
+    /// Writes a log line if the leader is behind its events.
+    fn report_lag(&mut self) {
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let now = clock::now();
+        if let Some(delay) = leadership.lag.record_tick(now) {
+            let counts = leadership.scheduler.counts(now);
+            let (shard, term) = (self.setup.shard, leadership.term);
+            line::log_lag(&self.setup.logger, shard, term, &delay, &counts);
+        }
+    }
+
     /// Passes an event to the scheduler and performs the actions that it returns.
     pub(super) fn step_scheduler(&mut self, event: Event, ctx: &mut Context<Self>) {
         let Some(leadership) = &mut self.leadership else {
             return;
         };
         let mut actions = Vec::new();
+        let (now, kind) = (clock::now(), event.kind());
         leadership
             .scheduler
-            .step(clock::now(), clock::unix_ms(), event, &mut actions);
+            .step(now, clock::unix_ms(), event, &mut actions);
+        let duration = clock::now().saturating_duration_since(now);
+        leadership.lag.record_step(duration, kind);
         let term = leadership.term;
         for action in actions {
             self.perform(term, action, ctx);
@@ -280,6 +300,7 @@
                     "task" => format!("{}.{}.{}", task.occurrence, task.step, task.index),
                     "run" => run, "worker" => %worker, "term" => term);
             }
+            Action::LogStop(stop) => line::log_stop(logger, term, &stop),
             Action::LogWorker(change, belief) => {
                 line::log_worker(logger, shard, term, change, &belief);
             }
--- a/crates/jobs/src/shard/line.rs
+++ b/crates/jobs/src/shard/line.rs
@@ -1,8 +1,10 @@
 use std::fmt::Write;
 
 use persimmongate_core::ids;
-use persimmongate_core::sched::{Answer, Belief, Change, Idle, Wait};
-use slog::{Logger, info};
+use persimmongate_core::sched::{Answer, Belief, Change, Idle, Stop, Wait};
+use slog::{Logger, info, warn};
+
+use super::lag::Delay;
 
 /// Writes a log line with the tasks of a step that were started.
 pub(super) fn log_starts(
@@ -21,6 +23,16 @@
         "tasks" => task_list.trim_end(), "term" => term);
 }
 
+/// Writes a log line about a stop.
+pub(super) fn log_stop(logger: &Logger, term: ids::Term, stop: &Stop) {
+    let task = &stop.task;
+    info!(logger, "stop"; "job" => %task.job,
+        "task" => format!("{}.{}.{}", task.occurrence, task.step, task.index), "run" => stop.run,
+        "worker" => %stop.worker, "term" => term, "reason" => format!("{:?}", stop.reason),
+        "known_to_run" => stop.is_known_to_run, "others_unavailable" => stop.unavailable.map(|(count, _)| count),
+        "max_unavailable" => stop.unavailable.map(|(_, max)| max));
+}
+
 /// Returns the message of the log line about a change.
 fn message(change: Change) -> &'static str {
     match change {
@@ -77,6 +89,26 @@
         "waits_for_recovery" => idle.waits_for_recovery, "may_act" => idle.may_act);
 }
 
+/// Writes a log line about a leader that is behind its events.
+pub(super) fn log_lag(
+    logger: &Logger,
+    shard: ids::Shard,
+    term: ids::Term,
+    delay: &Delay,
+    counts: &[(&'static str, usize)],
+) {
+    let count = |name| {
+        counts
+            .iter()
+            .find(|(known, _)| *known == name)
+            .map(|(_, count)| *count)
+    };
+    let (slowest, kind) = delay.slowest;
+    warn!(logger, "leader lags"; "shard" => shard, "term" => term, "lag_ms" => delay.lag.as_millis(),
+        "steps" => delay.steps, "slowest_ms" => slowest.as_millis(), "slowest_kind" => kind,
+        "workers" => count("workers"), "runs" => count("runs"), "jobs" => count("jobs"));
+}
+
 /// Writes a log line about the end of recovery, or that it begins again.
 pub(super) fn log_recovery(logger: &Logger, shard: ids::Shard, term: ids::Term, wait: Wait) {
     let message = match wait.ended_by {
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs of one shard: their state replayed from the log, callers' requests, and leadership of the shard.
 
 mod gauge;
+mod lag;
 mod leadership;
 mod line;
 mod request;
