Test that stops leave enough long-running tasks of a step at work

Cause: a start without an answer is followed by a stop, and the stop is repeated until it is answered. Neither asks the budget of the step, so a stop that arrives after the task has begun to work ends it whatever else is away.

Evidence: the simulation of the scheduler now counts a step's tasks as its users do: away are those that a leader stopped and those that have not worked for 5.5 s.

Change: tests only. Simulated long-running tasks take half a second to start up, as real ones do, and faults for commands alone exist.

--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -1,11 +1,13 @@
 //! Tests of the scheduler against simulated workers that follow the platform's specification.
 
+mod availability;
 mod line;
 mod odd;
 mod reachability;
 mod recovery;
 mod restart;
 mod soak;
+mod stop;
 mod worker;
 mod world;
 
@@ -170,8 +172,7 @@
     world.faults = Faults {
         unanswered_calls: 300,
         delayed_calls: 200,
-        failed_runs: 0,
-        lost_poll_answers: 0,
+        ..Faults::default()
     };
     for number in 0..20 {
         world.submit(&format!("job-{number}"), vec![step(4, 400, &[])]);
--- a/crates/core/tests/sched/soak.rs
+++ b/crates/core/tests/sched/soak.rs
@@ -22,7 +22,7 @@
         unanswered_calls: 20,
         delayed_calls: 20,
         failed_runs: 30,
-        lost_poll_answers: 0,
+        ..Faults::default()
     };
     let mut jobs = 0;
     world.submit("long-running", vec![long_running(3, 1)]);
--- a/crates/core/tests/sched/worker.rs
+++ b/crates/core/tests/sched/worker.rs
@@ -13,6 +13,9 @@
 /// Time that a worker takes to stop a run.
 const STOP_DURATION: Duration = Duration::from_millis(300);
 
+/// Time that a long-running task takes until it works.
+const STARTUP_DURATION: Duration = Duration::from_millis(500);
+
 /// `Active` is a run in progress on a simulated worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Active {
@@ -24,6 +27,13 @@
     pub(crate) stop_requested_at: Option<Instant>,
 }
 
+impl Active {
+    /// Checks if the task has started up and is not being stopped.
+    pub(crate) fn is_working(&self, now: Instant) -> bool {
+        self.stop_requested_at.is_none() && now - self.started_at >= STARTUP_DURATION
+    }
+}
+
 /// `Worker` is a simulated worker; a restart loses all of its state.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -165,6 +175,7 @@
             run: run.run,
             checkpoint: ByteString::new(),
             percent: match run.exit {
+                None if now - run.started_at < STARTUP_DURATION => 50,
                 None => 100,
                 Some((exit_at, _)) => {
                     let duration = (exit_at - run.started_at).as_millis().max(1);
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -15,6 +15,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, RngExt, SeedableRng};
 
+use crate::availability::Ledger;
 use crate::worker::{Active, Worker};
 
 /// Time for which a ticket is valid.
@@ -41,6 +42,10 @@
     pub(crate) failed_runs: u32,
     /// Polls whose answer is lost.
     pub(crate) lost_poll_answers: u32,
+    /// Commands that are carried out but not answered.
+    pub(crate) unanswered_commands: u32,
+    /// Commands that are carried out seconds later and not answered.
+    pub(crate) delayed_commands: u32,
 }
 
 /// `Activity` is a scheduled event of the simulation.
@@ -115,6 +120,7 @@
     /// Polls that were sent.
     pub(crate) poll_count: u64,
     pub(crate) violations: Vec<String>,
+    availability: Ledger,
 }
 
 impl World {
@@ -149,6 +155,7 @@
             start_count: 0,
             poll_count: 0,
             violations: Vec::new(),
+            availability: Ledger::default(),
         };
         for number in 0..workers {
             let report = report(number);
@@ -405,6 +412,8 @@
         for name in names {
             self.advance_worker(&name);
         }
+        self.availability
+            .observe(self.now, &self.workers, &self.jobs);
         for leader in 0..self.leaders.len() {
             let is_newest = leader + 1 == self.leaders.len();
             if self.leaders[leader].is_log_reachable && is_newest {
@@ -473,7 +482,10 @@
             self.fail_call(leader, &action, self.now);
             return;
         }
-        if self.rng.random_range(0..1_000) < self.faults.delayed_calls {
+        let is_command = matches!(action, Action::Call(_));
+        let is_delayed = self.rng.random_range(0..1_000) < self.faults.delayed_calls
+            || (is_command && self.is_drawn(self.faults.delayed_commands));
+        if is_delayed {
             let delay = Duration::from_millis(self.rng.random_range(2_000..12_000));
             self.fail_call(leader, &action, self.now);
             let started_at_ms = self.workers[&name].report.started_at_ms;
@@ -484,7 +496,8 @@
             return;
         }
         self.advance_worker(&name);
-        let is_answer_lost = self.rng.random_range(0..1_000) < self.faults.unanswered_calls;
+        let is_answer_lost = self.rng.random_range(0..1_000) < self.faults.unanswered_calls
+            || (is_command && self.is_drawn(self.faults.unanswered_commands));
         match action {
             Action::Poll(Poll {
                 token,
@@ -507,6 +520,11 @@
         }
     }
 
+    /// Draws whether a fault occurs, without a draw for a fault that is switched off.
+    fn is_drawn(&mut self, per_mille: u32) -> bool {
+        per_mille > 0 && self.rng.random_range(0..1_000) < per_mille
+    }
+
     /// Delivers the failure of an unanswered call to its leader.
     fn fail_call(&mut self, leader: usize, action: &Action, sent_at: Instant) {
         let (event, timeout) = match action {
@@ -639,6 +657,9 @@
             exit: (!step.is_long_running).then(|| (now + step.estimate, status)),
             stop_requested_at: None,
         };
+        if matches!(call.command, Command::Stop) && leader != NO_LEADER {
+            self.check_stop(name, &call);
+        }
         let worker = self.workers.get_mut(name).unwrap();
         let (answer, has_started) = worker.call(now, &call, || active);
         if has_started {
@@ -666,6 +687,23 @@
         self.schedule(now + delay, Activity::Deliver(leader, Box::new(event)));
     }
 
+    /// Checks that a stop leaves enough tasks of a long-running step at work.
+    fn check_stop(&mut self, name: &str, call: &Call) {
+        let job = &self.jobs[&call.task.job];
+        let away = self
+            .availability
+            .observe_stop(self.now, call, name, &self.workers, job);
+        if let Some(away) = away
+            && !self.canceled.contains(&call.task.job)
+        {
+            let at = self.now - self.started_at;
+            self.violations.push(format!(
+                "{at:?}: {:?} is stopped on {name} while {away} others of its step are away",
+                call.task
+            ));
+        }
+    }
+
     /// Checks the invariants of a start.
     fn check_start(&mut self, name: &str, call: &Call) {
         let task = &call.task;
