Repeat unanswered starts of long-running tasks instead of stopping them

Cause: the scheduler settled a start without an answer by a stop, and repeated the stop until it was answered. The task may work by the time one of them arrives, and neither the first nor the repeats asked the budget of the step. The class: a decision that is repeated without its condition.

Change: the start of a long-running task that goes unanswered is sent again under the same run number, which a worker answers in the same way whether the run exists or not. A stop follows only if the worker gets no tasks any more, and it asks the budget. An unanswered stop of a task of an open job returns the run to what it was, so that the next one asks the budget again; until the longest delay of a command has passed the run counts as one that may be ending. Short tasks are settled by a stop as before.

--- a/crates/core/src/sched/command.rs
+++ b/crates/core/src/sched/command.rs
@@ -10,6 +10,8 @@
 use crate::job::Task;
 use crate::map::Set;
 
+/// Longest time after which a worker carries out a command that it has not answered.
+const MAX_COMMAND_DELAY: Duration = Duration::from_secs(12);
 /// Time for which a worker that refused a start gets no tasks.
 const REFUSAL_SUSPENSION: Duration = Duration::from_millis(500);
 /// Share of its declared run time, in percent, after which a task may be treated as stalled.
@@ -70,6 +72,8 @@
         if run.number != call.run {
             return;
         }
+        run.is_start_in_flight = false;
+        let may_still_start = run.has_unanswered_start && run.confirmed_at.is_none();
         match answer {
             Answer::Done => {
                 run.confirmed_at.get_or_insert(now);
@@ -81,6 +85,8 @@
                 }
                 self.poll_worker(now, &call.worker, actions);
             }
+            // A long-running task may work by the time at which a stop arrives, so its start is repeated.
+            Answer::Unknown if run.start.is_some() => run.has_unanswered_start = true,
             Answer::Unknown => {
                 if run.confirmed_at.is_none() {
                     let reason = Reason::UnansweredStart;
@@ -92,7 +98,13 @@
             }
             Answer::Full | Answer::Refused => {
                 worker.suspended_until = Some(now + REFUSAL_SUSPENSION);
-                self.release_run(&call.worker, &call.task, "start refused", actions);
+                if !may_still_start {
+                    self.release_run(&call.worker, &call.task, "start refused", actions);
+                }
+            }
+            Answer::Ticket if may_still_start => {
+                run.start = None;
+                self.discard_tickets(call);
             }
             Answer::Ticket => {
                 self.release_run(&call.worker, &call.task, "ticket refused", actions);
@@ -111,6 +123,8 @@
     }
 
     fn handle_stop_answer(&mut self, now: Instant, call: &Call, answer: Answer) {
+        let graph = self.jobs.get(&call.task.job);
+        let is_open = graph.is_some_and(|graph| !graph.is_over());
         let worker = self.workers.get_mut(&call.worker);
         let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&call.task)) else {
             return;
@@ -124,10 +138,91 @@
             Answer::Done | Answer::Old | Answer::Late => {
                 run.confirmed_at.get_or_insert(now);
             }
+            // The step of a long-running task may permit no further stop by now.
+            _ if is_open && run.is_long_running && run.is_assigned => {
+                run.may_stop_until = Some(now + MAX_COMMAND_DELAY);
+                run.state = if run.confirmed_at.is_some() {
+                    Phase::Running
+                } else {
+                    Phase::Starting
+                };
+            }
             _ => {}
         }
     }
 
+    /// Repeats starts of long-running tasks that were not answered. If the worker gets no tasks any more, the
+    /// run is stopped instead.
+    pub(super) fn retry_starts(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if !self.may_act(now) {
+            return;
+        }
+        let mut due_starts = Vec::new();
+        for (id, worker) in &self.workers {
+            // The lease of a worker that is unreachable ends its runs.
+            if worker.missed_polls > 0 {
+                continue;
+            }
+            for (task, run) in &worker.runs {
+                if run.state == Phase::Starting
+                    && run.has_unanswered_start
+                    && !run.is_start_in_flight
+                {
+                    due_starts.push((id.clone(), task.clone()));
+                }
+            }
+        }
+        for (id, task) in due_starts {
+            self.retry_start(now, &id, &task, actions);
+        }
+    }
+
+    fn retry_start(
+        &mut self,
+        now: Instant,
+        id: &ids::Worker,
+        task: &Task,
+        actions: &mut Vec<Action>,
+    ) {
+        let term = self.term;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let is_suspended = worker.suspended_until.is_some_and(|until| until > now);
+        let may_start = worker.accepts_tasks(now);
+        let (address, lease) = (worker.report.address, worker.extend_lease(now));
+        let Some(run) = worker.runs.get_mut(task) else {
+            return;
+        };
+        let start = run.start.as_mut().filter(|_| may_start);
+        if let (
+            Some(Command::Start {
+                lease_expiry_ms, ..
+            }),
+            Some(lease),
+        ) = (start, lease)
+        {
+            *lease_expiry_ms = lease;
+            run.is_start_in_flight = true;
+            let number = run.number;
+            let call = run.start.clone().map(|command| Call {
+                worker: id.clone(),
+                address,
+                token: term,
+                task: task.clone(),
+                run: number,
+                command,
+            });
+            actions.extend(call.map(Action::Call));
+            actions.push(log_run("start repeated", task, number, id));
+            return;
+        }
+        let may_start_later = is_suspended && run.start.is_some();
+        if !may_start_later && self.is_stop_allowed(now, task) {
+            self.stop_run(now, id, task, Reason::UnansweredStart, actions);
+        }
+    }
+
     /// Stops a run, or prevents it from starting if the start is still in flight.
     pub(super) fn stop_run(
         &mut self,
@@ -202,6 +297,7 @@
                 if run.state == Phase::Stopping
                     && !run.is_stop_in_flight
                     && run.stop_sent_at.is_none_or(has_waited)
+                    && (!run.is_long_running || self.is_stop_allowed(now, task))
                 {
                     due_stops.push((id.clone(), task.clone()));
                 }
--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -62,7 +62,7 @@
     }
 
     /// Checks if a long-running task may be stopped in view of the unavailable tasks of its step.
-    fn is_stop_allowed(&self, now: Instant, task: &Task) -> bool {
+    pub(super) fn is_stop_allowed(&self, now: Instant, task: &Task) -> bool {
         self.unavailability(now, task)
             .is_none_or(|(unavailable, max)| unavailable < max as usize)
     }
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -193,6 +193,7 @@
         }
         self.needs_placement = true;
         self.release_expired(now, actions);
+        self.retry_starts(now, actions);
         self.retry_stops(now, actions);
         self.stop_stalled(now, actions);
         self.poll_all(now, actions);
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -372,6 +372,14 @@
             graph.set_placement(stage, pick.index, Placement::On(pick.worker.clone()));
             let mut new_run = Run::new(run, Resources::reserved_by(step), now);
             new_run.apply_step(step);
+            let start = Command::Start {
+                payload: graph.job.payload.clone(),
+                lease_expiry_ms,
+                checkpoint,
+                ticket: pick.ticket,
+            };
+            new_run.is_start_in_flight = true;
+            new_run.start = step.is_long_running.then(|| start.clone());
             worker.runs.insert(task.clone(), new_run);
             started.push((task.index, run, pick.worker.clone()));
             actions.push(Action::Call(Call {
@@ -380,12 +388,7 @@
                 token: term,
                 task,
                 run,
-                command: Command::Start {
-                    payload: graph.job.payload.clone(),
-                    lease_expiry_ms,
-                    checkpoint,
-                    ticket: pick.ticket,
-                },
+                command: start,
             }));
         }
         if !started.is_empty() {
--- a/crates/core/src/sched/run.rs
+++ b/crates/core/src/sched/run.rs
@@ -2,7 +2,7 @@
 
 use bytestring::ByteString;
 
-use super::event::Status;
+use super::event::{Command, Status};
 use super::worker::Resources;
 use crate::ids;
 use crate::job::Step;
@@ -31,6 +31,12 @@
     pub(super) created_at: Instant,
     /// Time until which a stop that an older leader sent may be in progress.
     pub(super) may_stop_until: Option<Instant>,
+    /// Start of a long-running task, which is sent again until its outcome is known.
+    pub(super) start: Option<Command>,
+    /// Whether a start is in flight.
+    pub(super) is_start_in_flight: bool,
+    /// Whether a start went unanswered, so that the worker may still carry it out.
+    pub(super) has_unanswered_start: bool,
     /// Time of the answer after which the worker's inventory must contain it.
     pub(super) confirmed_at: Option<Instant>,
     /// Whether an inventory of the worker's present incarnation has contained it.
@@ -64,6 +70,9 @@
             is_assigned: true,
             created_at: now,
             may_stop_until: None,
+            start: None,
+            is_start_in_flight: false,
+            has_unanswered_start: false,
             confirmed_at: None,
             has_been_in_inventory: false,
             stop_sent_at: None,
