Test that placement is bounded by time rather than by events

Each event passes over all workers and all waiting jobs, and for each of these over all queues of the configuration.

Result: no decision changed.

--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -60,6 +60,7 @@
 impl Scheduler {
     /// Starts as many tasks as the free resources allow, in the order of rank.
     pub(super) fn place_tasks(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.placement_passes += 1;
         let mut ranked_jobs = self.take_ranked_jobs(now);
         let mut pools: Map<ids::Service, Pool> = Map::default();
         for worker in self.workers.values().filter(|w| w.accepts_tasks(now)) {
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -59,6 +59,8 @@
     pub(super) ranked_at: Instant,
     /// Whether something changed that may allow a task to start.
     pub(super) needs_placement: bool,
+    /// Number of passes over all workers and waiting jobs that placed tasks.
+    pub(super) placement_passes: usize,
     /// Time of day at the latest event, in milliseconds since the Unix epoch.
     pub(super) unix_ms: u64,
     /// Time of the latest heartbeat record.
@@ -100,6 +102,7 @@
             ranked_jobs: Vec::new(),
             ranked_at: now,
             needs_placement: false,
+            placement_passes: 0,
             unix_ms: 0,
             heartbeat_at: now,
             appended_at: now,
@@ -139,10 +142,10 @@
     }
 
     /// Returns counts for operators: workers, those that are listed and those that may get tasks,
-    /// runs, open jobs, idle long-running tasks, and workers that have not yet answered under this
-    /// term.
+    /// runs, open jobs, idle long-running tasks, workers that have not yet answered under this
+    /// term, and passes of placement over all workers and waiting jobs in this term.
     #[must_use]
-    pub fn counts(&self, now: Instant) -> [(&'static str, usize); 7] {
+    pub fn counts(&self, now: Instant) -> [(&'static str, usize); 8] {
         let census = Census::of(now, self.workers.values());
         let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
         let open = self.jobs.values().filter(|graph| !graph.is_over());
@@ -154,6 +157,7 @@
             ("jobs", open.count()),
             ("idle_long_running", self.idle_long_running_count()),
             ("unsettled", self.unconfirmed_count()),
+            ("placement_passes", self.placement_passes),
         ]
     }
 }
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -3,6 +3,7 @@
 mod availability;
 mod line;
 mod odd;
+mod overload;
 mod reachability;
 mod recovery;
 mod restart;
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -796,6 +796,13 @@
         self.index.get(&id.into()).unwrap().progress.clone()
     }
 
+    /// Returns a count that the newest leader reports to operators.
+    pub(crate) fn count(&self, name: &str) -> usize {
+        let leader = self.leaders.last().unwrap();
+        let counts = leader.scheduler.counts(self.now);
+        counts.iter().find(|(known, _)| *known == name).unwrap().1
+    }
+
     pub(crate) fn outcome(&self, id: &str) -> Option<Outcome> {
         self.progress(id).outcome
     }
--- a/crates/jobs/src/shard/line.rs
+++ b/crates/jobs/src/shard/line.rs
@@ -106,7 +106,8 @@
     let (slowest, kind) = delay.slowest;
     warn!(logger, "leader lags"; "shard" => shard, "term" => term, "lag_ms" => delay.lag.as_millis(),
         "steps" => delay.steps, "slowest_ms" => slowest.as_millis(), "slowest_kind" => kind,
-        "workers" => count("workers"), "runs" => count("runs"), "jobs" => count("jobs"));
+        "workers" => count("workers"), "runs" => count("runs"), "jobs" => count("jobs"),
+        "placement_passes" => count("placement_passes"));
 }
 
 /// Writes a log line about the end of recovery, or that it begins again.
