Look up a queue by its name in a map

Cause: the scheduler asks for the queue of each waiting job in each pass of placement, and the configuration compared the name with those of up to 1,400 queues. The class: work of an event that grows with the configuration.

Change: the configuration indexes its queues by name when it is created.

--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -5,6 +5,7 @@
 use bytestring::ByteString;
 
 use crate::ids;
+use crate::map::Map;
 
 /// Longest time objective of a job. Times up to it can be added to the present.
 const MAX_OBJECTIVE: Duration = Duration::from_hours(100 * 365 * 24);
@@ -70,6 +71,8 @@
     pub queues: Vec<Queue>,
     /// All services.
     pub services: Vec<Service>,
+    /// Positions of the queues by name, as a configuration may have thousands.
+    positions: Map<ids::Queue, usize>,
 }
 
 impl Queue {
@@ -111,10 +114,15 @@
     #[must_use]
     pub fn new(version: u64, mut queues: Vec<Queue>, services: Vec<Service>) -> Self {
         queues.sort_by_key(|queue| std::cmp::Reverse(queue.path_prefix.len()));
+        let mut positions = Map::default();
+        for (position, queue) in queues.iter().enumerate() {
+            positions.entry(queue.name.clone()).or_insert(position);
+        }
         Self {
             version,
             queues,
             services,
+            positions,
         }
     }
 
@@ -129,7 +137,8 @@
     /// Finds a queue by its name.
     #[must_use]
     pub fn queue(&self, name: &ids::Queue) -> Option<&Queue> {
-        self.queues.iter().find(|queue| queue.name == *name)
+        let position = self.positions.get(name)?;
+        self.queues.get(*position)
     }
 
     /// Finds a service by its name.
