Bound the time that placement takes, whatever the number of events

Cause: each event that may free room made the leader pass over all workers and all waiting jobs. In a turn of its service the leader has hundreds of both and thousands of events a second, uses up its processor, falls seconds behind its events and renews leases too late: the workers end what they run. The class: work that grows with the product of backlog and events, on the queue that the renewals share.

Change: two passes are at least 50 us apart for each worker and waiting job; what changes meanwhile waits for `PlacementDue`. Choosing a worker for a task moves to its own file.

--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -264,6 +264,8 @@
     TermConfirmed(Instant),
     /// The delay of `Action::SchedulePoll` has passed for a worker.
     PollDue(ids::Worker),
+    /// The delay of `Action::SchedulePlacement` has passed.
+    PlacementDue,
     /// Periodic tick for time-outs and placement.
     Tick,
 }
@@ -286,6 +288,7 @@
             Self::Appended => "appended",
             Self::TermConfirmed(_) => "term confirmed",
             Self::PollDue(_) => "poll due",
+            Self::PlacementDue => "placement due",
             Self::Tick => "tick",
         }
     }
@@ -338,6 +341,8 @@
     Append(Vec<Record>),
     /// Deliver `Event::PollDue` for a worker after a delay.
     SchedulePoll(ids::Worker, Duration),
+    /// Deliver `Event::PlacementDue` after a delay.
+    SchedulePlacement(Duration),
     /// Give up the term, as a worker has reported a newer one.
     Fenced,
     /// Write a log line with the tasks of a step that were started.
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -66,6 +66,7 @@
                 self.clear_scheduled_poll(&worker);
                 self.poll_worker(now, &worker, actions);
             }
+            Event::PlacementDue => self.is_placement_scheduled = false,
             Event::Tick => self.tick(now, actions),
         }
     }
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -19,6 +19,7 @@
 mod idle;
 mod load;
 mod pace;
+mod pick;
 mod place;
 mod poll;
 mod rank;
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -59,6 +59,10 @@
     pub(super) ranked_at: Instant,
     /// Whether something changed that may allow a task to start.
     pub(super) needs_placement: bool,
+    /// Time of the latest pass that placed tasks.
+    pub(super) placed_at: Option<Instant>,
+    /// Whether `Event::PlacementDue` is to come.
+    pub(super) is_placement_scheduled: bool,
     /// Number of passes over all workers and waiting jobs that placed tasks.
     pub(super) placement_passes: usize,
     /// Time of day at the latest event, in milliseconds since the Unix epoch.
@@ -102,6 +106,8 @@
             ranked_jobs: Vec::new(),
             ranked_at: now,
             needs_placement: false,
+            placed_at: None,
+            is_placement_scheduled: false,
             placement_passes: 0,
             unix_ms: 0,
             heartbeat_at: now,
@@ -122,8 +128,7 @@
         self.handle_event(now, event, actions);
         self.log_recovery(now, actions);
         if self.needs_placement && self.may_act(now) {
-            self.needs_placement = false;
-            self.place_tasks(now, actions);
+            self.place_if_due(now, actions);
         }
         self.flush(now, actions);
     }
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -329,6 +329,10 @@
                     let event = Box::new(Event::PollDue(worker));
                     self.schedule(self.now + wait, Activity::Deliver(leader, event));
                 }
+                Action::SchedulePlacement(wait) => {
+                    let event = Box::new(Event::PlacementDue);
+                    self.schedule(self.now + wait, Activity::Deliver(leader, event));
+                }
                 Action::Poll(_) | Action::Call(_) => {
                     self.poll_count += u64::from(matches!(action, Action::Poll(_)));
                     self.schedule(self.now + LATENCY, Activity::Arrive(leader, action));
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -282,6 +282,12 @@
                     Event::PollDue(worker)
                 });
             }
+            Action::SchedulePlacement(wait) => {
+                Self::send_when_ready(term, ctx, async move {
+                    actix_rt::time::sleep(wait).await;
+                    Event::PlacementDue
+                });
+            }
             Action::Append(records) => self.append(term, &records, ctx),
             Action::Fenced => self.step_election(term::Event::Fenced, ctx),
             Action::LogStarts {
