Look up the host of a worker in a map when moves are planned

Cause: for each host that a service borrows, the planner of moves searched all hosts for the host of each idle worker of the lender. A turn borrows more than a hundred hosts out of 350.

Change: the hosts that a lender can move are listed once a round, from a map by worker.

Result: all 28 tests of the planner pass; no decision changed. Not measured on its own.

--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -114,6 +114,8 @@
             Reason::Waiting => sizing.required,
             Reason::Growing => sizing.desired,
         };
+        let includes_busy = reason == Reason::Waiting;
+        let mut movable: Map<ids::Service, Vec<ids::Host>> = Map::default();
         for sizing in sizings {
             let incoming = moves.iter().filter(|(_, to)| *to == sizing.service).count();
             for _ in sizing.host_count + incoming..target_hosts(sizing) {
@@ -127,11 +129,10 @@
                     break;
                 };
                 let lent_count = lent.entry(lender.service.clone()).or_default();
-                let includes_busy = reason == Reason::Waiting;
-                let host = self
-                    .movable_hosts(&lender.service, includes_busy)
-                    .into_iter()
-                    .nth(*lent_count);
+                let hosts = movable
+                    .entry(lender.service.clone())
+                    .or_insert_with(|| self.movable_hosts(&lender.service, includes_busy));
+                let host = hosts.get(*lent_count).cloned();
                 *lent_count += 1;
                 moves.extend(host.map(|host| (host, sizing.service.clone())));
             }
@@ -290,21 +291,22 @@
         let Some(load) = self.loads.get(service) else {
             return Vec::new();
         };
-        let find_host = |worker: &ids::Worker| {
-            self.hosts.values().find(|host| {
-                host.service == *service
-                    && host.state == State::Up
-                    && host.worker.as_ref() == Some(worker)
-                    && !self.balance.moving.contains_key(&host.name)
-                    && !self.transitions.contains_key(&host.name)
-            })
+        let may_move = |host: &&Host| {
+            host.service == *service
+                && host.state == State::Up
+                && !self.balance.moving.contains_key(&host.name)
+                && !self.transitions.contains_key(&host.name)
         };
+        let hosts = self.hosts.values().filter(may_move);
+        let host_by_worker: Map<&ids::Worker, &ids::Host> = hosts
+            .filter_map(|host| Some((host.worker.as_ref()?, &host.name)))
+            .collect();
         let movable = load
             .short_running_workers
             .iter()
             .filter(|(_, used)| includes_busy || *used == 0);
         movable
-            .filter_map(|(worker, _)| Some(find_host(worker)?.name.clone()))
+            .filter_map(|(worker, _)| host_by_worker.get(worker).copied().cloned())
             .collect()
     }
 }
