Judge stalls by the age of the worker's latest answer

Cause: a leader that had handled no answer for two seconds compared the progress of its tasks with the present time. The class: old information that is read as present.

Evidence: verify_leader_behind_its_events_stops_no_task_as_stalled failed on the code before with 4 stops of 4 tasks.

Change: a task has stalled if the worker's answers show no progress, so the time until the latest answer counts.

--- a/crates/core/src/sched/command.rs
+++ b/crates/core/src/sched/command.rs
@@ -316,9 +316,13 @@
             .iter()
             .filter(|(_, worker)| worker.missed_polls == 0)
         {
+            // A leader that is behind its events has old answers, which show no stall since.
+            let Some(answered_at) = worker.answered_at else {
+                continue;
+            };
             for (task, run) in &worker.runs {
-                let age = now.saturating_duration_since(run.created_at);
-                let stalled_for = now.saturating_duration_since(run.progressed_at);
+                let age = answered_at.saturating_duration_since(run.created_at);
+                let stalled_for = answered_at.saturating_duration_since(run.progressed_at);
                 if run.state == Phase::Running
                     && run.is_assigned
                     && !run.is_long_running
--- a/crates/core/tests/sched/overload.rs
+++ b/crates/core/tests/sched/overload.rs
@@ -31,3 +31,18 @@
     assert_eq!(usize::try_from(world.start_count), Ok(tasks));
     assert_no_violations(&world);
 }
+
+// Guards against a leader that takes all tasks for stalled after a time in which it handled no answer.
+#[test]
+fn verify_leader_behind_its_events_stops_no_task_as_stalled() {
+    let mut world = World::new(2, 1);
+    world.submit("job", vec![step(4, 1_000, &[])]);
+    world.run(Duration::from_millis(500));
+    world.leaders[0].backlog = Some(Vec::new());
+    world.run(Duration::from_millis(2_200));
+    world.resume_leader();
+    assert_eq!(world.stop_count, 0);
+    world.run(seconds(2));
+    assert_eq!(world.start_count, 4);
+    assert_no_violations(&world);
+}
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -71,6 +71,8 @@
     pub(crate) is_log_reachable: bool,
     /// Whether its process runs.
     pub(crate) is_up: bool,
+    /// Events that wait while its process gets no processor time; `None` while it gets some.
+    pub(crate) backlog: Option<Vec<Event>>,
 }
 
 /// `TaskExit` is the exit of a run of a task, and whether the run was done.
@@ -117,6 +119,8 @@
     /// Leaders that can't reach a worker that others reach.
     pub(crate) cuts: BTreeSet<(usize, String)>,
     pub(crate) start_count: u64,
+    /// Stops that leaders sent.
+    pub(crate) stop_count: u64,
     /// Polls that were sent.
     pub(crate) poll_count: u64,
     pub(crate) violations: Vec<String>,
@@ -153,6 +157,7 @@
             has_complete_hosts: true,
             cuts: BTreeSet::new(),
             start_count: 0,
+            stop_count: 0,
             poll_count: 0,
             violations: Vec::new(),
             availability: Ledger::default(),
@@ -180,6 +185,7 @@
             term,
             is_log_reachable: true,
             is_up: true,
+            backlog: None,
         });
         let leader = self.leaders.len() - 1;
         let policy_service = self.permitted_workers.as_ref().map(|_| Policy {
@@ -314,6 +320,10 @@
         if !self.leaders[leader].is_up {
             return;
         }
+        if let Some(backlog) = &mut self.leaders[leader].backlog {
+            backlog.push(event);
+            return;
+        }
         let mut actions = Vec::new();
         let unix_ms = self.unix_ms();
         self.leaders[leader]
@@ -365,7 +375,8 @@
                         Activity::Deliver(leader, Box::new(event)),
                     );
                 }
-                Action::LogRun { .. } | Action::LogStarts { .. } | Action::LogStop(_) => {}
+                Action::LogStop(_) => self.stop_count += 1,
+                Action::LogRun { .. } | Action::LogStarts { .. } => {}
                 Action::LogWorker(..) | Action::LogIdle(_) | Action::LogRecovery(_) => {
                     self.lines.push(action);
                 }
@@ -373,6 +384,15 @@
         }
     }
 
+    /// Lets the newest leader handle a tick and then the events that waited.
+    pub(crate) fn resume_leader(&mut self) {
+        let leader = self.leaders.len() - 1;
+        let backlog = self.leaders[leader].backlog.take().unwrap_or_default();
+        for event in std::iter::once(Event::Tick).chain(backlog) {
+            self.deliver(leader, event);
+        }
+    }
+
     /// Advances the simulation by a time.
     pub(crate) fn run(&mut self, time: Duration) {
         let end = self.now + time;
