Count the crashes of workers under a task and give it up on evidence

Cause: a run that is lost with its worker counted for nothing, and its task started again at once.

Workers crash 10 ms after the start.

Change: a worker that ends without notice makes those of its tasks suspects that had just started. Their crashes are part of the job's progress in the log before they start again, so a new leader knows them. A suspect of two crashes starts alone, on a worker that is reserved for it and has not crashed lately; a crash that only one task can explain is evidence. After three crashes with two unexplained, or four with one, the task is given up: the job ends as failed, or, if the task is long-running, it starts no more and the others go on. What the loss of an availability zone explains is no evidence, and a worker that is only cut off has not crashed.

The simulation of the tests gets tasks that crash workers, and is split by what it holds.

--- a/crates/core/src/job/progress.rs
+++ b/crates/core/src/job/progress.rs
@@ -15,7 +15,16 @@
     Failed,
 }
 
-/// `Progress` is the recorded progress of a job: its done tasks, failed runs and outcome.
+/// `Crashes` is the workers that crashed under a task.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+struct Crashes {
+    /// Runs of the task that were lost with their worker.
+    runs: Vec<ids::Run>,
+    /// Number of those crashes that no other task explains.
+    unexplained: u32,
+}
+
+/// `Progress` is the recorded progress of a job: its done tasks, failed runs, crashes and outcome.
 ///
 /// Each record in the log holds all of it, so that the newest record of a job suffices.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -34,6 +43,13 @@
     /// Failed runs, by occurrence, step and index of the task.
     #[serde(rename = "failed")]
     failed_runs: BTreeMap<(u32, u32, u32), Vec<ids::Run>>,
+    /// Crashes of workers, by occurrence, step and index of the task that ran on them.
+    #[serde(
+        default,
+        rename = "crashed",
+        skip_serializing_if = "BTreeMap::is_empty"
+    )]
+    crashes: BTreeMap<(u32, u32, u32), Crashes>,
 }
 
 impl Progress {
@@ -80,6 +96,40 @@
         self.failed_runs.get(&key).map_or(0, Vec::len)
     }
 
+    /// Records the crash of a worker under a run of a task, and returns whether that was new.
+    ///
+    /// `is_unexplained` tells that no other task can have caused it.
+    pub fn record_crash(&mut self, task: &Task, run: ids::Run, is_unexplained: bool) -> bool {
+        let key = (task.occurrence, task.step, task.index);
+        let crashes = self.crashes.entry(key).or_default();
+        if crashes.runs.contains(&run) {
+            return false;
+        }
+        crashes.runs.push(run);
+        crashes.unexplained += u32::from(is_unexplained);
+        true
+    }
+
+    /// Checks if a worker has crashed under a task of the job.
+    #[must_use]
+    pub fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty()
+    }
+
+    /// Returns the number of workers that crashed under a task.
+    #[must_use]
+    pub fn crash_count(&self, task: &Task) -> usize {
+        let key = (task.occurrence, task.step, task.index);
+        self.crashes.get(&key).map_or(0, |known| known.runs.len())
+    }
+
+    /// Returns the number of workers that crashed under a task for no other known cause.
+    #[must_use]
+    pub fn unexplained_crash_count(&self, task: &Task) -> u32 {
+        let key = (task.occurrence, task.step, task.index);
+        self.crashes.get(&key).map_or(0, |known| known.unexplained)
+    }
+
     /// Checks if all tasks of a step are done, which has `count` of them.
     fn is_step_done(&self, occurrence: u32, step: u32, count: u32) -> bool {
         let Some(bits) = self.done_tasks.get(&(occurrence, step)) else {
--- a/crates/core/src/sched/exit.rs
+++ b/crates/core/src/sched/exit.rs
@@ -132,32 +132,19 @@
         let Some((stage, index)) = graph.find(task) else {
             return;
         };
-        let (is_long_running, is_gang) = (
-            graph.step_of(stage).is_long_running,
-            graph.step_of(stage).is_gang,
-        );
-        if is_long_running {
+        if graph.step_of(stage).is_long_running {
             return;
         }
         graph.stages[stage].tasks[index]
             .avoided_workers
             .push(id.clone());
-        // Failures of a gang are counted on its first task.
-        let counted = graph.task(
-            task.occurrence,
-            task.step,
-            if is_gang { 0 } else { task.index },
-        );
+        let counted = graph.counted(task);
         graph.is_dirty |= graph.progress.record_failure(&counted, run);
         let failures = graph.progress.failure_count(&counted);
         let queue = self.config.queue(&graph.job.queue);
         let max_attempts = queue.map_or(1, |queue| queue.max_attempts.max(1) as usize);
-        if failures >= max_attempts && graph.progress.outcome.is_none() && !graph.is_canceled {
-            graph.progress.outcome = Some(Outcome::Failed);
-            graph.progress.ended_at_ms = self.unix_ms;
-            graph.ended_at = Some(now);
-            let job = task.job.clone();
-            self.stop_job(now, &job, actions);
+        if failures >= max_attempts {
+            self.fail_job(now, &task.job, actions);
         }
         self.needs_placement = true;
     }
--- a/crates/core/src/sched/flush.rs
+++ b/crates/core/src/sched/flush.rs
@@ -66,6 +66,7 @@
             return;
         }
         self.pending_acknowledgements = Some(acknowledgements);
+        self.recorded_crashes = std::mem::take(&mut self.unrecorded_crashes);
         self.appended_at = now;
         actions.push(Action::Append(records));
     }
@@ -73,6 +74,7 @@
     /// Acknowledges the exits of the latest append, which the log has stored.
     pub(super) fn handle_appended(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if let Some(acknowledgements) = self.pending_acknowledgements.take() {
+            self.release_recorded_crashes();
             let ids: Vec<ids::Worker> =
                 acknowledgements.iter().map(|(id, ..)| id.clone()).collect();
             self.mark_recorded(acknowledgements);
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -31,6 +31,8 @@
     pub(super) checkpoint: ByteString,
     /// Workers on which it failed or stalled.
     pub(super) avoided_workers: Vec<ids::Worker>,
+    /// Whether a worker crashed under it and the log does not hold that yet.
+    pub(super) has_unrecorded_crash: bool,
 }
 
 /// `Advice` is the state of the policy service's advice for a stage.
@@ -175,6 +177,7 @@
                 run: 0,
                 checkpoint: ByteString::new(),
                 avoided_workers: Vec::new(),
+                has_unrecorded_crash: false,
             }
         };
         let tasks: Vec<State> = (0..count).map(task_state).collect();
@@ -200,6 +203,22 @@
         }
     }
 
+    /// Returns the tasks of all opened occurrences.
+    pub(super) fn tasks(&self) -> impl Iterator<Item = Task> {
+        self.stages.iter().flat_map(|stage| {
+            let indexes = 0..to_u32(stage.tasks.len());
+            indexes.map(|index| self.task(stage.occurrence, stage.step, index))
+        })
+    }
+
+    /// Returns the task on which failures and crashes of a task are counted: the first member of its gang.
+    pub(super) fn counted(&self, task: &Task) -> Task {
+        let step = self.job.steps.get(task.step as usize);
+        let is_gang = step.is_some_and(|step| step.is_gang);
+        let index = if is_gang { 0 } else { task.index };
+        self.task(task.occurrence, task.step, index)
+    }
+
     /// Returns the step that a stage was created from.
     pub(super) fn step_of(&self, stage: usize) -> &Step {
         &self.job.steps[self.stages[stage].step as usize]
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -199,6 +199,7 @@
         self.stop_stalled(now, actions);
         self.poll_all(now, actions);
         self.drop_unlisted(now, actions);
+        self.drop_old_crashes(now);
         self.advance_drains(now, actions);
         self.log_idle(now, actions);
     }
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -10,6 +10,7 @@
 mod belief;
 mod check;
 mod command;
+mod crash;
 mod drain;
 mod event;
 mod exit;
--- a/crates/core/src/sched/pick.rs
+++ b/crates/core/src/sched/pick.rs
@@ -1,11 +1,12 @@
 use bytestring::ByteString;
 
+use super::crash::MAX_SHARED_CRASHES;
 use super::exit::to_u32;
 use super::graph::{Advice, Placement};
 use super::scheduler::Scheduler;
 use super::worker::Resources;
 use crate::ids;
-use crate::job::Step;
+use crate::job::{Step, Task};
 use crate::map::Map;
 
 /// `Candidate` is a worker that may get tasks, with its free resources.
@@ -15,6 +16,16 @@
     pub(super) free: Resources,
     pub(super) consecutive_failures: u32,
     pub(super) peers: usize,
+    /// A suspect of an earlier crash runs on it that has not lasted yet.
+    pub(super) has_suspect: bool,
+    /// It crashed lately.
+    pub(super) is_unstable: bool,
+    /// Number of runs that a crash could be blamed on.
+    pub(super) runs: usize,
+    /// A task runs on it that is to run alone.
+    pub(super) is_isolated: bool,
+    /// Task that is to run alone on it once its other tasks have ended.
+    pub(super) reserved_for: Option<Task>,
 }
 
 /// `Pool` is the workers of a service that may get tasks.
@@ -27,9 +38,17 @@
 
 /// `Fit` is how well a worker suits a task; the smallest value is the best.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the fields are compared in this order"
+)]
 struct Fit {
     /// The task failed or stalled on the worker.
     is_avoided: bool,
+    /// A suspect runs on the worker, so that a crash would end the task or not show the cause.
+    has_suspect: bool,
+    /// The worker crashed lately and the task is a suspect, so that a crash would show nothing.
+    is_unstable: bool,
     /// The latest run on the worker failed.
     is_failing: bool,
     /// The worker is not in the rack of the task's data.
@@ -62,12 +81,12 @@
         let mut counts = self.count_tasks(job, stage, step);
         let mut picks = Vec::new();
         for (index, task_state) in graph.stages[stage].tasks.iter().enumerate() {
-            if task_state.placement != Placement::Idle {
+            if task_state.placement != Placement::Idle || task_state.has_unrecorded_crash {
                 continue;
             }
             let Some(pick) = self.pick(job, stage, index, step, pool, &mut counts, None) else {
-                // The remaining tasks of the stage differ only in the workers that they avoid.
-                if task_state.avoided_workers.is_empty() {
+                // The remaining tasks of the stage differ only in the workers that they avoid, and in crashes.
+                if task_state.avoided_workers.is_empty() && !graph.progress.has_crashes() {
                     break;
                 }
                 continue;
@@ -89,7 +108,10 @@
             return Vec::new();
         };
         let size = graph.stages[stage].tasks.len();
-        if graph.stages[stage].idle_count as usize != size {
+        let tasks = &graph.stages[stage].tasks;
+        if graph.stages[stage].idle_count as usize != size
+            || tasks.iter().any(|task| task.has_unrecorded_crash)
+        {
             return Vec::new();
         }
         let mut racks: Vec<Option<ids::Label>> = Vec::new();
@@ -168,10 +190,25 @@
             to_u32(index),
         );
         let need = Resources::reserved_by(step);
+        let crashes = self.crash_count(&task);
+        if crashes > 0 && graph.is_given_up(&graph.counted(&task)) {
+            return None;
+        }
+        let is_suspect = crashes > 0;
+        // The members of a gang start together, so none can run alone.
+        let is_to_run_alone = crashes >= MAX_SHARED_CRASHES && !step.is_gang;
+        let may_share = |entry: &Candidate| {
+            let is_reserved = entry
+                .reserved_for
+                .as_ref()
+                .is_some_and(|other| *other != task);
+            let is_free = !is_to_run_alone || (entry.runs == 0 && !entry.is_unstable);
+            is_free && !is_reserved && !entry.is_isolated
+        };
         let mut best: Option<(Fit, usize)> = None;
         // Most workers are full during a peak.
         let with_room = pool.iter().enumerate();
-        let with_room = with_room.filter(|(_, entry)| entry.free.covers(need));
+        let with_room = with_room.filter(|(_, entry)| entry.free.covers(need) && may_share(entry));
         for (position, entry) in with_room {
             let Some(worker) = self.workers.get(&entry.worker) else {
                 continue;
@@ -199,14 +236,17 @@
             let is_avoided = task_state.avoided_workers.contains(&entry.worker);
             let peers = if step.is_best_effort { entry.peers } else { 0 };
             let cpu_left = entry.free.cpu_millicores - need.cpu_millicores;
-            // Best-effort tasks are placed on the worker with the most free processor time.
-            let cpu_left = if step.is_best_effort {
+            // Best-effort tasks are placed on the worker with the most free processor time, and suspects on
+            // the one with the fewest tasks beside them.
+            let cpu_left = if step.is_best_effort || is_suspect {
                 u64::MAX - cpu_left
             } else {
                 cpu_left
             };
             let fit = Fit {
                 is_avoided,
+                has_suspect: entry.has_suspect,
+                is_unstable: is_suspect && entry.is_unstable,
                 is_failing: entry.consecutive_failures > 0,
                 is_remote,
                 cpu_left,
@@ -219,6 +259,9 @@
         let (_, position) = best?;
         let entry = &mut pool[position];
         entry.free = entry.free.minus(need);
+        entry.is_isolated |= is_to_run_alone;
+        entry.has_suspect |= is_suspect;
+        entry.runs += 1;
         entry.peers += usize::from(step.is_best_effort);
         *counts.entry(entry.worker.clone()).or_default() += 1;
         let ticket = match &graph.stages[stage].advice {
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -44,13 +44,20 @@
     fn place_tasks(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.placement_passes += 1;
         let mut ranked_jobs = self.take_ranked_jobs(now);
+        self.reserve_workers(now);
         let mut pools: Map<ids::Service, Pool> = Map::default();
         for worker in self.workers.values().filter(|w| w.accepts_tasks(now)) {
+            let reservation = self.reservations.get(&worker.report.worker);
             let entry = Candidate {
                 worker: worker.report.worker.clone(),
                 free: worker.free_resources(),
                 consecutive_failures: worker.consecutive_failures,
                 peers: worker.runs.values().filter(|r| r.is_best_effort).count(),
+                has_suspect: worker.has_untried_suspect(),
+                is_unstable: self.is_unstable(worker),
+                runs: worker.suspect_count(),
+                is_isolated: worker.is_isolated(),
+                reserved_for: reservation.map(|(task, _)| task.clone()),
             };
             let pool = pools.entry(worker.report.service.clone()).or_default();
             pool.members.push(entry);
@@ -96,7 +103,9 @@
         let Some(pool) = pools.get_mut(&self.service_of(graph)) else {
             return true;
         };
-        if pool.unplaced >= MAX_UNPLACED_JOBS {
+        // Suspects of a crash wait for particular workers, whether others have room or not.
+        let has_suspects = graph.progress.has_crashes();
+        if pool.unplaced >= MAX_UNPLACED_JOBS && !has_suspects {
             return true;
         }
         let job_spec = graph.job.clone();
@@ -125,7 +134,11 @@
             has_started |= !picks.is_empty();
             self.start_tasks(now, job, stage, step, picks, actions);
         }
-        pool.unplaced = if has_started { 0 } else { pool.unplaced + 1 };
+        pool.unplaced = match (has_started, has_suspects) {
+            (true, _) => 0,
+            (false, true) => pool.unplaced,
+            (false, false) => pool.unplaced + 1,
+        };
         let graph = self.jobs.get(job);
         graph.is_some_and(|graph| graph.stages.iter().any(|stage| stage.idle_count > 0))
     }
@@ -165,6 +178,7 @@
             graph.set_placement(stage, pick.index, Placement::On(pick.worker.clone()));
             let mut new_run = Run::new(run, Resources::reserved_by(step), now);
             new_run.apply_step(step);
+            new_run.crashes = graph.progress.crash_count(&graph.counted(&task));
             let start = Command::Start {
                 payload: graph.job.payload.clone(),
                 lease_expiry_ms,
--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -220,6 +220,7 @@
             let step = graph.step_of(stage).clone();
             run.resources = Resources::reserved_by(&step);
             run.apply_step(&step);
+            run.crashes = graph.progress.crash_count(&graph.counted(task));
             let task_state = &mut graph.stages[stage].tasks[index];
             task_state.run = task_state.run.max(number);
             if !graph.is_over() && graph.stages[stage].tasks[index].placement == Placement::Idle {
@@ -279,6 +280,7 @@
         started_at_ms: u64,
         actions: &mut Vec<Action>,
     ) {
+        self.record_crashes(now, std::slice::from_ref(id), actions);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -134,6 +134,8 @@
                 terminated.push((id.clone(), worker.runs.keys().cloned().collect::<Vec<_>>()));
             }
         }
+        let crashed: Vec<ids::Worker> = terminated.iter().map(|(id, _)| id.clone()).collect();
+        self.record_crashes(now, &crashed, actions);
         for (id, tasks) in terminated {
             for task in tasks {
                 self.release_run(&id, &task, "host terminated its worker", actions);
--- a/crates/core/src/sched/run.rs
+++ b/crates/core/src/sched/run.rs
@@ -59,6 +59,8 @@
     /// Share of its full rate that it may use, in percent.
     pub(super) pace_percent: u32,
     pub(super) checkpoint: ByteString,
+    /// Number of workers that had crashed under its task before.
+    pub(super) crashes: usize,
 }
 
 impl Run {
@@ -86,6 +88,7 @@
             latency_target_ms: None,
             pace_percent: 100,
             checkpoint: ByteString::new(),
+            crashes: 0,
         }
     }
 
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -2,6 +2,7 @@
 use std::time::{Duration, Instant};
 
 use super::belief::Census;
+use super::crash::Crash;
 use super::event::{Action, Event};
 use super::graph::Graph;
 use super::load::Arrivals;
@@ -9,6 +10,7 @@
 use super::recovery::Recovery;
 use super::worker::Worker;
 use crate::ids;
+use crate::job::Task;
 use crate::map::{Map, Set};
 use crate::queue::Config;
 
@@ -51,6 +53,15 @@
     pub(super) pending_acknowledgements: Option<Vec<(ids::Worker, u64, u64)>>,
     /// Drained workers that the next append records.
     pub(super) newly_drained: Vec<ids::Worker>,
+    /// Workers that wait to be free of other tasks, each with the task that is to run alone on it, and since
+    /// when.
+    pub(super) reservations: Map<ids::Worker, (Task, Instant)>,
+    /// Recent crashes of workers.
+    pub(super) crashes: Vec<Crash>,
+    /// Tasks with a crash that the next append records.
+    pub(super) unrecorded_crashes: Vec<Task>,
+    /// Tasks with a crash that the append in flight records.
+    pub(super) recorded_crashes: Vec<Task>,
     /// Requests to the policy service in flight.
     pub(super) advice_in_flight: usize,
     /// Jobs with idle tasks, in the order of rank.
@@ -102,6 +113,10 @@
             term_confirmed_at: now,
             pending_acknowledgements: None,
             newly_drained: Vec::new(),
+            reservations: Map::default(),
+            crashes: Vec::new(),
+            unrecorded_crashes: Vec::new(),
+            recorded_crashes: Vec::new(),
             advice_in_flight: 0,
             ranked_jobs: Vec::new(),
             ranked_at: now,
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the scheduler against simulated workers that follow the platform's specification.
 
 mod availability;
+mod capacity;
+mod crash;
 mod line;
 mod odd;
 mod overload;
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world/mod.rs
@@ -1,5 +1,9 @@
 //! Simulation of workers, a log and successive leaders, with checks of invariants.
 
+mod check;
+mod disturbance;
+mod fixture;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -7,7 +11,7 @@
 use persimmongate_core::ids;
 use persimmongate_core::job::{Job, Outcome, Progress, Schedule, Step, Task};
 use persimmongate_core::journal::{Index, Record};
-use persimmongate_core::queue::{Config, Policy, Queue, Service};
+use persimmongate_core::queue::Policy;
 use persimmongate_core::sched::{
     Action, Answer, Call, Cause, Command, Event, Options, Poll, Query, Report, Resources,
     Scheduler, Ticket,
@@ -17,6 +21,9 @@
 
 use crate::availability::Ledger;
 use crate::worker::{Active, Worker};
+use fixture::{config, report};
+
+pub(crate) use fixture::{long_running, step};
 
 /// Time for which a ticket is valid.
 const TICKET_VALIDITY: Duration = Duration::from_secs(3);
@@ -61,6 +68,11 @@
     PollTimeout(String, usize, Instant, u64),
     Append(usize, Vec<Record>),
     Advance,
+    /// The crash of a worker.
+    Crash(String),
+    /// The restart of a worker that crashed.
+    Restart(String),
+    HostList,
 }
 
 /// `Leader` is a process that leads, or has not noticed yet that it no longer does.
@@ -125,6 +137,12 @@
     pub(crate) poll_count: u64,
     pub(crate) violations: Vec<String>,
     availability: Ledger,
+    /// Workers whose capacity has shrunk, with the time and the capacity before.
+    shrunk: BTreeMap<String, (Instant, Resources)>,
+    /// Jobs whose first task crashes each worker that starts it.
+    pub(crate) crashing_jobs: BTreeSet<ids::Job>,
+    /// Starts of such tasks.
+    pub(crate) crashing_starts: BTreeMap<Task, usize>,
 }
 
 impl World {
@@ -161,6 +179,9 @@
             poll_count: 0,
             violations: Vec::new(),
             availability: Ledger::default(),
+            shrunk: BTreeMap::new(),
+            crashing_jobs: BTreeSet::new(),
+            crashing_starts: BTreeMap::new(),
         };
         for number in 0..workers {
             let report = report(number);
@@ -384,15 +405,6 @@
         }
     }
 
-    /// Lets the newest leader handle a tick and then the events that waited.
-    pub(crate) fn resume_leader(&mut self) {
-        let leader = self.leaders.len() - 1;
-        let backlog = self.leaders[leader].backlog.take().unwrap_or_default();
-        for event in std::iter::once(Event::Tick).chain(backlog) {
-            self.deliver(leader, event);
-        }
-    }
-
     /// Advances the simulation by a time.
     pub(crate) fn run(&mut self, time: Duration) {
         let end = self.now + time;
@@ -410,6 +422,15 @@
     fn carry_out(&mut self, activity: Activity) {
         match activity {
             Activity::Advance => self.advance(),
+            Activity::Crash(name) => self.crash(&name),
+            Activity::Restart(name) => {
+                let now = self.now;
+                self.vacated.remove(&name);
+                self.workers.get_mut(&name).unwrap().restart(now);
+                self.set_listed(&name, true);
+                self.report_hosts();
+            }
+            Activity::HostList => self.report_hosts(),
             Activity::Deliver(leader, event) => self.deliver(leader, *event),
             Activity::Append(leader, records) => self.append(leader, records),
             Activity::PollTimeout(worker, leader, sent_at, started_at_ms) => {
@@ -689,6 +710,7 @@
         if has_started {
             self.start_count += 1;
             self.check_start(name, &call);
+            self.crash_if_deadly(name, &call.task);
         }
         if leader == NO_LEADER {
             return;
@@ -711,110 +733,6 @@
         self.schedule(now + delay, Activity::Deliver(leader, Box::new(event)));
     }
 
-    /// Checks that a stop leaves enough tasks of a long-running step at work.
-    fn check_stop(&mut self, name: &str, call: &Call) {
-        let job = &self.jobs[&call.task.job];
-        let away = self
-            .availability
-            .observe_stop(self.now, call, name, &self.workers, job);
-        if let Some(away) = away
-            && !self.canceled.contains(&call.task.job)
-        {
-            let at = self.now - self.started_at;
-            self.violations.push(format!(
-                "{at:?}: {:?} is stopped on {name} while {away} others of its step are away",
-                call.task
-            ));
-        }
-    }
-
-    /// Checks the invariants of a start.
-    fn check_start(&mut self, name: &str, call: &Call) {
-        let task = &call.task;
-        let mut violations = Vec::new();
-        for (other, worker) in &self.workers {
-            if other != name && worker.is_up && worker.runs.contains_key(task) {
-                violations.push("runs twice");
-            }
-        }
-        let worker = &self.workers[name];
-        if !worker.report.capacity.covers(worker.used()) {
-            violations.push("starts without free resources");
-        }
-        let job = &self.jobs[&task.job];
-        for dependency in &job.steps[task.step as usize].dependencies {
-            for index in 0..job.steps[*dependency as usize].count {
-                let required = Task {
-                    step: *dependency,
-                    index,
-                    ..task.clone()
-                };
-                if !self.done.contains(&required) {
-                    violations.push("starts before an earlier step is done");
-                }
-            }
-        }
-        let is_start = matches!(call.command, Command::Start { .. });
-        let violations = violations.into_iter().filter(|_| is_start);
-        let at = self.now - self.started_at;
-        let messages = violations
-            .map(|violation| format!("{at:?}: {task:?} run {} on {name} {violation}", call.run));
-        self.violations.extend(messages);
-        if !job.steps[task.step as usize].is_long_running {
-            let earlier_exits = self
-                .exits
-                .iter()
-                .filter(|(known, ..)| known == task)
-                .cloned()
-                .collect();
-            let start = format!("{at:?}: {task:?} run {} on {name}", call.run);
-            self.task_starts.push((start, earlier_exits));
-        }
-    }
-
-    /// Returns the violations, including those that show only once all exits are known: an exit
-    /// counts if it was acknowledged, whether before or after the start.
-    pub(crate) fn violations_found(&self) -> Vec<String> {
-        let mut found = self.violations.clone();
-        for (start, earlier_exits) in &self.task_starts {
-            let count = |done: bool| {
-                let exits = earlier_exits
-                    .iter()
-                    .filter(|exit| exit.2 == done && self.acknowledged.contains(*exit));
-                exits.count()
-            };
-            if count(true) > 0 {
-                found.push(format!("{start} starts after it was done"));
-            }
-            if count(false) >= ATTEMPTS as usize {
-                found.push(format!("{start} starts after all attempts failed"));
-            }
-        }
-        found
-    }
-
-    /// Checks that an acknowledged exit is in the log.
-    fn check_acknowledged(&mut self, task: &Task, run: ids::Run, status: Cause) {
-        let entry = self.index.get(&task.job).cloned().unwrap_or_default();
-        let is_long_running = self.jobs[&task.job].steps[task.step as usize].is_long_running;
-        let has_ended = self.canceled.contains(&task.job) || entry.progress.outcome.is_some();
-        let is_recorded = match status {
-            Cause::Done => entry.progress.is_done(task),
-            Cause::Failed => entry.progress.failure_count(task) > 0 || entry.progress.is_done(task),
-            Cause::Expired | Cause::Interrupted => true,
-        };
-        if !is_recorded && !is_long_running && !has_ended {
-            let at = self.now - self.started_at;
-            self.violations.push(format!(
-                "{at:?}: exit of {task:?} run {run} is not in the log"
-            ));
-        }
-        if matches!(status, Cause::Done | Cause::Failed) && !is_long_running {
-            self.acknowledged
-                .insert((task.clone(), run, status == Cause::Done));
-        }
-    }
-
     /// Returns the progress of a job in the log.
     pub(crate) fn progress(&self, id: &str) -> Progress {
         self.index.get(&id.into()).unwrap().progress.clone()
@@ -840,18 +758,6 @@
             .filter(|(_, worker)| worker.is_up && runs(worker));
         workers.map(|(name, _)| name.clone()).collect()
     }
-
-    /// Reports to the newest leader that a worker is listed, with its current entry, or no longer listed.
-    pub(crate) fn set_listed(&mut self, name: &str, is_listed: bool) {
-        let report = self.workers[name].report.clone();
-        let leader = self.leaders.len() - 1;
-        let event = if is_listed {
-            Event::Listed(report)
-        } else {
-            Event::Unlisted(report.worker)
-        };
-        self.deliver(leader, event);
-    }
 }
 
 /// Returns the worker that a call is addressed to.
@@ -862,63 +768,3 @@
         _ => String::new(),
     }
 }
-
-fn report(number: usize) -> Report {
-    Report {
-        worker: format!("w{number}").into(),
-        service: SERVICE.into(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        host: Some(format!("h{number}").into()),
-        is_shutting_down: false,
-        started_at_ms: 1,
-        capacity: Resources {
-            cpu_millicores: 8_000,
-            memory_mb: 8_000,
-            gpus: 0,
-        },
-        labels: vec!["a".into(), format!("r{}", number / 2).into()],
-    }
-}
-
-fn config(policy_service: Option<Policy>) -> Config {
-    let queue = Queue {
-        name: "queue".into(),
-        hostname: "host".into(),
-        path_prefix: "/queue/".into(),
-        service: SERVICE.into(),
-        priority: 0,
-        max_attempts: ATTEMPTS,
-        stretch: 2.0,
-        allowance: Duration::from_secs(1),
-        call_timeout: Duration::from_secs(3),
-        policy_service,
-    };
-    let service = Service {
-        name: SERVICE.into(),
-        rejects_overload: false,
-        is_spare: false,
-    };
-    Config::new(1, vec![queue], vec![service])
-}
-
-/// Creates a step of tasks that each reserve 2 cores and take a number of milliseconds.
-pub(crate) fn step(count: u32, millis: u64, dependencies: &[u32]) -> Step {
-    Step {
-        count,
-        cpu_millicores: 2_000,
-        memory_mb: 500,
-        estimate: Duration::from_millis(millis),
-        dependencies: dependencies.to_vec(),
-        ..Step::default()
-    }
-}
-
-/// Creates a step of long-running tasks, at most one on a worker.
-pub(crate) fn long_running(count: u32, max_unavailable: u32) -> Step {
-    Step {
-        is_long_running: true,
-        max_per_worker: Some(1),
-        max_unavailable,
-        ..step(count, 500, &[])
-    }
-}
