Find unstable workers once per pass of placement

Cause: each task that waits to run alone looked at all workers, and at all recent crashes for each of them, in each pass of placement.

Change: the workers that crashed lately, and those that can be reserved, are listed once a pass.

--- a/crates/core/src/sched/crash.rs
+++ b/crates/core/src/sched/crash.rs
@@ -99,7 +99,7 @@
     }
 
     /// Reserves a worker for each idle task that is to run alone, so that it becomes free of other tasks.
-    pub(super) fn reserve_workers(&mut self, now: Instant) {
+    pub(super) fn reserve_workers(&mut self, now: Instant, unstable: &Set<ids::Worker>) {
         let mut reservations = std::mem::take(&mut self.reservations);
         reservations.retain(|id, (task, reserved_at)| {
             let worker = self.workers.get(id);
@@ -107,34 +107,40 @@
                 && now.saturating_duration_since(*reserved_at) < RESERVATION_TIMEOUT
                 && worker.is_some_and(|worker| worker.accepts_tasks(now))
         });
-        for graph in self
-            .jobs
+        let max = self.workers.len() / MIN_WORKERS_PER_RESERVATION + 1;
+        let has_crashes = |graph: &&Graph| graph.progress.has_crashes() && !graph.is_over();
+        let waiting = self.jobs.values().filter(has_crashes).flat_map(|graph| {
+            let tasks = graph.tasks().filter(|task| self.waits_to_run_alone(task));
+            tasks.map(move |task| (graph, task))
+        });
+        let reserved: Set<Task> = reservations
             .values()
-            .filter(|graph| graph.progress.has_crashes())
-        {
-            let service = self.service_of(graph);
-            for task in graph.tasks().filter(|task| self.waits_to_run_alone(task)) {
-                let max = self.workers.len() / MIN_WORKERS_PER_RESERVATION + 1;
-                if reservations.len() >= max
-                    || reservations.values().any(|(known, _)| *known == task)
-                {
-                    continue;
-                }
+            .map(|(task, _)| task.clone())
+            .collect();
+        let waiting = waiting.filter(|(_, task)| !reserved.contains(task));
+        let waiting: Vec<(&Graph, Task)> = waiting.take(max - reserved.len().min(max)).collect();
+        if !waiting.is_empty() {
+            // The workers with the fewest tasks become free first.
+            let stable = self.workers.iter().filter(|(id, worker)| {
+                worker.accepts_tasks(now)
+                    && !unstable.contains(*id)
+                    && !reservations.contains_key(*id)
+            });
+            let mut stable: Vec<(usize, &ids::Worker, &Worker)> = stable
+                .map(|(id, worker)| (worker.runs.len(), id, worker))
+                .collect();
+            stable.sort_by_key(|(runs, id, _)| (*runs, *id));
+            for (graph, task) in waiting {
                 let step = &graph.job.steps[task.step as usize];
-                let need = Resources::reserved_by(step);
-                let workers = self.workers.iter().filter(|(id, worker)| {
+                let (service, need) = (self.service_of(graph), Resources::reserved_by(step));
+                let suits = |worker: &Worker| {
+                    let label = step.required_label.as_ref();
                     worker.report.service == service
-                        && worker.accepts_tasks(now)
                         && worker.report.capacity.covers(need)
-                        && step
-                            .required_label
-                            .as_ref()
-                            .is_none_or(|label| worker.has_label(label))
-                        && !self.is_unstable(worker)
-                        && !reservations.contains_key(*id)
-                });
-                let fewest = workers.min_by_key(|(id, worker)| (worker.runs.len(), (*id).clone()));
-                if let Some((id, _)) = fewest {
+                        && label.is_none_or(|label| worker.has_label(label))
+                };
+                if let Some(position) = stable.iter().position(|(.., worker)| suits(worker)) {
+                    let (_, id, _) = stable.remove(position);
                     reservations.insert(id.clone(), (task, now));
                 }
             }
@@ -159,7 +165,7 @@
     }
 
     /// Checks if a worker or its host crashed lately.
-    pub(super) fn is_unstable(&self, worker: &Worker) -> bool {
+    fn is_unstable(&self, worker: &Worker) -> bool {
         let host = worker.report.host.as_ref();
         let is_same = |crash: &Crash| {
             crash.worker == worker.report.worker || (host.is_some() && crash.host.as_ref() == host)
@@ -167,6 +173,21 @@
         self.crashes.iter().any(is_same)
     }
 
+    /// Returns the workers that crashed lately, or whose hosts did.
+    pub(super) fn unstable_workers(&self) -> Set<ids::Worker> {
+        if self.crashes.is_empty() {
+            return Set::default();
+        }
+        let workers: Set<&ids::Worker> = self.crashes.iter().map(|crash| &crash.worker).collect();
+        let hosts = self.crashes.iter().filter_map(|crash| crash.host.as_ref());
+        let hosts: Set<&ids::Host> = hosts.collect();
+        let unstable = self.workers.iter().filter(|(id, worker)| {
+            let host = worker.report.host.as_ref();
+            workers.contains(*id) || host.is_some_and(|host| hosts.contains(host))
+        });
+        unstable.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Forgets crashes that are too old to matter.
     pub(super) fn drop_old_crashes(&mut self, now: Instant) {
         let is_recent = |crash: &Crash| now.saturating_duration_since(crash.at) < UNSTABLE_TIME;
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -44,7 +44,8 @@
     fn place_tasks(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.placement_passes += 1;
         let mut ranked_jobs = self.take_ranked_jobs(now);
-        self.reserve_workers(now);
+        let unstable = self.unstable_workers();
+        self.reserve_workers(now, &unstable);
         let mut pools: Map<ids::Service, Pool> = Map::default();
         for worker in self.workers.values().filter(|w| w.accepts_tasks(now)) {
             let reservation = self.reservations.get(&worker.report.worker);
@@ -54,7 +55,7 @@
                 consecutive_failures: worker.consecutive_failures,
                 peers: worker.runs.values().filter(|r| r.is_best_effort).count(),
                 has_suspect: worker.has_untried_suspect(),
-                is_unstable: self.is_unstable(worker),
+                is_unstable: unstable.contains(&worker.report.worker),
                 runs: worker.suspect_count(),
                 is_isolated: worker.is_isolated(),
                 reserved_for: reservation.map(|(task, _)| task.clone()),
