--- a/crates/core/src/sched/crash.rs
+++ b/crates/core/src/sched/crash.rs
@@ -1,7 +1,8 @@
 //! Tasks that crash the workers that start them.
 //!
-//! A worker crashes for many causes, so a crash makes a task only a suspect. A suspect starts on a worker
-//! where no other one has started lately. If that worker crashes as well, no other task explains it.
+//! A worker crashes for many causes, so a crash makes a task only a suspect. A suspect prefers workers
+//! without another one; after two crashes it only starts on a worker without other tasks. If that worker
+//! crashes as well, no other task explains it.
 
 use std::time::{Duration, Instant};
 
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -1,10 +1,6 @@
 use std::time::Duration;
 
-use actix::{
-    ActorFutureExt, AsyncContext, Context, Handler, Message, ResponseActFuture, SpawnHandle,
-    WrapFuture,
-};
-use futures_util::future::join;
+use actix::{ActorFutureExt, AsyncContext, Context, Handler, Message, SpawnHandle, WrapFuture};
 use persimmongate_core::ids;
 use persimmongate_core::journal::Record;
 use persimmongate_core::sched::{Action, Event, Report, Scheduler};
@@ -15,16 +11,11 @@
 use super::gauge::Counts;
 use super::lag::Lag;
 use super::line;
-use super::{IDLE_READ_PAUSE, Resign, Shard, Transition};
-use crate::leadership::{
-    Sequencer, append_with_retry, claim, encoded_or_logged, resign, resignation, resignation_notice,
-};
+use super::{Shard, Transition};
+use crate::leadership::{Sequencer, append_with_retry, claim, encoded_or_logged};
 use crate::platform::{Append, Failure, Platform};
 use crate::roster::{Change, Unsubscribe, Update};
 
-/// Time between the announcement of a resignation and the resignation itself: the longest pause of the
-/// other processes between two reads.
-const RESIGNATION_DELAY: Duration = IDLE_READ_PAUSE;
 /// Interval of the scheduler's time-driven work.
 pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -338,7 +329,7 @@
     }
 
     /// Creates the leader's next append.
-    fn next_append(&mut self, records: &[Record]) -> Option<Append> {
+    pub(super) fn next_append(&mut self, records: &[Record]) -> Option<Append> {
         let leadership = self.leadership.as_mut()?;
         encoded_or_logged(leadership.sequencer.append(records), &self.setup.logger)
     }
@@ -385,41 +376,3 @@
         }
     }
 }
-
-impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Resign> for Shard<P, C> {
-    type Result = ResponseActFuture<Self, ()>;
-
-    /// Resigns from the shard after an announcement, on which the other processes read the log without pauses.
-    fn handle(&mut self, _: Resign, ctx: &mut Self::Context) -> Self::Result {
-        let node = self.setup.node.clone();
-        let record = self
-            .leadership
-            .as_ref()
-            .map(|leadership| resignation_notice(leadership.term, node));
-        let Some(append) = record.and_then(|record| self.next_append(&[record])) else {
-            return self.resign(ctx);
-        };
-        let announced = append_with_retry(
-            self.setup.platform.clone(),
-            append,
-            Some(clock::now() + RESIGNATION_DELAY),
-        );
-        let announced = join(announced, actix_rt::time::sleep(RESIGNATION_DELAY)).into_actor(self);
-        Box::pin(announced.then(|_, act, ctx| act.resign(ctx)))
-    }
-}
-
-impl<P: Platform, C: Copy + Send + Unpin + 'static> Shard<P, C> {
-    /// Resigns from the shard. The record tells the others that this leader sends no more commands.
-    fn resign(&mut self, ctx: &mut Context<Self>) -> ResponseActFuture<Self, ()> {
-        let node = self.setup.node.clone();
-        let record = self
-            .leadership
-            .as_ref()
-            .map(|leadership| resignation(leadership.term, node));
-        let append = record.and_then(|record| self.next_append(&[record]));
-        self.step_election(term::Event::ShutDown, ctx);
-        let (platform, logger) = (self.setup.platform.clone(), self.setup.logger.clone());
-        Box::pin(resign(platform, append, logger).into_actor(self))
-    }
-}
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -5,6 +5,7 @@
 mod leadership;
 mod line;
 mod request;
+mod resignation;
 
 pub use request::{Answer, Cancel, Count, Freshness, Query, Status, Submit};
 
