--- a/crates/core/src/job/progress.rs
+++ b/crates/core/src/job/progress.rs
@@ -15,12 +15,12 @@
     Failed,
 }
 
-/// `Crashes` is the workers that crashed under a task.
+/// `Crashes` counts the workers that crashed under a task.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 struct Crashes {
     /// Runs of the task that were lost with their worker.
     runs: Vec<ids::Run>,
-    /// Number of those crashes that no other task explains.
+    /// Number of those crashes that only this task can have caused.
     unexplained: u32,
 }
 
@@ -98,7 +98,7 @@
 
     /// Records the crash of a worker under a run of a task, and returns whether that was new.
     ///
-    /// `is_unexplained` tells that no other task can have caused it.
+    /// `is_unexplained` is true if only this task can have caused it.
     pub fn record_crash(&mut self, task: &Task, run: ids::Run, is_unexplained: bool) -> bool {
         let key = (task.occurrence, task.step, task.index);
         let crashes = self.crashes.entry(key).or_default();
@@ -123,7 +123,7 @@
         self.crashes.get(&key).map_or(0, |known| known.runs.len())
     }
 
-    /// Returns the number of workers that crashed under a task for no other known cause.
+    /// Returns the number of crashes that only this task can have caused.
     #[must_use]
     pub fn unexplained_crash_count(&self, task: &Task) -> u32 {
         let key = (task.occurrence, task.step, task.index);
--- a/crates/core/src/sched/command.rs
+++ b/crates/core/src/sched/command.rs
@@ -10,7 +10,7 @@
 use crate::job::Task;
 use crate::map::Set;
 
-/// Longest time after which a worker carries out a command that it has not answered.
+/// Longest time after which a worker carries out a command that it has not answered, as the platform states.
 const MAX_COMMAND_DELAY: Duration = Duration::from_secs(12);
 /// Time for which a worker that refused a start gets no tasks.
 const REFUSAL_SUSPENSION: Duration = Duration::from_millis(500);
--- a/crates/core/src/sched/crash.rs
+++ b/crates/core/src/sched/crash.rs
@@ -25,9 +25,10 @@
 /// Time that a run lasts before it counts as one that its worker survives. The platform's workers crash
 /// within milliseconds of such a start.
 const PROBATION: Duration = Duration::from_millis(500);
-/// Time after a crash for which the next crash of the same host is no evidence.
+/// Time after a crash for which the next crash of the same host is no evidence: a host that fails by itself
+/// does so again within seconds.
 const UNSTABLE_TIME: Duration = Duration::from_secs(10);
-/// Time for which a worker waits to be free for a task that is to run alone.
+/// Time for which a worker waits to be free for a task that is to run alone: longer than most tasks run.
 const RESERVATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Workers of the shard for each one that may be reserved at a time.
 const MIN_WORKERS_PER_RESERVATION: usize = 4;
@@ -37,13 +38,13 @@
 /// Workers that crash within that time without a recent start, from which on there is a common cause.
 const MIN_COMMON_CRASHES: usize = 2;
 
-/// `Crash` is the end of a worker that was not to end.
+/// `Crash` is the unexpected end of a worker.
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
     at: Instant,
     worker: ids::Worker,
     host: Option<ids::Host>,
-    /// Whether a run was on probation, so that it may be the cause.
+    /// Whether a run had just started, so that it may be the cause.
     has_suspect: bool,
 }
 
@@ -81,7 +82,8 @@
 }
 
 impl Graph {
-    /// Checks if a task that crashes and failures are counted on crashes the workers that start it.
+    /// Checks if there is evidence that a task crashes its workers. `counted` is the task that its crashes are
+    /// counted on.
     pub(super) fn is_given_up(&self, counted: &Task) -> bool {
         let crashes = self.progress.crash_count(counted);
         let unexplained = self.progress.unexplained_crash_count(counted);
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -14,8 +14,9 @@
 
 /// Consecutive jobs without a placed task after which the later jobs of their service are skipped.
 const MAX_UNPLACED_JOBS: usize = 24;
-/// Shortest time between two passes, per worker and job that a pass looks at. It bounds the share of the
-/// processor that placement takes, and the delay that it adds to a start.
+/// Shortest time between two passes, per worker and job that a pass looks at: 20 ms for 300 workers and 100
+/// jobs, which is short compared with the run time of a task. It bounds the share of the processor that
+/// placement takes.
 const PLACEMENT_INTERVAL_PER_ENTRY: Duration = Duration::from_micros(50);
 /// Time per ranked job for which a ranking is reused, so that long rankings are rebuilt less often.
 const RANKING_INTERVAL_PER_JOB: Duration = Duration::from_micros(100);
