Start tasks only within 2 s of the latest complete read of the log

Cause: a leader acted for 5 s after its last complete read, which is longer than a cancellation may take (3 s on the tightest site). A repeated start of a long-running task takes effect too when the first one was lost. Change: starts and repeated starts ask for a read of the last 2 s; the log line of idle tasks says may_start.

--- a/crates/core/src/sched/command.rs
+++ b/crates/core/src/sched/command.rs
@@ -154,7 +154,7 @@
     /// Repeats starts of long-running tasks that were not answered. If the worker gets no tasks any more, the
     /// run is stopped instead.
     pub(super) fn retry_starts(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if !self.may_act(now) {
+        if !self.may_start(now) {
             return;
         }
         let mut due_starts = Vec::new();
--- a/crates/core/src/sched/idle.rs
+++ b/crates/core/src/sched/idle.rs
@@ -39,8 +39,8 @@
     pub hosted_unknown: Option<usize>,
     /// Whether the job waits until the runs of older terms are known.
     pub waits_for_recovery: bool,
-    /// Whether the term was confirmed recently enough to send commands.
-    pub may_act: bool,
+    /// Whether the log was read recently enough to start tasks.
+    pub may_start: bool,
 }
 
 impl Scheduler {
@@ -109,7 +109,7 @@
             },
             hosted_unknown: self.hosted_unknown_count(),
             waits_for_recovery: graph.predates_term && !self.has_recovered(),
-            may_act: self.may_act(now),
+            may_start: self.may_start(now),
             service,
         }
     }
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -7,9 +7,12 @@
 use crate::ids;
 use crate::map::{Map, Set};
 
-/// Time since the last confirmation of the term for which a leader still sends requests to workers.
+/// Time since the last confirmation of the term for which a leader still renews leases and stops runs.
 /// Log outages of this length don't make a lease expire.
 pub(super) const CONFIRMATION_VALIDITY: Duration = Duration::from_secs(5);
+/// Time since the last confirmation of the term for which a leader still starts tasks. Each job may have been
+/// canceled since, and the tasks of a canceled job must not start from 3 s after the acknowledgement.
+pub(super) const START_VALIDITY: Duration = Duration::from_secs(2);
 /// Tolerance for late timers and for clocks that run at different rates.
 const CLOCK_MARGIN: Duration = Duration::from_millis(500);
 
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -7,7 +7,7 @@
 use super::graph::Graph;
 use super::load::Arrivals;
 use super::rank::Rank;
-use super::recovery::Recovery;
+use super::recovery::{CONFIRMATION_VALIDITY, Recovery, START_VALIDITY};
 use super::worker::Worker;
 use crate::ids;
 use crate::job::Task;
@@ -142,17 +142,24 @@
         }
         self.handle_event(now, event, actions);
         self.log_recovery(now, actions);
-        if self.needs_placement && self.may_act(now) {
+        if self.needs_placement && self.may_start(now) {
             self.place_if_due(now, actions);
         }
         self.flush(now, actions);
     }
 
-    /// Checks if the term was confirmed recently enough to send requests to workers.
+    /// Checks if the term was confirmed recently enough to renew leases and to stop runs.
     pub(super) fn may_act(&self, now: Instant) -> bool {
-        !self.is_fenced
-            && now.saturating_duration_since(self.term_confirmed_at)
-                < super::recovery::CONFIRMATION_VALIDITY
+        self.is_confirmed_within(now, CONFIRMATION_VALIDITY)
+    }
+
+    /// Checks if the log was read recently enough to start tasks.
+    pub(super) fn may_start(&self, now: Instant) -> bool {
+        self.is_confirmed_within(now, START_VALIDITY)
+    }
+
+    fn is_confirmed_within(&self, now: Instant, validity: Duration) -> bool {
+        !self.is_fenced && now.saturating_duration_since(self.term_confirmed_at) < validity
     }
 
     /// Returns the service whose workers currently run the tasks of a job.
--- a/crates/core/tests/sched/line.rs
+++ b/crates/core/tests/sched/line.rs
@@ -198,7 +198,7 @@
     assert_eq!((&*idle.job, idle.tasks), ("job", 1));
     assert_eq!((idle.census.known, idle.census.eligible), (2, 2));
     assert_eq!(idle.below_limit, 0);
-    assert!(!idle.waits_for_recovery && idle.may_act);
+    assert!(!idle.waits_for_recovery && idle.may_start);
     assert!(lines[1].duration >= lines[0].duration + seconds(3));
 }
 
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -10,6 +10,7 @@
 mod recovery;
 mod restart;
 mod soak;
+mod stale;
 mod stop;
 mod worker;
 mod world;
--- a/crates/core/tests/sched/world/mod.rs
+++ b/crates/core/tests/sched/world/mod.rs
@@ -132,6 +132,8 @@
     /// Leaders that can't reach a worker that others reach.
     pub(crate) cuts: BTreeSet<(usize, String)>,
     pub(crate) start_count: u64,
+    /// Starts that leaders sent again.
+    pub(crate) repeated_start_count: u64,
     /// Stops that leaders sent.
     pub(crate) stop_count: u64,
     /// Polls that were sent.
@@ -176,6 +178,7 @@
             has_complete_hosts: true,
             cuts: BTreeSet::new(),
             start_count: 0,
+            repeated_start_count: 0,
             stop_count: 0,
             poll_count: 0,
             violations: Vec::new(),
@@ -398,7 +401,10 @@
                     );
                 }
                 Action::LogStop(_) => self.stop_count += 1,
-                Action::LogRun { .. } | Action::LogStarts { .. } => {}
+                Action::LogRun { message, .. } => {
+                    self.repeated_start_count += u64::from(message == "start repeated");
+                }
+                Action::LogStarts { .. } => {}
                 Action::LogWorker(..) | Action::LogIdle(_) | Action::LogRecovery(_) => {
                     self.lines.push(action);
                 }
