--- a/crates/core/tests/sched/stale.rs
+++ b/crates/core/tests/sched/stale.rs
@@ -8,6 +8,8 @@
 
 /// Shortest time after the acknowledgement of a cancellation from which on no task of the job may start.
 const MIN_CANCEL_TIME: Duration = Duration::from_secs(3);
+/// Rest of the outage after that.
+const REST_OF_OUTAGE: Duration = Duration::from_secs(6);
 /// Length of the outage.
 const OUTAGE: Duration = Duration::from_secs(9);
 
@@ -26,7 +28,7 @@
     world.cancel("flood");
     world.run(MIN_CANCEL_TIME);
     let starts = world.start_count;
-    world.run(OUTAGE - MIN_CANCEL_TIME);
+    world.run(REST_OF_OUTAGE);
     assert_eq!(world.start_count, starts);
 }
 
@@ -42,7 +44,7 @@
     world.cancel("job");
     world.run(MIN_CANCEL_TIME);
     let repeated = world.repeated_start_count;
-    world.run(OUTAGE - MIN_CANCEL_TIME);
+    world.run(REST_OF_OUTAGE);
     assert_eq!(world.repeated_start_count, repeated);
 }
 
