Foresee turns, space the planning of hosts by time and batch drains

Cause: reserves were 3 hosts whatever the fleet; each event, such as one of 600 answers a second, made the leader pass over all hosts; each drain was an append of its own; growth was extrapolated to the whole fleet from a single large job; the host list showed a moving host as spare for a second, so that waves took it. Change: reserves grow with the fleet; turns (size, interval, order) are learned and hosts move ahead of the next one, shared by the services that had none yet; planning passes are spaced by the number of hosts; drains of a pass are one append a shard; growth is bounded by the peaks of other services; a moving host is not maintained. Tests: core/tests/upkeep/turns.rs, verify_host_on_its_way_to_a_service_is_not_maintained (seen to fail without it).

--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -10,6 +10,7 @@
 use super::event::{Action, Operation};
 use super::host::{Host, State};
 use super::planner::Planner;
+use super::turns::Turns;
 use crate::ids;
 use crate::journal::Load;
 use crate::map::Map;
@@ -22,8 +23,18 @@
 const MAX_GROWTH_PERCENT: usize = 50;
 /// Hosts of a pool above those that its long-running tasks need, for the start of a peak.
 const PEAK_RESERVE_HOSTS: usize = 3;
+/// Share of the fleet that a pool has as such a reserve if this is more, as a divisor.
+const PEAK_RESERVE_DIVISOR: usize = 16;
 /// Hosts above the minimum for its long-running tasks that a pool never lends.
 const MIN_RETAINED_HOSTS: usize = 2;
+/// Share of the fleet that a pool never lends if this is more, as a divisor.
+const MIN_RETAINED_DIVISOR: usize = 24;
+/// Demand up to which growth is extrapolated, in percent of the highest peak of the other services: at the start
+/// of a turn demand rises in a step.
+const MAX_GROWN_PERCENT: u64 = 125;
+/// Most hosts that waiting work requires, in percent of those that the highest demand seen required. More would
+/// arrive when the work is done.
+const MAX_REQUIRED_PERCENT: u64 = 150;
 /// Time for which a pool has a surplus of hosts before one returns to the spare pool. A move costs about
 /// as much as a host that is idle for a second.
 const SURPLUS_DELAY: Duration = Duration::from_millis(1_200);
@@ -40,10 +51,37 @@
     /// Hosts that are moving, with their new pool and the time of the command.
     moving: Map<ids::Host, (ids::Service, Instant)>,
     /// Recent demand of the services.
-    pub(super) demand: Demand,
+    demand: Demand,
+    /// Recent turns of the services.
+    turns: Turns,
+    /// Services whose turn is about to start, with the demand for which hosts are kept ready, in millicores.
+    pub(super) upcoming: Map<ids::Service, u64>,
 }
 
 impl Balance {
+    /// Adds a sample from the load that a leader reported.
+    pub(super) fn add_sample(&mut self, now: Instant, load: &Load) {
+        self.demand.add_sample(now, load);
+        let demand = short_running_demand(load);
+        self.turns.add_sample(now, &load.service, demand);
+    }
+
+    /// Forecasts the growth of a service's demand until a host whose move begins now runs tasks, in millicores.
+    fn growth(&self, service: &ids::Service, demand: u64) -> u64 {
+        let growth = self.demand.growth(service);
+        match self.turns.peak_of_others(service) {
+            0 => growth,
+            peak => {
+                growth.min((peak.saturating_mul(MAX_GROWN_PERCENT) / 100).saturating_sub(demand))
+            }
+        }
+    }
+
+    /// Checks if a host is on its way to another pool.
+    pub(super) fn is_moving(&self, host: &ids::Host) -> bool {
+        self.moving.contains_key(host)
+    }
+
     /// Records that a host started to move to a pool.
     pub(super) fn record_move(&mut self, now: Instant, host: &ids::Host, service: &ids::Service) {
         self.moving.insert(host.clone(), (service.clone(), now));
@@ -62,6 +100,15 @@
 }
 
 impl Planner {
+    /// Updates the services whose turn is about to start.
+    pub(super) fn foresee_turns(&mut self, now: Instant) {
+        let services = self.config.services.iter();
+        let services = services.filter(|service| !service.is_spare);
+        let services: Vec<ids::Service> = services.map(|service| service.name.clone()).collect();
+        let upcoming = self.balance.turns.upcoming(now, &services);
+        self.balance.upcoming = upcoming.into_iter().collect();
+    }
+
     /// Starts the moves that the demand of the services requires.
     pub(super) fn plan_moves(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let Some(spare) = self.spare() else {
@@ -69,7 +116,8 @@
         };
         let service_names = self.loads.keys().filter(|service| !self.is_spare(service));
         let services: Vec<ids::Service> = service_names.cloned().collect();
-        let sizings = services.iter().map(|service| self.sizing(service));
+        let pools = self.pools();
+        let sizings = services.iter().map(|service| self.sizing(service, &pools));
         let mut sizings: Vec<Sizing> = sizings.collect();
         // The service with the highest demand for its processor time comes first.
         sizings.sort_by_key(|sizing| {
@@ -177,17 +225,15 @@
     /// Returns the host count, the desired hosts and the load of each service, for the log.
     #[must_use]
     pub fn demands(&self) -> Vec<(usize, usize, &Load)> {
+        let pools = self.pools();
         let served = self
             .loads
             .values()
             .filter(|load| !self.is_spare(&load.service));
         served
             .map(|load| {
-                (
-                    self.host_count(&load.service),
-                    self.sizing(&load.service).desired,
-                    load,
-                )
+                let sizing = self.sizing(&load.service, &pools);
+                (sizing.host_count, sizing.desired, load)
             })
             .collect()
     }
@@ -197,27 +243,33 @@
         spare.map(|service| service.name.clone())
     }
 
-    /// Counts the hosts of a pool, with those moving to it and without those leaving it.
-    fn host_count(&self, service: &ids::Service) -> usize {
-        let moving = &self.balance.moving;
-        let is_counted = |host: &Host| match moving.get(&host.name) {
-            Some((target, _)) => target == service,
-            None => host.service == *service && host.state != State::Down,
-        };
-        let stays = |host: &&Host| is_counted(host) && !self.transitions.contains_key(&host.name);
-        let staying = self.hosts.values().filter(stays).count();
-        let moves_here = |operation: &Operation| *operation == Operation::Move(service.clone());
-        staying
-            + self
-                .transitions
-                .values()
-                .filter(|transition| moves_here(&transition.operation))
-                .count()
+    /// Counts the hosts of each pool, with those moving to it and without those leaving it.
+    fn pools(&self) -> Map<ids::Service, Pool> {
+        let mut pools: Map<ids::Service, Pool> = Map::default();
+        for host in self.hosts.values() {
+            let size = &mut pools.entry(host.service.clone()).or_default().host_cpu;
+            *size = (*size).max(host.resources.cpu_millicores);
+            let target = match self.transitions.get(&host.name) {
+                Some(transition) => match &transition.operation {
+                    Operation::Move(service) => Some(service),
+                    Operation::Maintain(_) => None,
+                },
+                None => match self.balance.moving.get(&host.name) {
+                    Some((service, _)) => Some(service),
+                    None => (host.state != State::Down).then_some(&host.service),
+                },
+            };
+            if let Some(service) = target {
+                pools.entry(service.clone()).or_default().host_count += 1;
+            }
+        }
+        pools
     }
 
     /// Returns the host count of a pool and the hosts that its service requires and desires.
-    fn sizing(&self, service: &ids::Service) -> Sizing {
-        let host_count = self.host_count(service);
+    fn sizing(&self, service: &ids::Service, pools: &Map<ids::Service, Pool>) -> Sizing {
+        let pool = pools.get(service).copied().unwrap_or_default();
+        let host_count = pool.host_count;
         // A pool that the configuration doesn't have gets no hosts, whatever load is reported for it.
         let is_known = self.config.service(service).is_some();
         let Some(load) = self.loads.get(service).filter(|_| is_known) else {
@@ -229,50 +281,50 @@
                 desired: host_count,
             };
         };
-        let cpu_per_host = self.cpu_per_host(service).max(1);
         let fleet_size = self.hosts.len();
+        let host_cpu = match pool.host_cpu {
+            0 => pools.values().map(|pool| pool.host_cpu).max().unwrap_or(1),
+            host_cpu => host_cpu,
+        };
         let hosts_for =
-            |cpu: u64| usize::try_from(cpu.div_ceil(cpu_per_host)).unwrap_or(fleet_size);
+            |cpu: u64| usize::try_from(cpu.div_ceil(host_cpu.max(1))).unwrap_or(fleet_size);
+        let with_headroom =
+            |cpu: u64| cpu.saturating_add(cpu.saturating_mul(HEADROOM_PERCENT) / 100);
         let min_hosts = load.min_hosts as usize;
-        let required = hosts_for(current_demand(load))
-            .max(min_hosts + MIN_RETAINED_HOSTS)
-            .min(fleet_size);
-        let reserved = required.max(min_hosts + PEAK_RESERVE_HOSTS).min(fleet_size);
-        let growth = hosts_for(self.balance.demand.growth(service));
+        let retained = min_hosts + MIN_RETAINED_HOSTS.max(fleet_size / MIN_RETAINED_DIVISOR);
+        let reserve = PEAK_RESERVE_HOSTS.max(fleet_size / PEAK_RESERVE_DIVISOR);
+        let peak = self
+            .balance
+            .turns
+            .peak()
+            .saturating_mul(MAX_REQUIRED_PERCENT)
+            / 100;
+        let most = load.long_running.saturating_add(peak.max(load.used));
+        let required = hosts_for(current_demand(load).min(most));
+        let required = required.max(retained).min(fleet_size);
+        let reserved = required.max(min_hosts + reserve).min(fleet_size);
+        let growth = hosts_for(self.balance.growth(service, short_running_demand(load)));
         let growth = growth.min(fleet_size * MAX_GROWTH_PERCENT / 100);
-        let demand = short_running_demand(load);
-        let headroom = demand.saturating_mul(HEADROOM_PERCENT) / 100;
+        let demand = with_headroom(short_running_demand(load));
         let cpu = load.long_running.saturating_add(demand);
-        let desired = hosts_for(cpu.saturating_add(headroom)).min(fleet_size) + growth;
+        let desired = hosts_for(cpu).min(fleet_size) + growth;
+        let upcoming = self.balance.upcoming.get(service).copied().unwrap_or(0);
+        let upcoming = load.long_running.saturating_add(with_headroom(upcoming));
+        let desired = desired.max(hosts_for(upcoming)).max(reserved);
         Sizing {
             service: service.clone(),
             host_count,
             required,
             reserved,
-            desired: desired.max(reserved).min(fleet_size),
+            desired: desired.min(fleet_size),
         }
     }
 
-    /// Returns the processor time of the largest host of a pool, or of the fleet when the pool is empty.
-    fn cpu_per_host(&self, service: &ids::Service) -> u64 {
-        let pool_hosts = self.hosts.values().filter(|host| host.service == *service);
-        let sizes = pool_hosts.map(|host| host.resources.cpu_millicores);
-        sizes
-            .max()
-            .or_else(|| {
-                self.hosts
-                    .values()
-                    .map(|host| host.resources.cpu_millicores)
-                    .max()
-            })
-            .unwrap_or(1)
-    }
-
     fn spare_hosts(&self, spare: &ids::Service) -> Vec<ids::Host> {
         let is_free = |host: &&Host| {
             host.service == *spare
                 && host.state == State::Up
-                && !self.balance.moving.contains_key(&host.name)
+                && !self.balance.is_moving(&host.name)
                 && !self.transitions.contains_key(&host.name)
         };
         let mut hosts: Vec<ids::Host> = self
@@ -294,7 +346,7 @@
         let may_move = |host: &&Host| {
             host.service == *service
                 && host.state == State::Up
-                && !self.balance.moving.contains_key(&host.name)
+                && !self.balance.is_moving(&host.name)
                 && !self.transitions.contains_key(&host.name)
         };
         let hosts = self.hosts.values().filter(may_move);
@@ -323,6 +375,15 @@
     Growing,
 }
 
+/// `Pool` is the hosts of a service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pool {
+    /// Hosts in the pool, with those moving to it and without those leaving it.
+    host_count: usize,
+    /// Processor time of its largest host, in millicores.
+    host_cpu: u64,
+}
+
 /// `Sizing` is the number of hosts that a service has, requires and desires.
 struct Sizing {
     service: ids::Service,
--- a/crates/core/src/upkeep/demand.rs
+++ b/crates/core/src/upkeep/demand.rs
@@ -15,8 +15,8 @@
 /// Time for which the growth is extrapolated: a host whose move begins now runs tasks by then.
 const FORECAST_TIME: Duration = Duration::from_millis(2_200);
 /// Rise of demand within the growth window, in percent of the highest demand seen, that counts as the start
-/// of a peak.
-const PEAK_START_PERCENT: u128 = 8;
+/// of a peak: more than a single large job between two peaks.
+const PEAK_START_PERCENT: u128 = 25;
 
 /// `Demand` is the recent demand of the services.
 #[derive(Debug, Default)]
--- a/crates/core/src/upkeep/drain.rs
+++ b/crates/core/src/upkeep/drain.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use super::event::{Action, Operation};
-use super::planner::{Planner, Transition};
+use super::planner::Planner;
 use crate::ids;
 use crate::journal::Drain;
+use crate::map::Set;
 
 /// Time after which a drain for a move is canceled, as the demand has changed by then.
 const MOVE_DRAIN_TIMEOUT: Duration = Duration::from_secs(9);
@@ -56,15 +57,11 @@
         self.departed.retain(|_, departed_at| {
             now.saturating_duration_since(*departed_at) < DEPARTED_RETENTION
         });
-        let is_needed = |worker: &ids::Worker| {
-            let drains_worker = |transition: &Transition| {
-                transition
-                    .drain
-                    .as_ref()
-                    .is_some_and(|(known, _)| known == worker)
-            };
-            self.departed.contains_key(worker) || self.transitions.values().any(drains_worker)
-        };
+        let transitions = self.transitions.values();
+        let leaving = transitions.filter_map(|transition| transition.drain.as_ref());
+        let leaving: Set<&ids::Worker> = leaving.map(|(worker, _)| worker).collect();
+        let is_needed =
+            |worker: &ids::Worker| self.departed.contains_key(worker) || leaving.contains(worker);
         let orphans = self.drains.iter().filter(|(worker, _)| !is_needed(worker));
         let orphans: Vec<(ids::Worker, Drain)> = orphans
             .map(|(worker, drain)| (worker.clone(), drain.clone()))
--- a/crates/core/src/upkeep/event.rs
+++ b/crates/core/src/upkeep/event.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{Listing, Wave};
 use crate::ids;
@@ -66,6 +66,8 @@
     Answered(Command, Answer),
     /// A read of the log that was sent at this time found no newer term.
     TermConfirmed(Instant),
+    /// A scheduled pass of planning is due.
+    PlanDue,
     /// Time passed.
     Tick,
 }
@@ -83,4 +85,6 @@
     RecordMaintained(ids::WaveNumber, Vec<ids::Host>),
     /// Report to operators whether a wave is complete.
     ReportWave(ids::WaveNumber, bool),
+    /// Send [`Event::PlanDue`] after this time.
+    SchedulePlan(Duration),
 }
--- a/crates/core/src/upkeep/maintain.rs
+++ b/crates/core/src/upkeep/maintain.rs
@@ -5,8 +5,9 @@
 use super::event::{Action, Operation};
 use super::host::{Host, State};
 use super::planner::Planner;
+use super::wave::Rollout;
 use crate::ids;
-use crate::map::Set;
+use crate::map::{Map, Set};
 
 /// `Cost` is the cost of taking a host out of service; its values are the demand on the pool in percent of
 /// its processor time.
@@ -46,6 +47,7 @@
     /// over the part of its time limit within which it is planned to end.
     pub(super) fn plan_waves(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mut planned: Vec<(ids::Host, Operation)> = Vec::new();
+        let usage = self.usage();
         for rollout in &self.rollouts {
             let number = rollout.wave.number;
             let in_progress = self
@@ -67,8 +69,9 @@
                     !rollout.maintained.contains(*host) && !self.transitions.contains_key(*host)
                 })
                 .filter_map(|host| self.hosts.get(host))
-                .filter(|host| host.state == State::Up)
-                .map(|host| (self.cost(host), host))
+                // The host list may still show a host where it was before its move.
+                .filter(|host| host.state == State::Up && !self.balance.is_moving(&host.name))
+                .map(|host| (self.cost(host, &usage), host))
                 .collect();
             candidates.sort_by_key(|(cost, host)| (*cost, host.name.clone()));
             let concurrency = rollout.concurrency(now, candidates.len() + in_progress);
@@ -89,46 +92,58 @@
         }
     }
 
+    /// Returns the processor time in use of the workers without long-running tasks, in millicores.
+    fn usage(&self) -> Map<&ids::Worker, u64> {
+        let workers = self.loads.values();
+        let workers = workers.flat_map(|load| &load.short_running_workers);
+        workers.map(|(worker, used)| (worker, *used)).collect()
+    }
+
     /// Returns the cost of taking a host out of service now.
-    fn cost(&self, host: &Host) -> Cost {
+    fn cost(&self, host: &Host, usage: &Map<&ids::Worker, u64>) -> Cost {
         let has_drain = |worker| self.drains.contains_key(worker);
         if self.is_spare(&host.service) || host.worker.as_ref().is_some_and(has_drain) {
             return Cost::None;
         }
-        let entry = self.loads.get(&host.service).and_then(|load| {
-            let is_own = |(worker, _): &&(ids::Worker, u64)| host.worker.as_ref() == Some(worker);
-            load.short_running_workers.iter().find(is_own)
-        });
+        let used = host.worker.as_ref().and_then(|worker| usage.get(worker));
         // There is no entry for a worker with long-running tasks or of a service without a load report.
-        match entry {
-            Some((_, 0)) => Cost::Idle(self.demand_percent(&host.service)),
+        match used {
+            Some(0) => Cost::Idle(self.demand_percent(&host.service)),
             Some(_) => Cost::ShortRunning(self.demand_percent(&host.service)),
             None => Cost::Migrating(self.demand_percent(&host.service)),
         }
     }
 
-    /// Checks if a host of a wave may go down without exceeding the wave's limit.
-    pub(super) fn may_go_down(&self, number: ids::WaveNumber, host: &ids::Host) -> bool {
-        let Some(rollout) = self
-            .rollouts
-            .iter()
-            .find(|rollout| rollout.wave.number == number)
-        else {
-            return false;
-        };
+    /// Returns the hosts of a wave that are down or have a command in flight.
+    pub(super) fn down_hosts(&self, number: ids::WaveNumber) -> Set<ids::Host> {
         let has_command = |host: &ids::Host| {
             self.transitions
                 .get(host)
                 .is_some_and(|transition| transition.has_command_in_flight)
         };
-        let others_down: Set<&ids::Host> = rollout
-            .wave
-            .hosts
-            .iter()
-            .filter(|other| *other != host)
-            .filter(|other| has_command(other) || self.down_since.contains_key(*other))
-            .collect();
-        others_down.len() < rollout.wave.max_down
+        let hosts = self.rollout(number).into_iter();
+        let hosts = hosts.flat_map(|rollout| &rollout.wave.hosts);
+        hosts
+            .filter(|host| has_command(host) || self.down_since.contains_key(*host))
+            .cloned()
+            .collect()
+    }
+
+    /// Checks if a host of a wave may go down, beside those that are down, without exceeding the wave's limit.
+    pub(super) fn may_go_down(
+        &self,
+        number: ids::WaveNumber,
+        host: &ids::Host,
+        down: &Set<ids::Host>,
+    ) -> bool {
+        let others_down = down.len() - usize::from(down.contains(host));
+        self.rollout(number)
+            .is_some_and(|rollout| others_down < rollout.wave.max_down)
+    }
+
+    fn rollout(&self, number: ids::WaveNumber) -> Option<&Rollout> {
+        let mut rollouts = self.rollouts.iter();
+        rollouts.find(|rollout| rollout.wave.number == number)
     }
 
     /// Records that the maintenance of a host began.
--- a/crates/core/src/upkeep/mod.rs
+++ b/crates/core/src/upkeep/mod.rs
@@ -10,6 +10,7 @@
 mod host;
 mod maintain;
 mod planner;
+mod turns;
 mod wave;
 
 pub use event::{Action, Answer, Command, Event, Operation};
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -7,7 +7,7 @@
 use super::wave::Rollout;
 use crate::ids;
 use crate::journal::{Drain, Load};
-use crate::map::Map;
+use crate::map::{Map, Set};
 use crate::queue::Config;
 
 /// Maximum age of the last read of the log that found no newer term, for commands to be sent. A new leader
@@ -17,9 +17,18 @@
 const UNLISTED_TIMEOUT: Duration = Duration::from_secs(6);
 /// Delay of the host list, for which a host counts as down beyond its maintenance time.
 const HOST_LIST_LAG: Duration = Duration::from_millis(1_500);
+/// Shortest time between two passes of planning, per host of the fleet, as a pass looks at each. It bounds the
+/// share of the processor that planning takes.
+const PLAN_INTERVAL_PER_HOST: Duration = Duration::from_micros(100);
+/// Longest such time, which is short compared with a move.
+const MAX_PLAN_INTERVAL: Duration = Duration::from_millis(250);
 /// Time before a command is repeated that found its host busy, was rate-limited or has an unknown outcome.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Demand that counts for a service whose turn is about to start: its hosts are needed as much as those of a
+/// service that uses all of them.
+const UPCOMING_DEMAND_PERCENT: u64 = 100;
+
 /// `Options` holds the limits of a planner.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -42,6 +51,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Transition {
     pub(super) operation: Operation,
+    /// Position among the transitions of the term, in the order in which they were planned.
+    pub(super) number: u64,
     /// Worker to drain, with its drain; `None` for a host without a worker.
     pub(super) drain: Option<(ids::Worker, Drain)>,
     pub(super) is_drained: bool,
@@ -67,6 +78,8 @@
     pub(super) rollouts: Vec<Rollout>,
     pub(super) balance: Balance,
     pub(super) transitions: Map<ids::Host, Transition>,
+    /// Number of transitions planned in this term.
+    transition_count: u64,
     /// Hosts that are down for maintenance or may be, with the time since when.
     pub(super) down_since: Map<ids::Host, Instant>,
     /// Drains that the log records or that were requested.
@@ -79,6 +92,10 @@
     term_confirmed_at: Instant,
     /// Time from which this leader plans; until then a command of its predecessor may be in flight.
     active_from: Instant,
+    /// Time of the latest pass of planning.
+    planned_at: Option<Instant>,
+    /// Whether `Event::PlanDue` is to come.
+    is_plan_scheduled: bool,
 }
 
 impl Planner {
@@ -109,12 +126,15 @@
             rollouts: Vec::new(),
             balance: Balance::default(),
             transitions: Map::default(),
+            transition_count: 0,
             down_since: Map::default(),
             drains: Map::default(),
             withdrawals: Map::default(),
             departed: Map::default(),
             term_confirmed_at: now,
             active_from: now + wait,
+            planned_at: None,
+            is_plan_scheduled: false,
         }
     }
 
@@ -160,7 +180,7 @@
             }
             Event::Loads(loads) => {
                 for load in loads {
-                    self.balance.demand.add_sample(now, &load);
+                    self.balance.add_sample(now, &load);
                     self.loads.insert(load.service.clone(), load);
                 }
             }
@@ -169,9 +189,29 @@
                 self.term_confirmed_at = self.term_confirmed_at.max(sent_at);
                 return;
             }
+            Event::PlanDue => self.is_plan_scheduled = false,
             Event::Tick => {}
         }
-        self.plan(now, actions);
+        self.plan_if_due(now, actions);
+    }
+
+    /// Plans if the latest pass is long enough ago, or schedules the next pass.
+    fn plan_if_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        let interval = PLAN_INTERVAL_PER_HOST.saturating_mul(hosts);
+        let interval = interval.min(MAX_PLAN_INTERVAL);
+        let due_at = self.planned_at.map(|planned_at| planned_at + interval);
+        match due_at.filter(|due_at| *due_at > now) {
+            Some(due_at) if !self.is_plan_scheduled => {
+                self.is_plan_scheduled = true;
+                actions.push(Action::SchedulePlan(due_at - now));
+            }
+            Some(_) => {}
+            None => {
+                self.planned_at = Some(now);
+                self.plan(now, actions);
+            }
+        }
     }
 
     fn update_hosts(&mut self, now: Instant, listing: Listing) {
@@ -249,6 +289,7 @@
         let down_time = self.options.maintenance_time + HOST_LIST_LAG;
         self.down_since
             .retain(|_, down_at| now.saturating_duration_since(*down_at) < down_time);
+        self.foresee_turns(now);
         self.report_waves(actions);
         self.cancel_stale(now, actions);
         self.plan_waves(now, actions);
@@ -265,6 +306,16 @@
         if self.is_spare(service) {
             return 0;
         }
+        let is_upcoming = self.balance.upcoming.contains_key(service);
+        let upcoming_percent = if is_upcoming {
+            UPCOMING_DEMAND_PERCENT
+        } else {
+            0
+        };
+        self.current_demand_percent(service).max(upcoming_percent)
+    }
+
+    fn current_demand_percent(&self, service: &ids::Service) -> u64 {
         self.loads.get(service).map_or(100, |load| {
             let demand = load.used.saturating_add(load.long_running);
             let demand = demand.saturating_add(load.backlog);
@@ -301,8 +352,10 @@
             self.drains.insert(worker.clone(), drain.clone());
             actions.push(Action::Drain(worker.clone(), drain.clone()));
         }
+        self.transition_count += 1;
         let transition = Transition {
             operation,
+            number: self.transition_count,
             is_drained: drain.is_none(),
             drain,
             started_at: now,
@@ -315,24 +368,29 @@
 
     /// Sends commands for hosts whose workers are drained, the oldest transition first.
     fn send_commands(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let mut ready: Vec<(Instant, ids::Host)> = Vec::new();
+        let mut ready: Vec<(u64, ids::Host)> = Vec::new();
         for (host, transition) in &self.transitions {
             if transition.is_drained
                 && !transition.has_command_in_flight
                 && transition.not_before <= now
             {
-                ready.push((transition.started_at, host.clone()));
+                ready.push((transition.number, host.clone()));
             }
         }
         ready.sort();
+        let mut down_hosts: Map<ids::WaveNumber, Set<ids::Host>> = Map::default();
         for (_, host) in ready {
             let Some(transition) = self.transitions.get(&host) else {
                 continue;
             };
-            if let Operation::Maintain(number) = transition.operation
-                && !self.may_go_down(number, &host)
-            {
-                continue;
+            if let Operation::Maintain(number) = transition.operation {
+                let down = down_hosts
+                    .entry(number)
+                    .or_insert_with(|| self.down_hosts(number));
+                if !self.may_go_down(number, &host, down) {
+                    continue;
+                }
+                down.insert(host.clone());
             }
             let command = Command {
                 host: host.clone(),
--- a/crates/core/tests/upkeep/fixture.rs
+++ b/crates/core/tests/upkeep/fixture.rs
@@ -13,6 +13,8 @@
 
 /// Processor capacity of a host.
 pub(crate) const HOST_CPU_MILLICORES: u64 = 8_000;
+/// Service of the spare pool.
+const SPARE: &str = "spare";
 
 /// `Fixture` is a planner with simulated hosts and time.
 pub(crate) struct Fixture {
@@ -28,19 +30,33 @@
     pub(crate) loads: Vec<Load>,
     /// Highest number of hosts that were under maintenance at once.
     pub(crate) peak_down_count: usize,
+    /// Time at which the next pass of planning is due.
+    plan_due_at: Option<Instant>,
 }
 
 impl Fixture {
     pub(crate) fn new(has_predecessor: bool) -> Self {
+        let pools = [("one", 4), ("two", 4), (SPARE, 2)];
+        Self::with_hosts(has_predecessor, &pools)
+    }
+
+    /// Creates a fleet of services with equal pools, and as many hosts in the spare pool.
+    pub(crate) fn with_pools(services: &[&str], hosts: usize) -> Self {
+        let pools = services.iter().map(|service| (*service, hosts));
+        let pools: Vec<_> = pools.chain([(SPARE, hosts)]).collect();
+        Self::with_hosts(false, &pools)
+    }
+
+    fn with_hosts(has_predecessor: bool, pools: &[(&str, usize)]) -> Self {
         let now = Instant::now();
         let planner = Planner::new(Options::default(), "node".into(), 7, has_predecessor, now);
-        let services = [("one", false), ("two", false), ("spare", true)];
-        let service = |(name, spare): (&'static str, bool)| Service {
-            name: name.into(),
+        let service = |(name, _): &(&str, usize)| Service {
+            name: (*name).into(),
             rejects_overload: false,
-            is_spare: spare,
+            is_spare: *name == SPARE,
         };
-        let config = Config::new(1, Vec::new(), services.map(service).to_vec());
+        let services = pools.iter().map(service);
+        let config = Config::new(1, Vec::new(), services.collect());
         let mut fixture = Self {
             planner,
             now,
@@ -52,9 +68,10 @@
             wave_reports: Vec::new(),
             loads: Vec::new(),
             peak_down_count: 0,
+            plan_due_at: None,
         };
-        for (service, count) in [("one", 4), ("two", 4), ("spare", 2)] {
-            for number in 0..count {
+        for (service, count) in pools {
+            for number in 0..*count {
                 fixture.hosts.push(host(service, number));
             }
         }
@@ -62,7 +79,20 @@
         fixture
     }
 
+    /// Passes an event to the planner, and waits until it has planned.
     pub(crate) fn step(&mut self, event: Event) {
+        self.step_once(event);
+        self.wait_for_plan();
+    }
+
+    fn wait_for_plan(&mut self) {
+        while let Some(due_at) = self.plan_due_at.take() {
+            self.now = self.now.max(due_at);
+            self.step_once(Event::PlanDue);
+        }
+    }
+
+    fn step_once(&mut self, event: Event) {
         let mut actions = Vec::new();
         self.planner.step(self.now, event, &mut actions);
         for action in actions {
@@ -72,6 +102,7 @@
                 Action::CallHostService(command) => self.carry_out(command),
                 Action::ReportWave(wave, complete) => self.wave_reports.push((wave, complete)),
                 Action::RecordMaintained(..) => {}
+                Action::SchedulePlan(wait) => self.plan_due_at = Some(self.now + wait),
             }
         }
     }
@@ -130,7 +161,11 @@
 
     /// Advances the time; the shards drain workers at once.
     pub(crate) fn run(&mut self, seconds: u64) {
-        let end = self.now + Duration::from_secs(seconds);
+        self.run_for(Duration::from_secs(seconds));
+    }
+
+    pub(crate) fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
         let mut answered = self.commands.len();
         while self.now < end {
             self.now += Duration::from_millis(200);
@@ -145,22 +180,30 @@
                     .find(|entry| entry.name == host)
                     .unwrap();
                 entry.state = State::Up;
-                entry.worker = (pool != "spare").then(|| format!("w-{host}").into());
+                entry.worker = (pool != SPARE).then(|| format!("w-{host}").into());
                 entry.service = pool;
             }
             self.refresh();
             for (worker, _) in std::mem::take(&mut self.drains) {
-                self.step(Event::Drained(worker));
+                self.step_once(Event::Drained(worker));
             }
+            self.wait_for_plan();
             while answered < self.commands.len() {
                 let command = self.commands[answered].clone();
                 answered += 1;
-                self.step(Event::Answered(command, Answer::Done));
+                self.step_once(Event::Answered(command, Answer::Done));
             }
             self.step(Event::Tick);
         }
     }
 
+    /// Returns the hosts of a service that are up, the first ones first.
+    pub(crate) fn hosts_of(&self, service: &str) -> Vec<ids::Host> {
+        let hosts = self.hosts.iter();
+        let hosts = hosts.filter(|host| host.service == *service && host.state == State::Up);
+        hosts.map(|host| host.name.clone()).collect()
+    }
+
     pub(crate) fn pool_size(&self, service: &str) -> usize {
         self.hosts
             .iter()
@@ -174,7 +217,7 @@
     Host {
         service: service.into(),
         state: State::Up,
-        worker: (service != "spare").then(|| format!("w-{name}").into()),
+        worker: (service != SPARE).then(|| format!("w-{name}").into()),
         resources: Resources {
             cpu_millicores: HOST_CPU_MILLICORES,
             memory_mb: 1_000,
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -2,13 +2,14 @@
 
 mod fixture;
 mod odd;
+mod turns;
 
 use std::time::Duration;
 
 use fixture::{Fixture, HOST_CPU_MILLICORES, idle_load, load, wave};
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Drain, Load};
-use persimmongate_core::upkeep::{Answer, Event, Operation, Wave};
+use persimmongate_core::upkeep::{Answer, Command, Event, Operation, Wave};
 
 #[test]
 fn verify_wave_respects_its_limit_of_hosts_down_and_completes() {
@@ -186,6 +187,35 @@
     assert!(fixture.drains.iter().any(|(worker, _)| *worker == other));
 }
 
+// Hosts that had just been sent to a service were maintained first, as the host list still had them as spare.
+#[test]
+fn verify_host_on_its_way_to_a_service_is_not_maintained() {
+    let mut fixture = Fixture::new(false);
+    let before = fixture.listing();
+    fixture.loads = vec![
+        load("one", 4 * HOST_CPU_MILLICORES, 4 * HOST_CPU_MILLICORES, &[]),
+        load("two", 3 * HOST_CPU_MILLICORES, 0, &[]),
+    ];
+    fixture.refresh();
+    let moved: Vec<ids::Host> = fixture.commands.drain(..).map(|sent| sent.host).collect();
+    assert_eq!(moved.len(), 2);
+    for host in &moved {
+        let command = Command {
+            host: host.clone(),
+            operation: Operation::Move("one".into()),
+            holder: "node".into(),
+            fencing_token: 7,
+        };
+        fixture.step(Event::Answered(command, Answer::Done));
+    }
+    fixture.step(Event::Hosts(before));
+    fixture.request_wave(Wave {
+        hosts: moved,
+        ..wave(2)
+    });
+    assert_eq!(fixture.commands, []);
+}
+
 #[test]
 fn verify_new_leader_adopts_drains_of_a_wave() {
     let mut fixture = Fixture::new(true);
--- a/crates/jobs/src/fleet/leadership.rs
+++ b/crates/jobs/src/fleet/leadership.rs
@@ -1,6 +1,7 @@
 use actix::{ActorFutureExt, AsyncContext, Context, SpawnHandle, WrapFuture};
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Heartbeat, Key, Record};
+use persimmongate_core::map::Map;
 use persimmongate_core::term::{self, Action as Elected, HEARTBEAT_INTERVAL};
 use persimmongate_core::upkeep::{Action, Event, Planner};
 use persimmongate_node::clock;
@@ -14,6 +15,12 @@
 use crate::roster::{Subscribe, Unsubscribe};
 use crate::shard::{Transition, shard_of};
 
+/// Maximum number of records about drains in one append, which stays far below the largest call.
+const MAX_REQUESTS_PER_APPEND: usize = 500;
+
+/// `Requests` is records for the leaders of shards, by shard.
+type Requests = Map<ids::Shard, Vec<Record>>;
+
 /// `Leadership` is the state that this process keeps while it leads the fleet, in one term.
 pub(super) struct Leadership {
     term: ids::Term,
@@ -225,22 +232,46 @@
         let mut actions = Vec::new();
         leadership.planner.step(clock::now(), event, &mut actions);
         let term = leadership.term;
+        let mut requests = Requests::default();
         for action in actions {
-            self.perform(term, action, ctx);
+            self.perform(term, action, &mut requests, ctx);
+        }
+        for (shard, records) in requests {
+            self.append_requests(shard, &records, ctx);
         }
     }
 
-    fn perform(&mut self, term: ids::Term, action: Action, ctx: &mut Context<Self>) {
+    /// Carries out an action. Records for the leaders of shards are added to `requests`.
+    fn perform(
+        &mut self,
+        term: ids::Term,
+        action: Action,
+        requests: &mut Requests,
+        ctx: &mut Context<Self>,
+    ) {
+        let shard_count = self.setup.shard_count;
+        let mut request = |service: &ids::Service, records: Vec<Record>| {
+            let shard = shard_of(service, shard_count);
+            requests.entry(shard).or_default().extend(records);
+        };
         match action {
             Action::Drain(worker, drain) => {
                 info!(self.setup.logger, "drain requested"; "host" => %drain.host, "worker" => %worker);
                 let service = drain.service.clone();
-                self.append_request(&service, &[Record::Drain(worker, Some(drain))], ctx);
+                request(&service, vec![Record::Drain(worker, Some(drain))]);
             }
             Action::Undrain(worker, drain) => {
                 info!(self.setup.logger, "drain withdrawn"; "host" => %drain.host, "worker" => %worker);
                 let drained = Record::Dropped(Key::Drained(worker.clone()));
-                self.append_request(&drain.service, &[Record::Drain(worker, None), drained], ctx);
+                request(&drain.service, vec![Record::Drain(worker, None), drained]);
+            }
+            Action::SchedulePlan(wait) => {
+                ctx.run_later(wait, move |act, ctx| {
+                    let leadership = act.leadership.as_ref();
+                    if leadership.is_some_and(|leadership| leadership.term == term) {
+                        act.step_planner(Event::PlanDue, ctx);
+                    }
+                });
             }
             Action::CallHostService(command) => {
                 let answered = self
@@ -275,14 +306,13 @@
         }
     }
 
-    /// Appends records to the partition of a service's shard, for the leader there.
-    fn append_request(&self, service: &ids::Service, records: &[Record], ctx: &mut Context<Self>) {
-        let shard = shard_of(service, self.setup.shard_count);
-        if let Some(append) = encoded_or_logged(
-            unconditional_append(Partition::Jobs(shard), records),
-            &self.setup.logger,
-        ) {
-            self.append(append, ctx);
+    /// Appends records to the partition of a shard, for the leader there.
+    fn append_requests(&self, shard: ids::Shard, records: &[Record], ctx: &mut Context<Self>) {
+        for batch in records.chunks(MAX_REQUESTS_PER_APPEND) {
+            let append = unconditional_append(Partition::Jobs(shard), batch);
+            if let Some(append) = encoded_or_logged(append, &self.setup.logger) {
+                self.append(append, ctx);
+            }
         }
     }
 
