Record payloads in a partition that only leaders read, and omit empty fields

Cause: each of 147 processes reads all records of all jobs. Evidence, a trial that logs sizes: 1,056 MB of records in 32 s, of them 604 MB accepted jobs (1,600 bytes each, 1,227 of them payload, most of the rest names of empty fields), 251 MB progress, 142 MB heartbeats, 59 MB drains. Ruled out: processor time (no leader lagged by 500 ms), appends (10 ms each), calls a second. Change: a payload above 128 bytes is a record of its own, written before the acceptance and read by the leader only; a task waits until it is known; the leader deletes it when the job is over, the next leader what stayed. Fields of jobs and progress without a value are not written. Builds from before can't read the new records. Also: placement looks a worker up only if it may suit better than the best one so far.

--- a/crates/core/src/job/progress.rs
+++ b/crates/core/src/job/progress.rs
@@ -33,15 +33,16 @@
     #[serde(rename = "started")]
     pub has_started: bool,
     /// Result of the job, once it has ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub outcome: Option<Outcome>,
-    /// Time at which the job ended, in milliseconds since the Unix epoch.
-    #[serde(rename = "ended")]
+    /// Time at which the job ended, in milliseconds since the Unix epoch; 0 before.
+    #[serde(default, rename = "ended", skip_serializing_if = "is_zero")]
     pub ended_at_ms: u64,
     /// Bit sets of the done tasks, by occurrence and step.
-    #[serde(rename = "done")]
+    #[serde(default, rename = "done", skip_serializing_if = "BTreeMap::is_empty")]
     done_tasks: BTreeMap<(u32, u32), ByteBuf>,
     /// Failed runs, by occurrence, step and index of the task.
-    #[serde(rename = "failed")]
+    #[serde(default, rename = "failed", skip_serializing_if = "BTreeMap::is_empty")]
     failed_runs: BTreeMap<(u32, u32, u32), Vec<ids::Run>>,
     /// Crashes of workers, by occurrence, step and index of the task that ran on them.
     #[serde(
@@ -151,3 +152,11 @@
         })
     }
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the serializer passes a reference"
+)]
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -14,6 +14,8 @@
 pub const MAX_MEMORY_MB: u64 = 1_000_000_000_000;
 /// Most accelerators that a task reserves.
 pub const MAX_GPUS: u64 = 1_000_000;
+/// Largest payload, in bytes, that stays in the record of its job: a record of its own costs an append.
+const MAX_ATTACHED_PAYLOAD_BYTES: usize = 128;
 /// Longest run time of a task that is estimated; a longer one counts as this.
 const MAX_ESTIMATE: Duration = Duration::from_hours(365 * 24);
 
@@ -26,16 +28,20 @@
     pub queue: ids::Queue,
     /// Service whose workers ran the queue's tasks when the job was accepted.
     pub service: ids::Service,
-    /// Payload that is sent with the start of each task.
-    #[serde(rename = "text")]
+    /// Payload that is sent with the start of each task; empty if it is detached.
+    #[serde(default, rename = "text", skip_serializing_if = "is_default")]
     pub payload: ByteString,
     /// Steps; each depends only on earlier ones.
     pub steps: Vec<Step>,
     /// Times at which the steps run; `None` for a job that runs once and immediately.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub schedule: Option<Schedule>,
     /// Time at which the job was accepted, in milliseconds since the Unix epoch.
     #[serde(rename = "accepted")]
     pub accepted_at_ms: u64,
+    /// Whether its payload is a record of its own.
+    #[serde(default, rename = "detached", skip_serializing_if = "is_default")]
+    pub has_detached_payload: bool,
 }
 
 /// `Schedule` is the times at which the occurrences of a job are due.
@@ -68,48 +74,53 @@
     #[serde(rename = "memory")]
     pub memory_mb: u64,
     /// Number of accelerators that a task reserves.
-    #[serde(rename = "gpu")]
+    #[serde(default, rename = "gpu", skip_serializing_if = "is_default")]
     pub gpus: u64,
     /// Estimated run time of a task, as declared by the caller.
     pub estimate: Duration,
     /// Indexes of the steps whose tasks must all be done first.
-    #[serde(rename = "after")]
+    #[serde(default, rename = "after", skip_serializing_if = "Vec::is_empty")]
     pub dependencies: Vec<u32>,
     /// Whether a task saves its progress while it runs.
-    #[serde(rename = "checkpointing")]
+    #[serde(default, rename = "checkpointing", skip_serializing_if = "is_default")]
     pub is_checkpointing: bool,
     /// Whether the tasks must run simultaneously.
-    #[serde(rename = "gang")]
+    #[serde(default, rename = "gang", skip_serializing_if = "is_default")]
     pub is_gang: bool,
     /// Whether the tasks run slowly when they are spread over several racks.
-    #[serde(rename = "same_rack")]
+    #[serde(default, rename = "same_rack", skip_serializing_if = "is_default")]
     pub prefers_same_rack: bool,
     /// Label that a worker must have to run the tasks.
-    #[serde(rename = "label")]
+    #[serde(default, rename = "label", skip_serializing_if = "Option::is_none")]
     pub required_label: Option<ids::Label>,
     /// Rack that holds the tasks' data; the tasks run slowly elsewhere.
-    #[serde(rename = "rack")]
+    #[serde(default, rename = "rack", skip_serializing_if = "Option::is_none")]
     pub data_rack: Option<ids::Label>,
     /// Limit of the step's tasks on one worker; `None` for no limit.
-    #[serde(rename = "per_worker")]
+    #[serde(
+        default,
+        rename = "per_worker",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub max_per_worker: Option<u32>,
     /// Whether copies of a task may run in parallel.
-    #[serde(rename = "duplicates")]
+    #[serde(default, rename = "duplicates", skip_serializing_if = "is_default")]
     pub allows_duplicates: bool,
     /// Whether the tasks run until the job is canceled.
-    #[serde(rename = "lasting")]
+    #[serde(default, rename = "lasting", skip_serializing_if = "is_default")]
     pub is_long_running: bool,
     /// Program that the tasks run; tasks of the same program have similar resource usage.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub image: Option<ByteString>,
     /// Target for the response time of a long-running task to its own users.
-    #[serde(rename = "target")]
+    #[serde(default, rename = "target", skip_serializing_if = "Option::is_none")]
     pub latency_target: Option<Duration>,
     /// Whether the tasks use only the processor time that other tasks on the worker leave.
-    #[serde(rename = "fills")]
+    #[serde(default, rename = "fills", skip_serializing_if = "is_default")]
     pub is_best_effort: bool,
     /// Limit of the step's long-running tasks that planned operations may make unavailable at a
     /// time; 0 for no limit.
-    #[serde(rename = "may_miss")]
+    #[serde(default, rename = "may_miss", skip_serializing_if = "is_default")]
     pub max_unavailable: u32,
 }
 
@@ -197,6 +208,17 @@
         work.fold(0, u64::saturating_add)
     }
 
+    /// Separates a large payload from the job, so that only leaders read it, and returns it.
+    #[must_use]
+    pub fn detach_payload(mut self) -> (Self, Option<ByteString>) {
+        if self.payload.len() <= MAX_ATTACHED_PAYLOAD_BYTES {
+            return (self, None);
+        }
+        self.has_detached_payload = true;
+        let payload = std::mem::take(&mut self.payload);
+        (self, Some(payload))
+    }
+
     /// Returns what the log keeps of a completed job: its id, queue, service and acceptance time.
     #[must_use]
     pub fn stub(&self) -> Self {
@@ -204,6 +226,7 @@
             payload: ByteString::new(),
             steps: Vec::new(),
             schedule: None,
+            has_detached_payload: false,
             ..self.clone()
         }
     }
@@ -256,3 +279,8 @@
         self.check().is_ok()
     }
 }
+
+/// Checks if a field has its default value, which is not written.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
--- a/crates/core/src/journal/index.rs
+++ b/crates/core/src/journal/index.rs
@@ -90,6 +90,7 @@
             }
             Record::Heartbeat(_)
             | Record::Drain(..)
+            | Record::Payload(..)
             | Record::Dropped(_)
             | Record::Drained(..)
             | Record::Wave(..) => None,
--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use bytestring::ByteString;
 use serde::{Deserialize, Serialize};
 
 use crate::ids;
@@ -16,6 +17,8 @@
     Canceled(ids::Job),
     /// The drain request for a worker.
     Drain(ids::Worker),
+    /// The detached payload of a job.
+    Payload(ids::Job),
     /// The progress of a job.
     Progress(ids::Job),
     /// A worker that is drained.
@@ -35,6 +38,8 @@
     Canceled(ids::Job),
     /// A worker is to be drained; `None` withdraws the request.
     Drain(ids::Worker, Option<Drain>),
+    /// The payload of a job, recorded before its acceptance in a partition that only leaders read.
+    Payload(ids::Job, ByteString),
     /// Tasks of a job have started or ended.
     Progress(ids::Job, Progress),
     /// A worker is drained.
@@ -132,6 +137,7 @@
             Self::Heartbeat(_) => Key::Heartbeat,
             Self::Canceled(job) => Key::Canceled(job.clone()),
             Self::Drain(worker, _) => Key::Drain(worker.clone()),
+            Self::Payload(job, _) => Key::Payload(job.clone()),
             Self::Progress(job, _) => Key::Progress(job.clone()),
             Self::Drained(worker, _) => Key::Drained(worker.clone()),
             Self::Wave(wave, _) => Key::Wave(*wave),
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -220,6 +220,8 @@
         /// Whether a caller canceled it.
         is_canceled: bool,
     },
+    /// The detached payload of a job.
+    Payload(ids::Job, ByteString),
     /// A caller canceled a job.
     Canceled(ids::Job),
     /// A worker is to be drained (true), or its drain was withdrawn (false).
@@ -280,6 +282,7 @@
             Self::Unlisted(_) => "unlisted",
             Self::Hosts { .. } => "hosts",
             Self::Job { .. } => "job",
+            Self::Payload(..) => "payload",
             Self::Canceled(_) => "canceled",
             Self::Drain(..) => "drain",
             Self::Polled { .. } => "polled",
@@ -337,6 +340,8 @@
     Call(Call),
     /// Ask the policy service which workers may run a step.
     RequestAdvice(Query),
+    /// Delete the detached payloads of jobs that have ended.
+    DropPayloads(Vec<ids::Job>),
     /// Append records to the log. No other append follows before `Event::Appended`.
     Append(Vec<Record>),
     /// Deliver `Event::PollDue` for a worker after a delay.
--- a/crates/core/src/sched/flush.rs
+++ b/crates/core/src/sched/flush.rs
@@ -29,6 +29,10 @@
                 graph.job.id.clone(),
                 graph.progress.clone(),
             ));
+            let has_ended = graph.progress.outcome.is_some() && !graph.is_canceled;
+            if has_ended && graph.job.has_detached_payload {
+                self.unneeded_payloads.push(graph.job.id.clone());
+            }
             // A starting process reads the newest record of each key over a slow link, so a
             // completed job keeps only a stub.
             if graph.progress.outcome == Some(Outcome::Completed) {
@@ -75,6 +79,10 @@
     pub(super) fn handle_appended(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if let Some(acknowledgements) = self.pending_acknowledgements.take() {
             self.release_recorded_crashes();
+            let unneeded = std::mem::take(&mut self.unneeded_payloads);
+            if !unneeded.is_empty() {
+                actions.push(Action::DropPayloads(unneeded));
+            }
             let ids: Vec<ids::Worker> =
                 acknowledgements.iter().map(|(id, ..)| id.clone()).collect();
             self.mark_recorded(acknowledgements);
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -63,6 +63,8 @@
 #[derive(Debug)]
 pub(super) struct Graph {
     pub(super) job: Arc<Job>,
+    /// Payload that is sent with each start; `None` while a detached one is not known.
+    pub(super) payload: Option<ByteString>,
     pub(super) progress: Progress,
     /// Whether its progress has changed since the latest append.
     pub(super) is_dirty: bool,
@@ -100,8 +102,10 @@
         accepted_at: Instant,
         objective: Duration,
     ) -> Self {
+        let payload = (!job.has_detached_payload).then(|| job.payload.clone());
         Self {
             job,
+            payload,
             progress,
             is_dirty: false,
             is_canceled,
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -32,6 +32,7 @@
                 progress,
                 is_canceled,
             } => self.handle_job(now, &job, offset, *progress, is_canceled, actions),
+            Event::Payload(job, payload) => self.handle_payload(now, &job, payload),
             Event::Canceled(job) => self.handle_canceled(now, &job, actions),
             Event::Drain(worker, requested) => {
                 self.handle_drain(now, &worker, requested, actions);
@@ -163,6 +164,9 @@
             let service = self.service_of(&graph);
             self.arrivals.record(now, service, job.occurrence_work());
         }
+        if let Some(payload) = self.payloads.claim(&job.id) {
+            graph.payload.get_or_insert(payload);
+        }
         graph.open_due_occurrences(self.unix_ms);
         self.jobs.insert(job.id.clone(), graph);
         self.needs_placement = true;
@@ -177,6 +181,9 @@
         }
         graph.is_canceled = true;
         graph.ended_at = Some(now);
+        if graph.job.has_detached_payload {
+            actions.push(Action::DropPayloads(vec![job.clone()]));
+        }
         self.stop_job(now, job, actions);
         self.needs_placement = true;
     }
--- a/crates/core/src/sched/idle.rs
+++ b/crates/core/src/sched/idle.rs
@@ -39,6 +39,8 @@
     pub hosted_unknown: Option<usize>,
     /// Whether the job waits until the runs of older terms are known.
     pub waits_for_recovery: bool,
+    /// Whether the payload of the job is known.
+    pub has_payload: bool,
     /// Whether the log was read recently enough to start tasks.
     pub may_start: bool,
 }
@@ -109,6 +111,7 @@
             },
             hosted_unknown: self.hosted_unknown_count(),
             waits_for_recovery: graph.predates_term && !self.has_recovered(),
+            has_payload: graph.payload.is_some(),
             may_start: self.may_start(now),
             service,
         }
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -20,6 +20,7 @@
 mod idle;
 mod load;
 mod pace;
+mod payload;
 mod pick;
 mod place;
 mod poll;
--- a/crates/core/src/sched/pick.rs
+++ b/crates/core/src/sched/pick.rs
@@ -210,6 +210,28 @@
         let with_room = pool.iter().enumerate();
         let with_room = with_room.filter(|(_, entry)| entry.free.covers(need) && may_share(entry));
         for (position, entry) in with_room {
+            let peers = if step.is_best_effort { entry.peers } else { 0 };
+            let cpu_left = entry.free.cpu_millicores - need.cpu_millicores;
+            // Best-effort tasks are placed on the worker with the most free processor time, and suspects on
+            // the one with the fewest tasks beside them.
+            let cpu_left = if step.is_best_effort || is_suspect {
+                u64::MAX - cpu_left
+            } else {
+                cpu_left
+            };
+            let mut fit = Fit {
+                is_avoided: task_state.avoided_workers.contains(&entry.worker),
+                has_suspect: entry.has_suspect,
+                is_unstable: is_suspect && entry.is_unstable,
+                is_failing: entry.consecutive_failures > 0,
+                is_remote: false,
+                cpu_left,
+                peers,
+            };
+            // Most workers with room suit a task less than one seen before, so they are not looked up.
+            if best.is_some_and(|(best_fit, _)| fit >= best_fit) {
+                continue;
+            }
             let Some(worker) = self.workers.get(&entry.worker) else {
                 continue;
             };
@@ -229,29 +251,10 @@
             if !(has_label && in_rack && is_below_limit && has_no_run && is_permitted) {
                 continue;
             }
-            let is_remote = step
+            fit.is_remote = step
                 .data_rack
                 .as_ref()
                 .is_some_and(|rack| !worker.has_label(rack));
-            let is_avoided = task_state.avoided_workers.contains(&entry.worker);
-            let peers = if step.is_best_effort { entry.peers } else { 0 };
-            let cpu_left = entry.free.cpu_millicores - need.cpu_millicores;
-            // Best-effort tasks are placed on the worker with the most free processor time, and suspects on
-            // the one with the fewest tasks beside them.
-            let cpu_left = if step.is_best_effort || is_suspect {
-                u64::MAX - cpu_left
-            } else {
-                cpu_left
-            };
-            let fit = Fit {
-                is_avoided,
-                has_suspect: entry.has_suspect,
-                is_unstable: is_suspect && entry.is_unstable,
-                is_failing: entry.consecutive_failures > 0,
-                is_remote,
-                cpu_left,
-                peers,
-            };
             if best.is_none_or(|(best_fit, _)| fit < best_fit) {
                 best = Some((fit, position));
             }
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -81,7 +81,8 @@
         let mut ranked_jobs: Vec<(Rank, ids::Job)> = Vec::with_capacity(previous.len());
         for graph in self.jobs.values() {
             let has_idle_tasks = graph.stages.iter().any(|stage| stage.idle_count > 0);
-            if has_idle_tasks && !graph.is_over() && (has_recovered || !graph.predates_term) {
+            let is_ready = graph.payload.is_some() && (has_recovered || !graph.predates_term);
+            if has_idle_tasks && !graph.is_over() && is_ready {
                 let priority = self.config.queue(&graph.job.queue);
                 let priority = priority.map_or(0, |queue| queue.priority);
                 ranked_jobs.push((graph.rank(now, priority), graph.job.id.clone()));
@@ -158,6 +159,9 @@
         let Some(graph) = self.jobs.get_mut(job) else {
             return;
         };
+        let Some(payload) = graph.payload.clone() else {
+            return;
+        };
         // The members of a gang share a run number and a checkpoint.
         let run_numbers = picks.iter().map(|p| graph.next_run(term, stage, p.index));
         let shared_run = run_numbers.max().filter(|_| step.is_gang);
@@ -182,7 +186,7 @@
             new_run.apply_step(step);
             new_run.crashes = graph.progress.crash_count(&graph.counted(&task));
             let start = Command::Start {
-                payload: graph.job.payload.clone(),
+                payload: payload.clone(),
                 lease_expiry_ms,
                 checkpoint,
                 ticket: pick.ticket,
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -6,6 +6,7 @@
 use super::event::{Action, Event};
 use super::graph::Graph;
 use super::load::Arrivals;
+use super::payload::Payloads;
 use super::rank::Rank;
 use super::recovery::{CONFIRMATION_VALIDITY, Recovery, START_VALIDITY};
 use super::worker::Worker;
@@ -51,6 +52,10 @@
     /// Exits recorded by the append in flight: worker, its start time and the exit's sequence
     /// number. `None` while no append is in flight.
     pub(super) pending_acknowledgements: Option<Vec<(ids::Worker, u64, u64)>>,
+    /// Detached payloads whose jobs are not known yet.
+    pub(super) payloads: Payloads,
+    /// Jobs whose end the append in flight records, so that their payloads are not needed after it.
+    pub(super) unneeded_payloads: Vec<ids::Job>,
     /// Drained workers that the next append records.
     pub(super) newly_drained: Vec<ids::Worker>,
     /// Workers that wait to be free of other tasks, each with the task that is to run alone on it, and since
@@ -112,6 +117,8 @@
             draining: Set::default(),
             term_confirmed_at: now,
             pending_acknowledgements: None,
+            payloads: Payloads::default(),
+            unneeded_payloads: Vec::new(),
             newly_drained: Vec::new(),
             reservations: Map::default(),
             crashes: Vec::new(),
--- a/crates/core/tests/job/main.rs
+++ b/crates/core/tests/job/main.rs
@@ -15,6 +15,7 @@
         steps,
         schedule: None,
         accepted_at_ms: 17,
+        has_detached_payload: false,
     }
 }
 
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -6,6 +6,7 @@
 mod line;
 mod odd;
 mod overload;
+mod payload;
 mod reachability;
 mod recovery;
 mod restart;
--- a/crates/core/tests/sched/odd/mod.rs
+++ b/crates/core/tests/sched/odd/mod.rs
@@ -26,6 +26,7 @@
         steps,
         schedule: None,
         accepted_at_ms: 1_000_000,
+        has_detached_payload: false,
     }
 }
 
--- a/crates/core/tests/sched/world/mod.rs
+++ b/crates/core/tests/sched/world/mod.rs
@@ -134,6 +134,10 @@
     pub(crate) start_count: u64,
     /// Starts that leaders sent again.
     pub(crate) repeated_start_count: u64,
+    /// Payloads of the starts that workers carried out.
+    pub(crate) payloads_sent: Vec<String>,
+    /// Jobs whose payloads were deleted.
+    pub(crate) dropped_payloads: Vec<ids::Job>,
     /// Stops that leaders sent.
     pub(crate) stop_count: u64,
     /// Polls that were sent.
@@ -179,6 +183,8 @@
             cuts: BTreeSet::new(),
             start_count: 0,
             repeated_start_count: 0,
+            payloads_sent: Vec::new(),
+            dropped_payloads: Vec::new(),
             stop_count: 0,
             poll_count: 0,
             violations: Vec::new(),
@@ -286,7 +292,7 @@
                 occurrences: times,
             }
         });
-        let job = Arc::new(Job {
+        self.accept(Job {
             id: id.into(),
             queue: "queue".into(),
             service: SERVICE.into(),
@@ -294,7 +300,26 @@
             steps,
             schedule,
             accepted_at_ms: self.unix_ms(),
+            has_detached_payload: false,
         });
+    }
+
+    /// Submits a job whose payload is a record of its own.
+    pub(crate) fn submit_detached(&mut self, id: &str, steps: Vec<Step>) {
+        self.accept(Job {
+            id: id.into(),
+            queue: "queue".into(),
+            service: SERVICE.into(),
+            payload: "".into(),
+            steps,
+            schedule: None,
+            accepted_at_ms: self.unix_ms(),
+            has_detached_payload: true,
+        });
+    }
+
+    fn accept(&mut self, job: Job) {
+        let job = Arc::new(job);
         let offset = self.offset;
         self.offset += 1;
         self.index
@@ -404,6 +429,7 @@
                 Action::LogRun { message, .. } => {
                     self.repeated_start_count += u64::from(message == "start repeated");
                 }
+                Action::DropPayloads(jobs) => self.dropped_payloads.extend(jobs),
                 Action::LogStarts { .. } => {}
                 Action::LogWorker(..) | Action::LogIdle(_) | Action::LogRecovery(_) => {
                     self.lines.push(action);
--- a/crates/core/tests/sched/world/transport.rs
+++ b/crates/core/tests/sched/world/transport.rs
@@ -232,6 +232,9 @@
         let (answer, has_started) = worker.call(now, &call, || active);
         if has_started {
             self.start_count += 1;
+            if let Command::Start { payload, .. } = &call.command {
+                self.payloads_sent.push(payload.to_string());
+            }
             self.check_start(name, &call);
             self.crash_if_deadly(name, &call.task);
         }
--- a/crates/jobs/src/platform/mod.rs
+++ b/crates/jobs/src/platform/mod.rs
@@ -15,6 +15,8 @@
 pub enum Partition {
     /// Records about the jobs of a shard.
     Jobs(ids::Shard),
+    /// Payloads of the jobs of a shard, which only its leader reads.
+    Payloads(ids::Shard),
     /// Requests of operators.
     Operator,
     /// Status reports for operators.
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -126,6 +126,7 @@
         for job in jobs {
             self.schedule_job(&job, ctx);
         }
+        self.follow_payloads(term, ctx);
         self.subscribe(ctx);
         self.setup.leadership_observer.do_send(Transition {
             shard: self.setup.shard,
@@ -166,6 +167,12 @@
         }
     }
 
+    /// Checks if this process leads the shard in a term.
+    pub(super) fn leads_in(&self, term: ids::Term) -> bool {
+        let leadership = self.leadership.as_ref();
+        leadership.is_some_and(|leadership| leadership.term == term)
+    }
+
     /// Writes a log line if the leader is behind its events.
     fn report_lag(&mut self) {
         let Some(leadership) = &mut self.leadership else {
@@ -199,11 +206,7 @@
 
     /// Passes an event to the scheduler unless it belongs to an earlier term of this process.
     fn step_scheduler_in_term(&mut self, term: ids::Term, event: Event, ctx: &mut Context<Self>) {
-        if self
-            .leadership
-            .as_ref()
-            .is_some_and(|leadership| leadership.term == term)
-        {
+        if self.leads_in(term) {
             self.step_scheduler(event, ctx);
         }
     }
@@ -279,6 +282,7 @@
                     Event::PlacementDue
                 });
             }
+            Action::DropPayloads(jobs) => self.drop_payloads(jobs, ctx),
             Action::Append(records) => self.append(term, &records, ctx),
             Action::Fenced => self.step_election(term::Event::Fenced, ctx),
             Action::LogStarts {
@@ -317,11 +321,7 @@
             Err(failure) => {
                 warn!(act.setup.logger, "append of leader failed"; "shard" => act.setup.shard,
                     "term" => term, "reason" => ?failure);
-                if act
-                    .leadership
-                    .as_ref()
-                    .is_some_and(|leadership| leadership.term == term)
-                {
+                if act.leads_in(term) {
                     act.step_election(term::Event::Fenced, ctx);
                 }
             }
--- a/crates/jobs/src/shard/line.rs
+++ b/crates/jobs/src/shard/line.rs
@@ -86,7 +86,7 @@
         "suspended" => census.suspended, "terminated" => census.terminated,
         "eligible" => census.eligible, "with_room" => idle.with_room, "below_limit" => idle.below_limit,
         "permitted" => idle.permitted, "hosted_unknown" => idle.hosted_unknown,
-        "waits_for_recovery" => idle.waits_for_recovery, "may_start" => idle.may_start);
+        "waits_for_recovery" => idle.waits_for_recovery, "has_payload" => idle.has_payload, "may_start" => idle.may_start);
 }
 
 /// Writes a log line about a leader that is behind its events.
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -4,6 +4,7 @@
 mod lag;
 mod leadership;
 mod line;
+mod payload;
 mod request;
 mod resignation;
 
@@ -326,7 +327,7 @@
                     .observer
                     .do_send(Observation::Drained(worker.clone()));
             }
-            Record::Dropped(_) | Record::Drained(..) | Record::Wave(..) => {}
+            Record::Dropped(_) | Record::Drained(..) | Record::Payload(..) | Record::Wave(..) => {}
         }
     }
 }
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -14,7 +14,7 @@
 
 /// Delay after which a caller should retry while the log is unavailable. The length of an outage is not
 /// known, so callers retry soon and at another process.
-const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
+pub(super) const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Longest retry delay that a caller is given.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
 
@@ -124,7 +124,11 @@
         )
     }
 
-    fn persist(&self, record: Record, deadline: Instant) -> ResponseActFuture<Self, Answer> {
+    pub(super) fn persist(
+        &self,
+        record: Record,
+        deadline: Instant,
+    ) -> ResponseActFuture<Self, Answer> {
         let append = unconditional_append(self.partition(), std::slice::from_ref(&record));
         let Some(append) = encoded_or_logged(append, &self.setup.logger) else {
             return Box::pin(
@@ -172,8 +176,13 @@
             return Box::pin(std::future::ready(answer).into_actor(self));
         }
         self.last_queried_at = Some(clock::now());
+        let (job, payload) = job.detach_payload();
+        let payload = payload.map(|payload| Record::Payload(job.id.clone(), payload));
         let record = Record::Accepted(Box::new(job));
-        let appending = self.persist(record, submit.deadline);
+        let appending = match payload {
+            Some(payload) => self.persist_with_payload(payload, record, submit.deadline),
+            None => self.persist(record, submit.deadline),
+        };
         let started_at = clock::now();
         Box::pin(appending.map(move |answer, _: &mut Self, _| {
             info!(logger, "job submission"; "answer" => ?answer,
--- a/crates/wire/src/journal/mod.rs
+++ b/crates/wire/src/journal/mod.rs
@@ -28,6 +28,7 @@
         Key::Heartbeat => ByteString::from_static(HEARTBEAT_KEY),
         Key::Canceled(job) => join_key("c", job),
         Key::Drain(worker) => join_key("d", worker),
+        Key::Payload(job) => join_key("t", job),
         Key::Progress(job) => join_key("p", job),
         Key::Drained(worker) => join_key("v", worker),
         Key::Wave(wave) => join_key("w", wave),
@@ -55,6 +56,7 @@
         "c" => Key::Canceled(id),
         "d" => Key::Drain(id),
         "p" => Key::Progress(id),
+        "t" => Key::Payload(id),
         "v" => Key::Drained(id),
         "w" => Key::Wave(
             name.parse()
@@ -75,6 +77,7 @@
         Record::Heartbeat(heartbeat) => Some(encode_value(heartbeat)?),
         Record::Canceled(job) => Some(encode_value(job)?),
         Record::Drain(_, drain) => drain.as_ref().map(encode_value).transpose()?,
+        Record::Payload(_, payload) => Some(encode_value(payload)?),
         Record::Progress(_, progress) => Some(encode_value(progress)?),
         Record::Drained(_, drained) => Some(encode_value(drained)?),
         Record::Wave(_, hosts) => Some(encode_value(hosts)?),
@@ -101,6 +104,7 @@
         Key::Heartbeat => Record::Heartbeat(decode_value(value)?),
         Key::Canceled(job) => Record::Canceled(job),
         Key::Drain(worker) => Record::Drain(worker, Some(decode_value(value)?)),
+        Key::Payload(job) => Record::Payload(job, decode_value(value)?),
         Key::Progress(job) => Record::Progress(job, decode_value(value)?),
         Key::Drained(worker) => Record::Drained(worker, decode_value(value)?),
         Key::Wave(wave) => Record::Wave(wave, decode_value(value)?),
--- a/crates/wire/tests/journal/main.rs
+++ b/crates/wire/tests/journal/main.rs
@@ -27,6 +27,7 @@
         }],
         schedule: None,
         accepted_at_ms: 17,
+        has_detached_payload: false,
     }
 }
 
@@ -64,6 +65,8 @@
 #[test_case(Record::Canceled("job".into()))]
 #[test_case(Record::Drain("worker".into(), Some(Drain { host: "h".into(), service: "s".into() })))]
 #[test_case(Record::Drain("worker".into(), None))]
+#[test_case(Record::Payload("job".into(), "text".into()))]
+#[test_case(Record::Dropped(Key::Payload("job".into())))]
 #[test_case(Record::Progress("job".into(), progress()))]
 #[test_case(Record::Drained("worker".into(), Drained { term: 3 }))]
 #[test_case(Record::Wave(4, vec!["host".into()]))]
@@ -92,3 +95,53 @@
         }
     }
 }
+
+/// Size of a caller's payload, in bytes.
+const PAYLOAD_BYTES: usize = 1_200;
+
+#[test]
+fn verify_record_of_a_job_does_not_hold_a_large_payload() {
+    let payload = "x".repeat(PAYLOAD_BYTES);
+    let large = Job {
+        payload: payload.clone().into(),
+        ..job()
+    };
+    let (accepted, detached) = large.detach_payload();
+    assert_eq!(detached.as_deref(), Some(&payload[..]));
+    assert!(accepted.has_detached_payload);
+    let value = encode(&Record::Accepted(Box::new(accepted.clone())))
+        .unwrap()
+        .unwrap();
+    assert!(value.len() < PAYLOAD_BYTES / 4, "{}", value.len());
+    let decoded = decode("a/5c0e7a21d94b36f8", Some(&value)).unwrap();
+    assert_eq!(decoded, Record::Accepted(Box::new(accepted)));
+}
+
+#[test]
+fn verify_small_payload_stays_in_the_record_of_its_job() {
+    assert_eq!(job().detach_payload(), (job(), None));
+}
+
+// Fields without a value made up most of a record that every process reads.
+#[test]
+fn verify_fields_without_a_value_are_not_written() {
+    let value = encode(&Record::Accepted(Box::new(job()))).unwrap().unwrap();
+    let fields: ciborium::Value = ciborium::from_reader(&value[..]).unwrap();
+    let text = format!("{fields:?}");
+    for field in [
+        "gang",
+        "rack",
+        "fills",
+        "target",
+        "schedule",
+        "detached",
+        "duplicates",
+    ] {
+        assert!(!text.contains(field), "{field}: {text}");
+    }
+    let value = encode(&Record::Progress("job".into(), Progress::default()))
+        .unwrap()
+        .unwrap();
+    let fields: ciborium::Value = ciborium::from_reader(&value[..]).unwrap();
+    assert_eq!(fields.as_map().map(Vec::len), Some(1), "{fields:?}");
+}
--- a/crates/wire/tests/journal/odd.rs
+++ b/crates/wire/tests/journal/odd.rs
@@ -13,7 +13,9 @@
 
 use crate::job;
 
-const KEYS: [&str; 6] = ["a/job", "beat", "d/worker", "p/job", "v/worker", "w/1"];
+const KEYS: [&str; 7] = [
+    "a/job", "beat", "d/worker", "p/job", "t/job", "v/worker", "w/1",
+];
 /// Depth of nested values, far above what a stack holds.
 const DEPTH: usize = 100_000;
 
