Let larger hosts lead first and wait longer for workers when many are unreachable

Cause: after processes were killed, a host of 0.12 cores and a narrow link claimed the shard at its peak, as each led shard delays a claim by 0.3 s and a small host only 0.5 s. It lost the answers of up to 100 of its workers for 8 s and then took their tasks for lost, though the workers were listed and had done them. Evidence: log of front-tas-south-b-13, 56 to 65 s: 760 stops in 2 s, 264 runs released as 'lease expired' at 64 s. Ruled out: lag of its ticks (no line of 500 ms), a lost record (no takeover from 43 to 65 s). Change: the delay of small hosts is up to 2 s; while a quarter of the listed workers, and four, are unreachable, tasks that are not long-running wait up to 15 s after the lease in place of 5 s. Tests: verify_tasks_that_ended_unseen_on_many_workers_do_not_start_again and verify_host_with_two_shards_claims_before_a_much_smaller_one failed first.

--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -19,6 +19,13 @@
 /// Time after lease expiry for which the tasks of a listed worker are not restarted, as they may be
 /// done: a silent worker is unlisted after three heartbeats of 1.5 s.
 const EXPIRY_GRACE: Duration = Duration::from_secs(5);
+/// The same while much of the listed workers is unreachable: the leader is cut off or overloaded rather than the
+/// workers, which go on. A job that waits for a worker for longer is lost to its caller anyway.
+const ISOLATED_EXPIRY_GRACE: Duration = Duration::from_secs(15);
+/// Fewest unreachable workers, and their share of the listed ones as a divisor, from which on the leader counts as
+/// isolated.
+const MIN_ISOLATED_WORKERS: usize = 4;
+const ISOLATED_DIVISOR: usize = 4;
 /// Longest delay before the retry of an unanswered poll.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
@@ -308,11 +315,28 @@
         }
     }
 
+    /// Checks if so many listed workers are unreachable that the cause is with this leader.
+    fn is_isolated(&self) -> bool {
+        let listed = self.workers.values();
+        let listed = listed.filter(|worker| worker.is_listed && !worker.has_terminated);
+        let (mut count, mut unreachable) = (0, 0);
+        for worker in listed {
+            count += 1;
+            unreachable += usize::from(worker.missed_polls > 0);
+        }
+        unreachable >= MIN_ISOLATED_WORKERS && unreachable * ISOLATED_DIVISOR >= count
+    }
+
     /// Releases the runs of unreachable workers whose lease has certainly expired.
     pub(super) fn release_expired(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let max_lease = self.options.max_lease;
         // A newer leader may have extended the leases since the term was last confirmed.
         let confirmed_at = self.term_confirmed_at;
+        let grace = if self.is_isolated() {
+            ISOLATED_EXPIRY_GRACE
+        } else {
+            EXPIRY_GRACE
+        };
         let mut lost_runs = Vec::new();
         for (id, worker) in &mut self.workers {
             if worker.missed_polls == 0 || !worker.has_lease_expired(confirmed_at, max_lease) {
@@ -320,7 +344,7 @@
             }
             let expired_at = *worker.expired_at.get_or_insert(now);
             let is_alive = worker.is_listed && !worker.has_terminated;
-            let may_wait = is_alive && now.saturating_duration_since(expired_at) < EXPIRY_GRACE;
+            let may_wait = is_alive && now.saturating_duration_since(expired_at) < grace;
             let runs = worker
                 .runs
                 .iter()
--- a/crates/core/src/term/mod.rs
+++ b/crates/core/src/term/mod.rs
@@ -21,9 +21,9 @@
 /// Processor time of a host, in millicores, with which a leader keeps up at the peak load of a service.
 const PEAK_CPU_MILLICORES: u32 = 250;
 /// Maximum of the part of the election timeout that depends on the size of the host; it is zero from
-/// `PEAK_CPU_MILLICORES`. It is longer than the jitter, so that larger hosts claim first, and shorter than
-/// `LEADER_TIMEOUT`.
-const MAX_SMALL_HOST_DELAY: Duration = Duration::from_secs(1);
+/// `PEAK_CPU_MILLICORES`. With half of that processor time it is longer than the jitter and the delay for two led
+/// shards, so that larger hosts claim first, as services peak one after another.
+const MAX_SMALL_HOST_DELAY: Duration = Duration::from_secs(2);
 /// Election timeout that each shard that the process already leads adds.
 const DELAY_PER_LED_SHARD: Duration = Duration::from_millis(300);
 /// Upper bound of the random part of an election timeout, in milliseconds.
--- a/crates/core/tests/sched/reachability.rs
+++ b/crates/core/tests/sched/reachability.rs
@@ -1,5 +1,8 @@
 //! Workers that can't be reached for a while and stay listed.
 
+use std::time::Duration;
+
+use persimmongate_core::job::Outcome;
 use test_case::test_case;
 
 use crate::world::{World, long_running, step};
@@ -48,3 +51,37 @@
     let polls = world.poll_count - before;
     assert!((4..=10).contains(&polls), "{polls} polls in 20 s");
 }
+
+// A leader that does not reach many workers is itself cut off or overloaded: their tasks may have ended.
+#[test_case(6; "for 6 s")]
+#[test_case(12; "for 12 s")]
+fn verify_tasks_that_ended_unseen_on_many_workers_do_not_start_again(cut_seconds: u64) {
+    let mut world = World::new(8, 1);
+    world.run(seconds(1));
+    world.submit("job", vec![step(32, 600, &[])]);
+    world.run(Duration::from_millis(100));
+    assert_eq!(world.start_count, 32);
+    for name in ["w0", "w1", "w2", "w3"] {
+        world.workers.get_mut(name).unwrap().is_reachable = false;
+    }
+    world.run(seconds(cut_seconds));
+    for name in ["w0", "w1", "w2", "w3"] {
+        world.workers.get_mut(name).unwrap().is_reachable = true;
+    }
+    world.run(seconds(4));
+    assert_eq!(world.start_count, 32);
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+    assert_no_violations(&world);
+}
+
+// A single worker that does not answer while the others do is waited for less long.
+#[test]
+fn verify_tasks_of_one_unreachable_worker_start_elsewhere() {
+    let mut world = World::new(8, 1);
+    world.submit("job", vec![step(8, 5_000, &[])]);
+    world.run(seconds(1));
+    let running = world.workers_running("job");
+    world.workers.get_mut(&running[0]).unwrap().is_reachable = false;
+    world.run(seconds(10));
+    assert!(world.start_count > 8);
+}
--- a/crates/core/tests/term/main.rs
+++ b/crates/core/tests/term/main.rs
@@ -215,3 +215,13 @@
         "{actions:?}"
     );
 }
+
+// After an outage small hosts took the shards of a larger one that led one shard already; their links and
+// processors did not keep up with a peak.
+#[test]
+fn verify_host_with_two_shards_claims_before_a_much_smaller_one() {
+    let larger = (0..1_000).map(|random| election_timeout(500, 2, random));
+    let smaller = (0..1_000).map(|random| election_timeout(120, 0, random));
+    assert!(larger.max() < smaller.min());
+    assert!((0..1_000).all(|random| election_timeout(120, 0, random) < LEADER_TIMEOUT));
+}
--- a/crates/jobs/src/shard/payload.rs
+++ b/crates/jobs/src/shard/payload.rs
@@ -94,26 +94,25 @@
     /// Records the payload of a job that is not accepted yet, and accepts the job after it.
     pub(super) fn persist_with_payload(
         &self,
-        payload: Record,
+        payload: &Record,
         accepted: Record,
         deadline: Instant,
     ) -> ResponseActFuture<Self, Answer> {
-        let append = unconditional_append(self.payload_partition(), std::slice::from_ref(&payload));
+        let append = unconditional_append(self.payload_partition(), std::slice::from_ref(payload));
         let Some(append) = encoded_or_logged(append, &self.setup.logger) else {
             let refused = std::future::ready(Answer::Refused(UNAVAILABLE_RETRY_DELAY));
             return Box::pin(refused.into_actor(self));
         };
         let appending = append_with_retry(self.setup.platform.clone(), append, Some(deadline));
-        Box::pin(appending.into_actor(self).then(
-            move |appended, act: &mut Self, _| match appended {
-                Ok(_) => act.persist(accepted, deadline),
-                // Whether the payload was recorded or not, the job was not accepted.
-                Err(_) => {
-                    act.log_failed_at = Some(clock::now());
-                    let refused = std::future::ready(Answer::Refused(UNAVAILABLE_RETRY_DELAY));
-                    Box::pin(refused.into_actor(act))
-                }
-            },
-        ))
+        let appending = appending.into_actor(self);
+        Box::pin(appending.then(move |appended, act, _| {
+            if appended.is_ok() {
+                return act.persist(accepted, deadline);
+            }
+            // Whether the payload was recorded or not, the job was not accepted.
+            act.log_failed_at = Some(clock::now());
+            let refused = std::future::ready(Answer::Refused(UNAVAILABLE_RETRY_DELAY));
+            Box::pin(refused.into_actor(act))
+        }))
     }
 }
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -180,7 +180,7 @@
         let payload = payload.map(|payload| Record::Payload(job.id.clone(), payload));
         let record = Record::Accepted(Box::new(job));
         let appending = match payload {
-            Some(payload) => self.persist_with_payload(payload, record, submit.deadline),
+            Some(payload) => self.persist_with_payload(&payload, record, submit.deadline),
             None => self.persist(record, submit.deadline),
         };
         let started_at = clock::now();
