--- a/crates/core/src/job/progress.rs
+++ b/crates/core/src/job/progress.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
-use super::{Job, Task};
+use super::{Job, Task, is_default};
 use crate::ids;
 
 /// `Outcome` is the final result of a job.
@@ -36,7 +36,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub outcome: Option<Outcome>,
     /// Time at which the job ended, in milliseconds since the Unix epoch; 0 before.
-    #[serde(default, rename = "ended", skip_serializing_if = "is_zero")]
+    #[serde(default, rename = "ended", skip_serializing_if = "is_default")]
     pub ended_at_ms: u64,
     /// Bit sets of the done tasks, by occurrence and step.
     #[serde(default, rename = "done", skip_serializing_if = "BTreeMap::is_empty")]
@@ -152,11 +152,3 @@
         })
     }
 }
-
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "the serializer passes a reference"
-)]
-fn is_zero(number: &u64) -> bool {
-    *number == 0
-}
--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -10,31 +10,15 @@
 use super::event::{Action, Operation};
 use super::host::{Host, State};
 use super::planner::Planner;
+use super::sizing::Sizing;
 use super::turns::Turns;
 use crate::ids;
 use crate::journal::Load;
 use crate::map::Map;
 
-/// Time within which the work that waits now should be completed.
-const BACKLOG_TARGET: Duration = Duration::from_millis(400);
-/// Headroom above the measured demand, in percent of it, as jobs arrive unevenly.
-const HEADROOM_PERCENT: u64 = 20;
-/// Maximum number of hosts that a service gets for forecast growth, in percent of the fleet.
-const MAX_GROWTH_PERCENT: usize = 50;
-/// Hosts of a pool above those that its long-running tasks need, for the start of a peak.
-const PEAK_RESERVE_HOSTS: usize = 3;
-/// Share of the fleet that a pool has as such a reserve if this is more, as a divisor.
-const PEAK_RESERVE_DIVISOR: usize = 16;
-/// Hosts above the minimum for its long-running tasks that a pool never lends.
-const MIN_RETAINED_HOSTS: usize = 2;
-/// Share of the fleet that a pool never lends if this is more, as a divisor.
-const MIN_RETAINED_DIVISOR: usize = 24;
 /// Demand up to which growth is extrapolated, in percent of the highest peak of the other services: at the start
 /// of a turn demand rises in a step.
 const MAX_GROWN_PERCENT: u64 = 125;
-/// Most hosts that waiting work requires, in percent of those that the highest demand seen required. More would
-/// arrive when the work is done.
-const MAX_REQUIRED_PERCENT: u64 = 150;
 /// Time for which a pool has a surplus of hosts before one returns to the spare pool. A move costs about
 /// as much as a host that is idle for a second.
 const SURPLUS_DELAY: Duration = Duration::from_millis(1_200);
@@ -49,11 +33,11 @@
     /// Time since which each service with a surplus of hosts has had it.
     surplus_since: Map<ids::Service, Instant>,
     /// Hosts that are moving, with their new pool and the time of the command.
-    moving: Map<ids::Host, (ids::Service, Instant)>,
+    pub(super) moving: Map<ids::Host, (ids::Service, Instant)>,
     /// Recent demand of the services.
     demand: Demand,
     /// Recent turns of the services.
-    turns: Turns,
+    pub(super) turns: Turns,
     /// Services whose turn is about to start, with the demand for which hosts are kept ready, in millicores.
     pub(super) upcoming: Map<ids::Service, u64>,
 }
@@ -67,7 +51,7 @@
     }
 
     /// Forecasts the growth of a service's demand until a host whose move begins now runs tasks, in millicores.
-    fn growth(&self, service: &ids::Service, demand: u64) -> u64 {
+    pub(super) fn growth(&self, service: &ids::Service, demand: u64) -> u64 {
         let growth = self.demand.growth(service);
         match self.turns.peak_of_others(service) {
             0 => growth,
@@ -243,83 +227,6 @@
         spare.map(|service| service.name.clone())
     }
 
-    /// Counts the hosts of each pool, with those moving to it and without those leaving it.
-    fn pools(&self) -> Map<ids::Service, Pool> {
-        let mut pools: Map<ids::Service, Pool> = Map::default();
-        for host in self.hosts.values() {
-            let size = &mut pools.entry(host.service.clone()).or_default().host_cpu;
-            *size = (*size).max(host.resources.cpu_millicores);
-            let target = match self.transitions.get(&host.name) {
-                Some(transition) => match &transition.operation {
-                    Operation::Move(service) => Some(service),
-                    Operation::Maintain(_) => None,
-                },
-                None => match self.balance.moving.get(&host.name) {
-                    Some((service, _)) => Some(service),
-                    None => (host.state != State::Down).then_some(&host.service),
-                },
-            };
-            if let Some(service) = target {
-                pools.entry(service.clone()).or_default().host_count += 1;
-            }
-        }
-        pools
-    }
-
-    /// Returns the host count of a pool and the hosts that its service requires and desires.
-    fn sizing(&self, service: &ids::Service, pools: &Map<ids::Service, Pool>) -> Sizing {
-        let pool = pools.get(service).copied().unwrap_or_default();
-        let host_count = pool.host_count;
-        // A pool that the configuration doesn't have gets no hosts, whatever load is reported for it.
-        let is_known = self.config.service(service).is_some();
-        let Some(load) = self.loads.get(service).filter(|_| is_known) else {
-            return Sizing {
-                service: service.clone(),
-                host_count,
-                required: host_count,
-                reserved: host_count,
-                desired: host_count,
-            };
-        };
-        let fleet_size = self.hosts.len();
-        let host_cpu = match pool.host_cpu {
-            0 => pools.values().map(|pool| pool.host_cpu).max().unwrap_or(1),
-            host_cpu => host_cpu,
-        };
-        let hosts_for =
-            |cpu: u64| usize::try_from(cpu.div_ceil(host_cpu.max(1))).unwrap_or(fleet_size);
-        let with_headroom =
-            |cpu: u64| cpu.saturating_add(cpu.saturating_mul(HEADROOM_PERCENT) / 100);
-        let min_hosts = load.min_hosts as usize;
-        let retained = min_hosts + MIN_RETAINED_HOSTS.max(fleet_size / MIN_RETAINED_DIVISOR);
-        let reserve = PEAK_RESERVE_HOSTS.max(fleet_size / PEAK_RESERVE_DIVISOR);
-        let peak = self
-            .balance
-            .turns
-            .peak()
-            .saturating_mul(MAX_REQUIRED_PERCENT)
-            / 100;
-        let most = load.long_running.saturating_add(peak.max(load.used));
-        let required = hosts_for(current_demand(load).min(most));
-        let required = required.max(retained).min(fleet_size);
-        let reserved = required.max(min_hosts + reserve).min(fleet_size);
-        let growth = hosts_for(self.balance.growth(service, short_running_demand(load)));
-        let growth = growth.min(fleet_size * MAX_GROWTH_PERCENT / 100);
-        let demand = with_headroom(short_running_demand(load));
-        let cpu = load.long_running.saturating_add(demand);
-        let desired = hosts_for(cpu).min(fleet_size) + growth;
-        let upcoming = self.balance.upcoming.get(service).copied().unwrap_or(0);
-        let upcoming = load.long_running.saturating_add(with_headroom(upcoming));
-        let desired = desired.max(hosts_for(upcoming)).max(reserved);
-        Sizing {
-            service: service.clone(),
-            host_count,
-            required,
-            reserved,
-            desired: desired.min(fleet_size),
-        }
-    }
-
     fn spare_hosts(&self, spare: &ids::Service) -> Vec<ids::Host> {
         let is_free = |host: &&Host| {
             host.service == *spare
@@ -374,33 +281,3 @@
     /// Demand is going to grow, so only idle hosts move.
     Growing,
 }
-
-/// `Pool` is the hosts of a service.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pool {
-    /// Hosts in the pool, with those moving to it and without those leaving it.
-    host_count: usize,
-    /// Processor time of its largest host, in millicores.
-    host_cpu: u64,
-}
-
-/// `Sizing` is the number of hosts that a service has, requires and desires.
-struct Sizing {
-    service: ids::Service,
-    /// Hosts in its pool, with those moving to it and without those leaving it.
-    host_count: usize,
-    /// Hosts that its current work requires.
-    required: usize,
-    /// Required hosts, or more if the reserve for a peak asks for it.
-    reserved: usize,
-    /// Reserved hosts, or more if the demand with headroom and forecast growth asks for it.
-    desired: usize,
-}
-
-/// Returns the processor time that the current and the waiting work of a service requires, in millicores.
-fn current_demand(load: &Load) -> u64 {
-    let backlog_target_ms = u64::try_from(BACKLOG_TARGET.as_millis()).unwrap_or(1);
-    let backlog = load.backlog.saturating_mul(1_000) / backlog_target_ms;
-    let running = load.long_running.saturating_add(load.used);
-    running.saturating_add(backlog)
-}
--- a/crates/core/src/upkeep/mod.rs
+++ b/crates/core/src/upkeep/mod.rs
@@ -10,6 +10,8 @@
 mod host;
 mod maintain;
 mod planner;
+mod sizing;
+mod transition;
 mod turns;
 mod wave;
 
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -4,10 +4,11 @@
 use super::balance::Balance;
 use super::event::{Action, Answer, Command, Event, Operation};
 use super::host::{Host, Listing, State};
+use super::transition::Transition;
 use super::wave::Rollout;
 use crate::ids;
 use crate::journal::{Drain, Load};
-use crate::map::{Map, Set};
+use crate::map::Map;
 use crate::queue::Config;
 
 /// Maximum age of the last read of the log that found no newer term, for commands to be sent. A new leader
@@ -47,29 +48,12 @@
     }
 }
 
-/// `Transition` is a planned maintenance or move of a host.
-#[derive(Clone, Debug)]
-pub(super) struct Transition {
-    pub(super) operation: Operation,
-    /// Position among the transitions of the term, in the order in which they were planned.
-    pub(super) number: u64,
-    /// Worker to drain, with its drain; `None` for a host without a worker.
-    pub(super) drain: Option<(ids::Worker, Drain)>,
-    pub(super) is_drained: bool,
-    pub(super) started_at: Instant,
-    pub(super) has_command_in_flight: bool,
-    /// Time before which no further command is sent.
-    pub(super) not_before: Instant,
-    /// Whether a command without an answer may have been carried out.
-    pub(super) is_outcome_unknown: bool,
-}
-
 /// `Planner` plans maintenance and moves of the hosts of the fleet in one term.
 #[derive(Debug)]
 pub struct Planner {
     pub(super) options: Options,
-    node: ids::Instance,
-    term: ids::Term,
+    pub(super) node: ids::Instance,
+    pub(super) term: ids::Term,
     pub(super) config: Arc<Config>,
     pub(super) hosts: Map<ids::Host, Host>,
     /// Time at which each host was last in the host list.
@@ -79,7 +63,7 @@
     pub(super) balance: Balance,
     pub(super) transitions: Map<ids::Host, Transition>,
     /// Number of transitions planned in this term.
-    transition_count: u64,
+    pub(super) transition_count: u64,
     /// Hosts that are down for maintenance or may be, with the time since when.
     pub(super) down_since: Map<ids::Host, Instant>,
     /// Drains that the log records or that were requested.
@@ -328,80 +312,4 @@
             .service(service)
             .is_some_and(|service| service.is_spare)
     }
-
-    pub(super) fn start_transition(
-        &mut self,
-        now: Instant,
-        host: &ids::Host,
-        operation: Operation,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(entry) = self.hosts.get(host) else {
-            return;
-        };
-        let is_spare = self.is_spare(&entry.service);
-        let worker = entry.worker.clone().filter(|_| !is_spare);
-        let drain = worker.map(|worker| {
-            let drain = Drain {
-                host: host.clone(),
-                service: entry.service.clone(),
-            };
-            (worker, drain)
-        });
-        if let Some((worker, drain)) = &drain {
-            self.drains.insert(worker.clone(), drain.clone());
-            actions.push(Action::Drain(worker.clone(), drain.clone()));
-        }
-        self.transition_count += 1;
-        let transition = Transition {
-            operation,
-            number: self.transition_count,
-            is_drained: drain.is_none(),
-            drain,
-            started_at: now,
-            has_command_in_flight: false,
-            not_before: now,
-            is_outcome_unknown: false,
-        };
-        self.transitions.insert(host.clone(), transition);
-    }
-
-    /// Sends commands for hosts whose workers are drained, the oldest transition first.
-    fn send_commands(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let mut ready: Vec<(u64, ids::Host)> = Vec::new();
-        for (host, transition) in &self.transitions {
-            if transition.is_drained
-                && !transition.has_command_in_flight
-                && transition.not_before <= now
-            {
-                ready.push((transition.number, host.clone()));
-            }
-        }
-        ready.sort();
-        let mut down_hosts: Map<ids::WaveNumber, Set<ids::Host>> = Map::default();
-        for (_, host) in ready {
-            let Some(transition) = self.transitions.get(&host) else {
-                continue;
-            };
-            if let Operation::Maintain(number) = transition.operation {
-                let down = down_hosts
-                    .entry(number)
-                    .or_insert_with(|| self.down_hosts(number));
-                if !self.may_go_down(number, &host, down) {
-                    continue;
-                }
-                down.insert(host.clone());
-            }
-            let command = Command {
-                host: host.clone(),
-                operation: transition.operation.clone(),
-                holder: self.node.clone(),
-                fencing_token: self.term,
-            };
-            if let Some(transition) = self.transitions.get_mut(&host) {
-                transition.has_command_in_flight = true;
-            }
-            actions.push(Action::CallHostService(command));
-        }
-    }
 }
