Write all fields of a job's progress again

A record that lacks its done tasks would have been read as one without any, and they would have run again; the test guards against that.

--- a/crates/core/src/job/progress.rs
+++ b/crates/core/src/job/progress.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
-use super::{Job, Task, is_default};
+use super::{Job, Task};
 use crate::ids;
 
 /// `Outcome` is the final result of a job.
@@ -33,16 +33,15 @@
     #[serde(rename = "started")]
     pub has_started: bool,
     /// Result of the job, once it has ended.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub outcome: Option<Outcome>,
-    /// Time at which the job ended, in milliseconds since the Unix epoch; 0 before.
-    #[serde(default, rename = "ended", skip_serializing_if = "is_default")]
+    /// Time at which the job ended, in milliseconds since the Unix epoch.
+    #[serde(rename = "ended")]
     pub ended_at_ms: u64,
     /// Bit sets of the done tasks, by occurrence and step.
-    #[serde(default, rename = "done", skip_serializing_if = "BTreeMap::is_empty")]
+    #[serde(rename = "done")]
     done_tasks: BTreeMap<(u32, u32), ByteBuf>,
     /// Failed runs, by occurrence, step and index of the task.
-    #[serde(default, rename = "failed", skip_serializing_if = "BTreeMap::is_empty")]
+    #[serde(rename = "failed")]
     failed_runs: BTreeMap<(u32, u32, u32), Vec<ids::Run>>,
     /// Crashes of workers, by occurrence, step and index of the task that ran on them.
     #[serde(
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -3,7 +3,6 @@
 use bytestring::ByteString;
 use serde::{Deserialize, Serialize};
 
-use super::is_default;
 use crate::errors::{Result, value_error};
 use crate::ids;
 
@@ -280,3 +279,8 @@
         self.check().is_ok()
     }
 }
+
+/// Checks if a field has its default value, which is not written.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
