--- a/review/standin.py
+++ b/review/standin.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import select
 import signal
 import socket
 import subprocess
@@ -89,8 +90,8 @@
     allow_reuse_address = True
     request_queue_size = 128
 
-    def __init__(self, reply):
-        super().__init__(("127.0.0.1", 0), Handler)
+    def __init__(self, reply, port=0):
+        super().__init__(("127.0.0.1", port), Handler)
         self.reply = reply
         self.address = f"127.0.0.1:{self.server_address[1]}"
         threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
@@ -99,6 +100,75 @@
         pass
 
 
+class Proxy:
+    """Stands between one gateway and a service, and can partition them.
+
+    During a partition nothing passes. Bytes that were sent on open connections arrive after it, unless their
+    sender has reset the connection. A connection that is opened during a partition never works.
+    """
+
+    def __init__(self, target):
+        host, port = target.split(":")
+        self.target = (host, int(port))
+        self.open = threading.Event()
+        self.open.set()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            client, _ = self.listener.accept()
+            threading.Thread(target=self.connect, args=(client,), daemon=True).start()
+
+    def connect(self, client):
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            if not self.open.is_set():
+                while client.recv(65_536):
+                    pass
+                client.close()
+                return
+            server = socket.create_connection(self.target)
+            server.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            client.close()
+            return
+        ends = [threading.Thread(target=self.pass_on, args=pair, daemon=True)
+                for pair in ((client, server), (server, client))]
+        for end in ends:
+            end.start()
+        for end in ends:
+            end.join()
+        client.close()
+        server.close()
+
+    def pass_on(self, source, target):
+        held, has_ended = b"", False
+        try:
+            while not has_ended:
+                data = source.recv(65_536)
+                has_ended = not data
+                held += data
+                while not self.open.is_set():
+                    readable, _, _ = select.select([source] if not has_ended else [], [], [], 0.05)
+                    if readable:
+                        data = source.recv(65_536)
+                        has_ended = not data
+                        held += data
+                if held:
+                    target.sendall(held)
+                    held = b""
+            target.shutdown(socket.SHUT_WR)
+        except OSError:
+            # A reset loses what is held up.
+            for each in (source, target):
+                try:
+                    each.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+
 class Partition:
     def __init__(self):
         self.first = 0
@@ -224,9 +294,10 @@
 class Worker:
     """One life of a worker. A task takes the milliseconds that its job's spec states for its step."""
 
-    def __init__(self, fleet, machine):
-        self.fleet, self.machine = fleet, machine
-        self.id = f"i-{random.getrandbits(40):010x}"
+    def __init__(self, fleet, machine, name=None, kind="a"):
+        self.fleet, self.machine, self.kind = fleet, machine, kind
+        self.id = name or f"i-{random.getrandbits(40):010x}"
+        self.reaches_store = True
         self.born = int(time.time() * 1_000)
         self.started = time.monotonic()
         self.is_up = True
@@ -239,7 +310,10 @@
         self.acknowledged = 0
         self.sequence = 0
         self.changed = threading.Condition(fleet.lock)
-        self.server = Server(self.reply)
+        self.server = None
+
+    def listen(self, port=0):
+        self.server = Server(self.reply, port)
 
     def clock_ms(self):
         return int((time.monotonic() - self.started) * 1_000) + 1_000
@@ -311,9 +385,10 @@
             return self.refuse("late")
         spec = json.loads(call["Spec"])
         step = int(task.split(".")[2])
+        is_first = not any(end[1] == task for end in self.fleet.ends)
         self.runs[task] = {
             "run": run, "at": time.monotonic(), "stop": None, "ms": spec["ms"],
-            "fails": step in spec.get("fails", []),
+            "fails": step in spec.get("fails", []) or (is_first and spec.get("fails_first", False)),
         }
         self.fleet.note_start(self, task, run)
         return 200, {"ClockMs": self.clock_ms()}
@@ -356,8 +431,9 @@
         self.machines = {}
         self.waves = {}
         self.starts, self.ends, self.acknowledged = [], [], []
-        self.orders, self.violations = [], []
+        self.kinds_of_starts, self.violations = [], []
         self.on_order = lambda order: None
+        self.tokens = {}
         self.server = Server(self.reply)
         threading.Thread(target=self.tick, daemon=True).start()
 
@@ -369,25 +445,28 @@
 
     def add_worker(self, machine):
         worker = Worker(self, machine)
+        worker.listen()
         machine["worker"], machine["state"] = worker, "up"
         self.beat(worker)
         return worker
 
-    def labels(self, machine):
-        return ["a", f"r1-{1 + len(machine['name']) % 2}"]
+    def labels(self, machine, kind="a"):
+        return [kind, f"r1-{1 + len(machine['name']) % 2}"]
 
     def capacity(self):
         return {"Cpu": self.cpu, "MemMb": 262_144, "Gpu": 0}
 
     def beat(self, worker):
+        worker.beat_at = time.monotonic()
+        if not worker.reaches_store:
+            return
         worker.sequence += 1
         machine = worker.machine
         self.store.write("keyed.servers", worker.id, {
             "Backend": machine["pool"], "Address": worker.server.address, "Zone": "a", "Version": "v1", "Slots": 8,
             "State": "ready", "ColdLeftMs": 0, "Sequence": worker.sequence, "Machine": machine["name"],
-            "born": worker.born, "Capacity": self.capacity(), "Labels": self.labels(machine),
+            "born": worker.born, "Capacity": self.capacity(), "Labels": self.labels(machine, worker.kind),
         })
-        worker.beat_at = time.monotonic()
 
     def tick(self):
         while True:
@@ -423,9 +502,35 @@
             timer.daemon = True
             timer.start()
 
+    def restart_behind_cut(self, machine, kind, cut_s):
+        """Cuts a worker off from the store, and restarts it at once under its id and address, as another kind."""
+        with self.lock:
+            old = machine["worker"]
+            port = old.server.server_address[1]
+            old.reaches_store = False
+        old.crash()
+        fresh = Worker(self, machine, old.id, kind)
+        fresh.reaches_store = False
+        fresh.beat_at = time.monotonic()
+        with self.lock:
+            machine["worker"] = fresh
+            fresh.listen(port)
+        self.record(f"worker {fresh.id} is cut off from the store and starts again as kind {kind}")
+
+        def heal():
+            with self.lock:
+                fresh.reaches_store = True
+                self.beat(fresh)
+            self.record(f"worker {fresh.id} reaches the store again")
+
+        timer = threading.Timer(cut_s, heal)
+        timer.daemon = True
+        timer.start()
+
     def note_start(self, worker, task, run):
         self.starts.append((now(), task, run, worker.id))
-        self.record(f"start {task} run {run} on {worker.id}")
+        self.kinds_of_starts.append((now(), task, worker.id, worker.kind))
+        self.record(f"start {task} run {run} on {worker.id}, kind {worker.kind}")
 
     def note_end(self, worker, task, run, how):
         self.ends.append((now(), task, run, how, worker.id))
@@ -468,6 +573,13 @@
             if machine is None:
                 return 400, {}
             reply, change = (200, {}), None
+            highest = self.tokens.get(machine["name"], (0, ""))
+            if token < highest[0]:
+                self.violations.append(
+                    f"{now():.3f} order {path} for {machine['name']} by {holder} with token {token} after one by "
+                    f"{highest[1]} with token {highest[0]}")
+                self.record(f"BROKEN {self.violations[-1]}")
+            self.tokens[machine["name"]] = max(highest, (token, holder))
             if path == "/machine-move":
                 if machine["pool"] == call["Pool"]:
                     pass
@@ -527,15 +639,19 @@
 class Gateway:
     """A gateway process, started with the command of the deploy file."""
 
-    def __init__(self, name, store, fleet, folder, record):
+    def __init__(self, name, store, fleet, folder, record, has_proxies=False):
         self.name, self.record, self.folder = name, record, folder
+        addresses = [store.server.address, fleet.server.address]
+        self.proxies = [Proxy(address) for address in addresses] if has_proxies else []
+        if has_proxies:
+            addresses = [proxy.address for proxy in self.proxies]
         self.front, ready, admin = free_ports(3)
         self.ready = ready
         self.settings = os.path.join(folder, f"{name}.toml")
         with open(self.settings, "w") as file:
             file.write(
                 f'instance = "{name}"\nzone = "a"\nlisten = "127.0.0.1:{self.front}"\nready = "127.0.0.1:{ready}"\n'
-                f'admin = "127.0.0.1:{admin}"\nlog = "{store.server.address}"\nhosts = ["{fleet.server.address}"]\n'
+                f'admin = "127.0.0.1:{admin}"\nlog = "{addresses[0]}"\nhosts = ["{addresses[1]}"]\n'
                 f'advice = []\nshards = 24\nprocessor = 0.25\nlease_max = "{HOLD_MAX_MS}ms"\nstop = "900ms"\n'
                 f'holder_lease = "3000ms"\nmaintenance = "2s"\n')
         self.process = None
@@ -552,6 +668,11 @@
         self.record(f"{self.name} gets {signal.Signals(number).name}")
         self.process.send_signal(number)
 
+    def partition(self, is_cut):
+        self.record(f"{self.name} is {'cut off' if is_cut else 'reached again'}")
+        for proxy in self.proxies:
+            proxy.open.clear() if is_cut else proxy.open.set()
+
     def is_ready(self):
         return request(self.ready, "GET", "/ready", timeout=2)[0] == 200
 
@@ -580,7 +701,7 @@
 class Site:
     """A small deployment: the store, the machines and some gateways."""
 
-    def __init__(self, record_path, gateways, services, spare=0, attempts=2):
+    def __init__(self, record_path, gateways, services, spare=0, attempts=2, has_proxies=False):
         self.record = Record(record_path)
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -593,13 +714,16 @@
         for index in range(spare):
             self.fleet.add_machine(f"m-spare-{index}", "spare", has_worker=False)
         self.configure({service: service for service in services})
-        self.gateways = [Gateway(f"front-{i}", self.store, self.fleet, self.folder, self.record) for i in range(gateways)]
+        self.gateways = [
+            Gateway(f"front-{i}", self.store, self.fleet, self.folder, self.record, has_proxies) for i in range(gateways)]
         self.record(f"disruption: {'on' if self.trouble else 'off'}")
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.finish(2, "the script was stopped"))
 
-    def configure(self, backends):
-        """Writes a configuration; `backends` names the service of each route."""
+    def configure(self, backends, suffix=""):
+        """Writes a configuration; `backends` names the service at each path. Another suffix makes new routes."""
         routes = [{
-            "Name": f"r-{route}", "Hostname": "jobs.example", "PathPrefix": f"/{route}/", "RouteType": "non_idempotent",
+            "Name": f"r-{route}{suffix}", "Hostname": "jobs.example", "PathPrefix": f"/{route}/", "RouteType": "non_idempotent",
             "TimeoutMs": 3_000, "TargetLatencyMs": 600, "Priority": 0, "Backend": service, "Attempts": self.attempts,
             "Stretch": 1.6,
         } for route, service in backends.items()]
@@ -608,7 +732,7 @@
         self.version += 2
         self.store.write("keyed.op", "config",
                          {"Version": self.version, "Routes": routes, "Services": services, "Limits": {}})
-        self.record(f"configuration {self.version}: {backends}")
+        self.record(f"configuration {self.version}: {[(r['Name'], r['PathPrefix'], r['Backend']) for r in routes]}")
 
     def wait_ready(self, limit_s=20):
         until = time.monotonic() + limit_s
