--- a/review/standin.py
+++ b/review/standin.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import resource
 import select
 import signal
 import socket
@@ -21,6 +22,7 @@
 
 TOP = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 HEARTBEAT_S = 1.5
+MAX_WORKER_CONNECTIONS = 64
 STOP_S = 0.2
 HOLD_MAX_MS = 10_000
 UPKEEP_S = 2.0
@@ -43,6 +45,9 @@
     def __call__(self, text):
         with self.lock:
             self.file.write(f"{now():8.3f} {text}\n")
+
+    def flush(self):
+        with self.lock:
             self.file.flush()
 
 
@@ -54,10 +59,13 @@
         pass
 
     def handle(self):
+        self.server.connections.add(self.connection)
         try:
             super().handle()
-        except OSError:
+        except (OSError, ValueError):
             pass
+        finally:
+            self.server.connections.discard(self.connection)
 
     def serve(self):
         length = int(self.headers.get("Content-Length") or 0)
@@ -90,15 +98,30 @@
     allow_reuse_address = True
     request_queue_size = 128
 
-    def __init__(self, reply, port=0):
+    def __init__(self, reply, port=0, max_connections=None):
         super().__init__(("127.0.0.1", port), Handler)
+        self.max_connections = max_connections
+        self.connections = set()
         self.reply = reply
         self.address = f"127.0.0.1:{self.server_address[1]}"
         threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
 
+    def verify_request(self, *_):
+        return self.max_connections is None or len(self.connections) < self.max_connections
+
     def handle_error(self, *_):
         pass
 
+    def stop(self):
+        """Closes the listener and all connections, as a process that ends does."""
+        self.shutdown()
+        self.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
 
 class Proxy:
     """Stands between one gateway and a service, and can partition them.
@@ -297,7 +320,7 @@
     def __init__(self, fleet, machine, name=None, kind="a"):
         self.fleet, self.machine, self.kind = fleet, machine, kind
         self.id = name or f"i-{random.getrandbits(40):010x}"
-        self.reaches_store = True
+        self.reaches_store, self.state = True, "ready"
         self.born = int(time.time() * 1_000)
         self.started = time.monotonic()
         self.is_up = True
@@ -313,7 +336,7 @@
         self.server = None
 
     def listen(self, port=0):
-        self.server = Server(self.reply, port)
+        self.server = Server(self.reply, port, MAX_WORKER_CONNECTIONS)
 
     def clock_ms(self):
         return int((time.monotonic() - self.started) * 1_000) + 1_000
@@ -418,8 +441,7 @@
             self.is_up = False
             self.runs = {}
             self.changed.notify_all()
-        self.server.shutdown()
-        self.server.server_close()
+        self.server.stop()
 
 
 class Fleet:
@@ -464,8 +486,9 @@
         machine = worker.machine
         self.store.write("keyed.servers", worker.id, {
             "Backend": machine["pool"], "Address": worker.server.address, "Zone": "a", "Version": "v1", "Slots": 8,
-            "State": "ready", "ColdLeftMs": 0, "Sequence": worker.sequence, "Machine": machine["name"],
+            "State": worker.state, "ColdLeftMs": 0, "Sequence": worker.sequence, "Machine": machine["name"],
             "born": worker.born, "Capacity": self.capacity(), "Labels": self.labels(machine, worker.kind),
+            "RemainingMs": 2_000 if worker.state == "draining" else 0,
         })
 
     def tick(self):
@@ -527,6 +550,24 @@
         timer.daemon = True
         timer.start()
 
+    def replace(self, machine):
+        """Ends the worker of a machine after it has drained, and starts another one there."""
+        with self.lock:
+            old = machine["worker"]
+            if old is None or old.state != "draining":
+                return
+            fresh = self.add_worker(machine)
+        self.store.write("keyed.servers", old.id, b"")
+        self.record(f"worker {old.id} on {machine['name']} is replaced by {fresh.id}")
+        old.crash()
+
+    def drain(self, machine):
+        """Reports the worker of a machine as draining."""
+        with self.lock:
+            if machine["worker"]:
+                machine["worker"].state = "draining"
+                self.beat(machine["worker"])
+
     def note_start(self, worker, task, run):
         self.starts.append((now(), task, run, worker.id))
         self.kinds_of_starts.append((now(), task, worker.id, worker.kind))
@@ -639,8 +680,8 @@
 class Gateway:
     """A gateway process, started with the command of the deploy file."""
 
-    def __init__(self, name, store, fleet, folder, record, has_proxies=False):
-        self.name, self.record, self.folder = name, record, folder
+    def __init__(self, name, store, fleet, folder, record, has_proxies=False, max_files=None):
+        self.name, self.record, self.folder, self.max_files = name, record, folder, max_files
         addresses = [store.server.address, fleet.server.address]
         self.proxies = [Proxy(address) for address in addresses] if has_proxies else []
         if has_proxies:
@@ -661,9 +702,16 @@
         environment = {"PATH": os.environ.get("PATH", ""), "PERSIMMONGATE_NODE_FILE": self.settings}
         self.process = subprocess.Popen(
             ["target/release/persimmongate-gateway"], cwd=TOP, env=environment,
-            stdout=open(os.path.join(self.folder, f"{self.name}.log"), "a"), stderr=subprocess.STDOUT)
+            stdout=open(os.path.join(self.folder, f"{self.name}.log"), "a"), stderr=subprocess.STDOUT,
+            preexec_fn=self.limit_files if self.max_files else None)
         self.record(f"{self.name} started, process {self.process.pid}")
 
+    def limit_files(self):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_files, self.max_files))
+
+    def open_files(self):
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
     def send_signal(self, number):
         self.record(f"{self.name} gets {signal.Signals(number).name}")
         self.process.send_signal(number)
@@ -701,7 +749,7 @@
 class Site:
     """A small deployment: the store, the machines and some gateways."""
 
-    def __init__(self, record_path, gateways, services, spare=0, attempts=2, has_proxies=False):
+    def __init__(self, record_path, gateways, services, spare=0, attempts=2, has_proxies=False, max_files=None):
         self.record = Record(record_path)
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -715,8 +763,9 @@
             self.fleet.add_machine(f"m-spare-{index}", "spare", has_worker=False)
         self.configure({service: service for service in services})
         self.gateways = [
-            Gateway(f"front-{i}", self.store, self.fleet, self.folder, self.record, has_proxies) for i in range(gateways)]
+            Gateway(f"front-{i}", self.store, self.fleet, self.folder, self.record, has_proxies, max_files) for i in range(gateways)]
         self.record(f"disruption: {'on' if self.trouble else 'off'}")
+        sys.excepthook = lambda kind, error, trace: self.finish(2, f"{kind.__name__}: {error}")
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self.finish(2, "the script was stopped"))
 
@@ -741,22 +790,22 @@
                 self.finish(2, "the gateways did not become ready")
             time.sleep(0.1)
 
-    def call(self, method, path, body=None, attempts=6):
+    def call(self, method, path, body=None, attempts=6, timeout=3.0):
         """Calls a gateway, and repeats the call at others until there is a final answer."""
         for attempt in range(attempts):
             gateway = random.choice(self.gateways)
-            status, answer = request(gateway.front, method, path, body)
+            status, answer = request(gateway.front, method, path, body, timeout)
             self.record(f"{method} {path} at {gateway.name} -> {status or 'no answer'} {answer}")
             if status not in (0, 429, 502, 503, 504):
                 break
             time.sleep(0.3)
         return status, answer
 
-    def submit(self, route, spec, steps):
+    def submit(self, route, spec, steps, attempts=6, timeout=3.0):
         job = f"{random.getrandbits(64):016x}"
         text = json.dumps(spec, separators=(",", ":"))
         self.record(f"job {job} to /{route}/: Spec {text} Steps {json.dumps(steps)}")
-        status, _ = self.call("POST", f"/{route}/{job}", {"Spec": text, "Steps": steps})
+        status, _ = self.call("POST", f"/{route}/{job}", {"Spec": text, "Steps": steps}, attempts, timeout)
         return job, 200 <= status < 300
 
     def state(self, route, job):
@@ -775,6 +824,7 @@
 
     def finish(self, code, text):
         self.record(f"result {code}: {text}")
+        self.record.flush()
         print(f"result {code}: {text}")
         for gateway in self.gateways:
             if gateway.process.poll() is None:
