Count and log what a pass of placement makes of the waiting jobs

Neither logs nor metrics told these apart: the leader does not know the jobs, their payloads or recovery are missing, no worker has room, or the pass does not look at them. Idle lines exist for long-running tasks only.

measure placement gives the time of a pass at three sizes.

--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -5,6 +5,7 @@
 mod log;
 mod moves;
 mod once;
+mod placement;
 mod replay;
 mod retries;
 mod routing;
@@ -42,6 +43,7 @@
     Log,
     Moves,
     Once,
+    Placement,
     Replay,
     Retries,
     Routing,
@@ -67,6 +69,7 @@
         Self::Log,
         Self::Moves,
         Self::Once,
+        Self::Placement,
         Self::Replay,
         Self::Retries,
         Self::Routing,
@@ -82,6 +85,7 @@
             Self::Flood => "flood",
             Self::Log => "log",
             Self::Once => "once",
+            Self::Placement => "placement",
             Self::Retries => "retries",
             Self::Replay => "replay",
             Self::Routing => "routing",
@@ -105,6 +109,7 @@
             Self::Flood => flood::run(options.seed),
             Self::Log => log::run(),
             Self::Once => once::run(options.seed),
+            Self::Placement => placement::run(),
             Self::Retries => retries::run(options.seed),
             Self::Replay => replay::run(),
             Self::Routing => routing::run(options.seed),
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -6,6 +6,7 @@
 
 use super::belief::{Belief, Change};
 use super::idle::Idle;
+use super::pool::Tally;
 use super::recovery::Wait;
 use super::worker::Resources;
 use crate::ids;
@@ -378,6 +379,8 @@
     LogWorker(Change, Belief),
     /// Write a log line about long-running tasks that stay idle.
     LogIdle(Box<Idle>),
+    /// Write a log line about the waiting jobs of a service.
+    LogWaiting(ids::Service, Box<Tally>),
     /// Write a log line, as the wait for runs of older terms has ended or begun again.
     LogRecovery(Wait),
 }
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -209,5 +209,6 @@
         self.drop_old_crashes(now);
         self.advance_drains(now, actions);
         self.log_idle(now, actions);
+        self.log_waiting(now, actions);
     }
 }
--- a/crates/core/src/sched/idle.rs
+++ b/crates/core/src/sched/idle.rs
@@ -9,7 +9,8 @@
 use crate::ids;
 
 /// Time for which long-running tasks of a job stay idle before a log line says so, and between two
-/// such lines of a job: longer than a worker takes to answer and to be given the task.
+/// such lines of a job or about the waiting jobs of a service: longer than a worker takes to answer and to be
+/// given the task.
 const IDLE_LOG_INTERVAL: Duration = Duration::from_secs(3);
 
 /// `Idle` is why the tasks of a long-running step may not start.
@@ -71,6 +72,20 @@
         }
     }
 
+    /// Writes a log line for each service whose jobs the latest pass left waiting, at intervals.
+    pub(super) fn log_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for (service, tally) in &self.tallies {
+            let logged_at = self.tallies_logged_at.get(service);
+            let is_due =
+                logged_at.is_none_or(|at| now.saturating_duration_since(*at) >= IDLE_LOG_INTERVAL);
+            if is_due && tally.unplaced + tally.unexamined > 0 {
+                self.tallies_logged_at.insert(service.clone(), now);
+                let tally = Box::new(tally.clone());
+                actions.push(Action::LogWaiting(service.clone(), tally));
+            }
+        }
+    }
+
     fn explain_idle(&self, now: Instant, graph: &Graph, stage: usize, duration: Duration) -> Idle {
         let current = &graph.stages[stage];
         let step = graph.step_of(stage);
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -24,6 +24,7 @@
 mod pick;
 mod place;
 mod poll;
+mod pool;
 mod rank;
 mod recovery;
 mod run;
@@ -36,6 +37,7 @@
     Status, Stop, Ticket,
 };
 pub use idle::Idle;
+pub use pool::Tally;
 pub use recovery::{Rule, Wait};
 pub use scheduler::{Options, Scheduler};
 pub use worker::Resources;
--- a/crates/core/src/sched/pick.rs
+++ b/crates/core/src/sched/pick.rs
@@ -28,14 +28,6 @@
     pub(super) reserved_for: Option<Task>,
 }
 
-/// `Pool` is the workers of a service that may get tasks.
-#[derive(Debug, Default)]
-pub(super) struct Pool {
-    pub(super) members: Vec<Candidate>,
-    /// Consecutive jobs of which no task could be placed.
-    pub(super) unplaced: usize,
-}
-
 /// `Fit` is how well a worker suits a task; the smallest value is the best.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 #[expect(
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -3,7 +3,8 @@
 use super::event::{Action, Call, Command};
 use super::exit::to_u32;
 use super::graph::Placement;
-use super::pick::{Candidate, Pick, Pool};
+use super::pick::{Candidate, Pick};
+use super::pool::Pool;
 use super::rank::Rank;
 use super::run::Run;
 use super::scheduler::Scheduler;
@@ -62,10 +63,14 @@
                 reserved_for: reservation.map(|(task, _)| task.clone()),
             };
             let pool = pools.entry(worker.report.service.clone()).or_default();
-            pool.members.push(entry);
+            pool.add(entry);
         }
         ranked_jobs.retain(|(_, job)| self.place_job(now, job, &mut pools, actions));
         self.ranked_jobs = ranked_jobs;
+        let tallies = pools.into_iter();
+        self.tallies = tallies
+            .map(|(service, pool)| (service, pool.tally))
+            .collect();
     }
 
     /// Takes the jobs with idle tasks, in the order of rank. The ranking is rebuilt at intervals that
@@ -103,12 +108,12 @@
         let Some(graph) = self.jobs.get(job).filter(|graph| !graph.is_over()) else {
             return false;
         };
-        let Some(pool) = pools.get_mut(&self.service_of(graph)) else {
-            return true;
-        };
+        let pool = pools.entry(self.service_of(graph)).or_default();
+        pool.tally.waiting += 1;
         // Suspects of a crash wait for particular workers, whether others have room or not.
         let has_suspects = graph.progress.has_crashes();
         if pool.unplaced >= MAX_UNPLACED_JOBS && !has_suspects {
+            pool.skip(job);
             return true;
         }
         let job_spec = graph.job.clone();
@@ -137,6 +142,8 @@
             has_started |= !picks.is_empty();
             self.start_tasks(now, job, stage, step, picks, actions);
         }
+        pool.tally.started += usize::from(has_started);
+        pool.tally.unplaced += usize::from(!has_started);
         pool.unplaced = match (has_started, has_suspects) {
             (true, _) => 0,
             (false, true) => pool.unplaced,
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -7,6 +7,7 @@
 use super::graph::Graph;
 use super::load::Arrivals;
 use super::payload::Payloads;
+use super::pool::Tally;
 use super::rank::Rank;
 use super::recovery::{CONFIRMATION_VALIDITY, Recovery, START_VALIDITY};
 use super::worker::Worker;
@@ -81,6 +82,10 @@
     pub(super) is_placement_scheduled: bool,
     /// Number of passes over all workers and waiting jobs that placed tasks.
     pub(super) placement_passes: usize,
+    /// What the latest pass made of the waiting jobs, by service.
+    pub(super) tallies: Map<ids::Service, Tally>,
+    /// Time of the latest log line about them, by service.
+    pub(super) tallies_logged_at: Map<ids::Service, Instant>,
     /// Time of day at the latest event, in milliseconds since the Unix epoch.
     pub(super) unix_ms: u64,
     /// Time of the latest heartbeat record.
@@ -131,6 +136,8 @@
             placed_at: None,
             is_placement_scheduled: false,
             placement_passes: 0,
+            tallies: Map::default(),
+            tallies_logged_at: Map::default(),
             unix_ms: 0,
             heartbeat_at: now,
             appended_at: now,
@@ -177,12 +184,14 @@
 
     /// Returns counts for operators: workers, those that are listed and those that may get tasks,
     /// runs, open jobs, idle long-running tasks, workers that have not yet answered under this
-    /// term, and passes of placement over all workers and waiting jobs in this term.
+    /// term, passes of placement over all workers and waiting jobs in this term, and jobs that the
+    /// latest pass left waiting and those of them that it did not look at.
     #[must_use]
-    pub fn counts(&self, now: Instant) -> [(&'static str, usize); 8] {
+    pub fn counts(&self, now: Instant) -> [(&'static str, usize); 10] {
         let census = Census::of(now, self.workers.values());
         let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
         let open = self.jobs.values().filter(|graph| !graph.is_over());
+        let unexamined = self.tallies.values().map(|tally| tally.unexamined).sum();
         [
             ("workers", census.known),
             ("listed", census.listed),
@@ -192,6 +201,8 @@
             ("idle_long_running", self.idle_long_running_count()),
             ("unsettled", self.unconfirmed_count()),
             ("placement_passes", self.placement_passes),
+            ("waiting_jobs", self.ranked_jobs.len()),
+            ("unexamined_jobs", unexamined),
         ]
     }
 }
--- a/crates/core/tests/sched/line.rs
+++ b/crates/core/tests/sched/line.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use persimmongate_core::job::Step;
 use persimmongate_core::sched::{Action, Answer, Belief, Change, Event, Idle, Rule, Wait};
 
 use crate::seconds;
-use crate::world::{World, long_running, step};
+use crate::world::{SERVICE, World, long_running, step};
 
 /// Returns the changes of a worker that were logged since the latest call, in order.
 fn take_changes(world: &mut World, name: &str) -> Vec<(Change, Belief)> {
@@ -243,3 +244,29 @@
     assert_eq!(draining.census.eligible, 1);
     assert!(!draining.waits_for_recovery);
 }
+
+// Without the line, nothing tells a job that a pass did not look at from one for which no worker has room.
+#[test]
+fn verify_line_tells_what_a_pass_made_of_waiting_jobs() {
+    let mut world = World::new(2, 1);
+    world.run(Duration::from_millis(500));
+    for number in 0..30 {
+        let step = Step {
+            required_label: Some("missing".into()),
+            ..step(1, 300, &[])
+        };
+        world.submit(&format!("job-{number}"), vec![step]);
+    }
+    world.run(seconds(7));
+    let tallies = world.lines.iter().filter_map(|line| match line {
+        Action::LogWaiting(service, tally) => Some((service, tally)),
+        _ => None,
+    });
+    let tallies: Vec<_> = tallies.collect();
+    assert!((2..=3).contains(&tallies.len()), "{tallies:?}");
+    let (service, tally) = tallies.last().unwrap();
+    assert_eq!(**service, *SERVICE);
+    assert_eq!((tally.waiting, tally.started), (30, 0));
+    assert_eq!((tally.eligible, tally.free_millicores), (2, 16_000));
+    assert_eq!(world.count("waiting_jobs"), 30);
+}
--- a/crates/core/tests/sched/world/mod.rs
+++ b/crates/core/tests/sched/world/mod.rs
@@ -431,7 +431,10 @@
                 }
                 Action::DropPayloads(jobs) => self.dropped_payloads.extend(jobs),
                 Action::LogStarts { .. } => {}
-                Action::LogWorker(..) | Action::LogIdle(_) | Action::LogRecovery(_) => {
+                Action::LogWorker(..)
+                | Action::LogIdle(_)
+                | Action::LogWaiting(..)
+                | Action::LogRecovery(_) => {
                     self.lines.push(action);
                 }
             }
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -306,6 +306,9 @@
                 line::log_worker(logger, shard, term, change, &belief);
             }
             Action::LogIdle(idle) => line::log_idle(logger, shard, term, &idle),
+            Action::LogWaiting(service, tally) => {
+                line::log_waiting(logger, term, &service, &tally);
+            }
             Action::LogRecovery(wait) => line::log_recovery(logger, shard, term, wait),
         }
     }
--- a/crates/jobs/src/shard/line.rs
+++ b/crates/jobs/src/shard/line.rs
@@ -1,7 +1,7 @@
 use std::fmt::Write;
 
 use persimmongate_core::ids;
-use persimmongate_core::sched::{Answer, Belief, Change, Idle, Stop, Wait};
+use persimmongate_core::sched::{Answer, Belief, Change, Idle, Stop, Tally, Wait};
 use slog::{Logger, info, warn};
 
 use super::lag::Delay;
@@ -89,6 +89,15 @@
         "waits_for_recovery" => idle.waits_for_recovery, "has_payload" => idle.has_payload, "may_start" => idle.may_start);
 }
 
+/// Writes a log line about the jobs of a service that wait for workers.
+pub(super) fn log_waiting(logger: &Logger, term: ids::Term, service: &ids::Service, tally: &Tally) {
+    let first_unexamined = tally.first_unexamined.as_ref().map(ToString::to_string);
+    info!(logger, "jobs wait for workers"; "service" => %service, "term" => term,
+        "waiting" => tally.waiting, "started" => tally.started, "unplaced" => tally.unplaced,
+        "unexamined" => tally.unexamined, "first_unexamined" => first_unexamined,
+        "eligible" => tally.eligible, "free_millicores" => tally.free_millicores);
+}
+
 /// Writes a log line about a leader that is behind its events.
 pub(super) fn log_lag(
     logger: &Logger,
