Place jobs behind others that can't start

Cause: a pass of placement ended for a service after 24 consecutive jobs without a started task. Whatever could not start counted: jobs without a worker that has their label or room, jobs whose limit of tasks on a worker is reached, and also jobs that run and whose next step waits for the present one. Long-running jobs rank first and never become late, so 24 of them held that place in every pass.

Change: what can be told without a look at each worker costs no look: steps that wait for earlier ones, sizes and labels for which the pass has found no room (room only shrinks during a pass), and limits of tasks on a worker. The looks that are left are bounded as before, 24 in a row without a start, but only 16 go to the front of the ranking; 8 go on from where the pass before ended, so that each waiting job has its turn, whatever holds the front. Weighed: leaving out only jobs that no worker could ever run, which leaves limits, gangs and running jobs at the front; a larger number of looks, which moves the fault and costs workers times jobs.

--- a/crates/core/examples/measure/placement.rs
+++ b/crates/core/examples/measure/placement.rs
@@ -179,7 +179,6 @@
         self.step(Event::TermConfirmed(self.now));
         self.step(Event::PlacementDue);
         self.now += PASS_INTERVAL;
-        self.step(Event::TermConfirmed(self.now));
         let mut actions = Vec::new();
         let event = Event::Config(self.config.clone());
         let started_at = clock();
--- a/crates/core/src/sched/advice.rs
+++ b/crates/core/src/sched/advice.rs
@@ -43,7 +43,7 @@
         if self.advice_in_flight >= MAX_REQUESTS_IN_FLIGHT {
             return false;
         }
-        let service = self.service_of(graph);
+        let service = self.service_of(graph).clone();
         let step = graph.step_of(stage).clone();
         let required = Resources::reserved_by(&step);
         let mut workers: Vec<(bool, u64, ids::Worker)> = self
--- a/crates/core/src/sched/crash.rs
+++ b/crates/core/src/sched/crash.rs
@@ -138,7 +138,7 @@
                 let (service, need) = (self.service_of(graph), Resources::reserved_by(step));
                 let suits = |worker: &Worker| {
                     let label = step.required_label.as_ref();
-                    worker.report.service == service
+                    worker.report.service == *service
                         && worker.report.capacity.covers(need)
                         && label.is_none_or(|label| worker.has_label(label))
                 };
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -197,6 +197,11 @@
         }
     }
 
+    /// Checks if a task waits for a worker, or for earlier steps.
+    pub(super) fn has_idle_tasks(&self) -> bool {
+        self.stages.iter().any(|stage| stage.idle_count > 0)
+    }
+
     /// Returns the id of a task of the job.
     pub(super) fn task(&self, occurrence: u32, step: u32, index: u32) -> Task {
         Task {
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -161,7 +161,7 @@
         graph.predates_term = offset.saturating_add(1) < self.term;
         graph.ended_at = graph.is_over().then_some(now);
         if !graph.is_over() {
-            let service = self.service_of(&graph);
+            let service = self.service_of(&graph).clone();
             self.arrivals.record(now, service, job.occurrence_work());
         }
         if let Some(payload) = self.payloads.claim(&job.id) {
--- a/crates/core/src/sched/idle.rs
+++ b/crates/core/src/sched/idle.rs
@@ -78,7 +78,7 @@
             let logged_at = self.tallies_logged_at.get(service);
             let is_due =
                 logged_at.is_none_or(|at| now.saturating_duration_since(*at) >= IDLE_LOG_INTERVAL);
-            if is_due && tally.unplaced + tally.unexamined > 0 {
+            if is_due && tally.without_room + tally.unplaced + tally.unexamined > 0 {
                 self.tallies_logged_at.insert(service.clone(), now);
                 let tally = Box::new(tally.clone());
                 actions.push(Action::LogWaiting(service.clone(), tally));
@@ -89,7 +89,7 @@
     fn explain_idle(&self, now: Instant, graph: &Graph, stage: usize, duration: Duration) -> Idle {
         let current = &graph.stages[stage];
         let step = graph.step_of(stage);
-        let service = self.service_of(graph);
+        let service = self.service_of(graph).clone();
         let need = Resources::reserved_by(step);
         let workers = || {
             let workers = self.workers.values();
--- a/crates/core/src/sched/load.rs
+++ b/crates/core/src/sched/load.rs
@@ -64,7 +64,7 @@
             }
         }
         for graph in self.jobs.values().filter(|graph| !graph.is_over()) {
-            let load = load_of(&mut loads, &self.service_of(graph));
+            let load = load_of(&mut loads, self.service_of(graph));
             add(&mut load.backlog, graph.backlog(now));
             load.min_hosts = load.min_hosts.max(min_hosts(graph));
         }
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -2,10 +2,9 @@
 
 use super::event::{Action, Call, Command};
 use super::exit::to_u32;
-use super::graph::Placement;
+use super::graph::{Graph, Placement, State};
 use super::pick::{Candidate, Pick};
-use super::pool::Pool;
-use super::rank::Rank;
+use super::pool::{Outcome, Pool, Position};
 use super::run::Run;
 use super::scheduler::Scheduler;
 use super::worker::Resources;
@@ -13,8 +12,6 @@
 use crate::job::Step;
 use crate::map::Map;
 
-/// Consecutive jobs without a placed task after which the later jobs of their service are skipped.
-const MAX_UNPLACED_JOBS: usize = 24;
 /// Shortest time between two passes, per worker and job that a pass looks at: 20 ms for 300 workers and 100
 /// jobs, which is short compared with the run time of a task. It bounds the share of the processor that
 /// placement takes.
@@ -48,7 +45,10 @@
         let mut ranked_jobs = self.take_ranked_jobs(now);
         let unstable = self.unstable_workers();
         self.reserve_workers(now, &unstable);
-        let mut pools: Map<ids::Service, Pool> = Map::default();
+        let cursors = std::mem::take(&mut self.placement_cursors).into_iter();
+        let mut pools: Map<ids::Service, Pool> = cursors
+            .map(|(service, cursor)| (service, Pool::new(cursor)))
+            .collect();
         for worker in self.workers.values().filter(|w| w.accepts_tasks(now)) {
             let reservation = self.reservations.get(&worker.report.worker);
             let entry = Candidate {
@@ -65,17 +65,21 @@
             let pool = pools.entry(worker.report.service.clone()).or_default();
             pool.add(entry);
         }
-        ranked_jobs.retain(|(_, job)| self.place_job(now, job, &mut pools, actions));
+        ranked_jobs.retain(|position| self.place_job(now, position, &mut pools, actions));
         self.ranked_jobs = ranked_jobs;
-        let tallies = pools.into_iter();
-        self.tallies = tallies
-            .map(|(service, pool)| (service, pool.tally))
-            .collect();
+        self.tallies.clear();
+        for (service, pool) in pools {
+            let (cursor, tally) = pool.finish();
+            if let Some(cursor) = cursor {
+                self.placement_cursors.insert(service.clone(), cursor);
+            }
+            self.tallies.insert(service, tally);
+        }
     }
 
     /// Takes the jobs with idle tasks, in the order of rank. The ranking is rebuilt at intervals that
     /// grow with its length, as it changes little.
-    fn take_ranked_jobs(&mut self, now: Instant) -> Vec<(Rank, ids::Job)> {
+    fn take_ranked_jobs(&mut self, now: Instant) -> Vec<Position> {
         let previous = std::mem::take(&mut self.ranked_jobs);
         let interval = RANKING_INTERVAL_PER_JOB * to_u32(previous.len());
         if now.saturating_duration_since(self.ranked_at) < interval {
@@ -83,11 +87,10 @@
         }
         self.ranked_at = now;
         let has_recovered = self.has_recovered();
-        let mut ranked_jobs: Vec<(Rank, ids::Job)> = Vec::with_capacity(previous.len());
+        let mut ranked_jobs: Vec<Position> = Vec::with_capacity(previous.len());
         for graph in self.jobs.values() {
-            let has_idle_tasks = graph.stages.iter().any(|stage| stage.idle_count > 0);
             let is_ready = graph.payload.is_some() && (has_recovered || !graph.predates_term);
-            if has_idle_tasks && !graph.is_over() && is_ready {
+            if graph.has_idle_tasks() && !graph.is_over() && is_ready {
                 let priority = self.config.queue(&graph.job.queue);
                 let priority = priority.map_or(0, |queue| queue.priority);
                 ranked_jobs.push((graph.rank(now, priority), graph.job.id.clone()));
@@ -101,36 +104,51 @@
     fn place_job(
         &mut self,
         now: Instant,
-        job: &ids::Job,
+        position: &Position,
         pools: &mut Map<ids::Service, Pool>,
         actions: &mut Vec<Action>,
     ) -> bool {
+        let (_, job) = position;
         let Some(graph) = self.jobs.get(job).filter(|graph| !graph.is_over()) else {
             return false;
         };
-        let pool = pools.entry(self.service_of(graph)).or_default();
+        let service = self.service_of(graph);
+        let pool = match pools.get_mut(service) {
+            Some(pool) => pool,
+            None => pools.entry(service.clone()).or_default(),
+        };
         pool.tally.waiting += 1;
+        let stage_count = graph.stages.len();
+        let mut outcome = Outcome::NotReady;
+        let mut first_stage = 0;
+        while first_stage < stage_count && outcome != Outcome::Unplaced {
+            outcome = outcome.max(self.prospect(now, graph, first_stage, service, pool));
+            first_stage += 1;
+        }
+        if outcome != Outcome::Unplaced {
+            pool.record(outcome);
+            return graph.has_idle_tasks();
+        }
         // Suspects of a crash wait for particular workers, whether others have room or not.
         let has_suspects = graph.progress.has_crashes();
-        if pool.unplaced >= MAX_UNPLACED_JOBS && !has_suspects {
+        if !has_suspects && !pool.may_look(position) {
             pool.skip(job);
             return true;
         }
-        let job_spec = graph.job.clone();
-        let stage_count = graph.stages.len();
-        let mut has_started = false;
-        for stage in 0..stage_count {
+        let (service, job_spec) = (service.clone(), graph.job.clone());
+        let mut outcome = Outcome::NoRoom;
+        for stage in first_stage - 1..stage_count {
             let Some(graph) = self.jobs.get(job) else {
                 return false;
             };
-            if graph.stages[stage].idle_count == 0 || !graph.is_ready(stage) {
+            if self.prospect(now, graph, stage, &service, pool) != Outcome::Unplaced {
                 continue;
             }
             let step = &job_spec.steps[graph.stages[stage].step as usize];
-            let need = Resources::reserved_by(step);
-            if !pool.members.iter().any(|c| c.free.covers(need)) {
+            if !pool.has_room(&self.workers, step) {
                 continue;
             }
+            outcome = outcome.max(Outcome::Unplaced);
             if !self.ensure_advice(now, job, stage, actions) {
                 continue;
             }
@@ -139,18 +157,59 @@
             } else {
                 self.pick_each(job, stage, step, &mut pool.members)
             };
-            has_started |= !picks.is_empty();
+            if !picks.is_empty() {
+                outcome = Outcome::Started;
+            }
             self.start_tasks(now, job, stage, step, picks, actions);
         }
-        pool.tally.started += usize::from(has_started);
-        pool.tally.unplaced += usize::from(!has_started);
-        pool.unplaced = match (has_started, has_suspects) {
-            (true, _) => 0,
-            (false, true) => pool.unplaced,
-            (false, false) => pool.unplaced + 1,
+        pool.record(outcome);
+        if outcome != Outcome::Started && !has_suspects {
+            pool.record_miss(position);
+        }
+        self.jobs.get(job).is_some_and(Graph::has_idle_tasks)
+    }
+
+    /// Returns what can be told of a stage without a look at each worker: [`Outcome::Unplaced`] if workers may
+    /// have room.
+    fn prospect(
+        &self,
+        now: Instant,
+        graph: &Graph,
+        stage: usize,
+        service: &ids::Service,
+        pool: &Pool,
+    ) -> Outcome {
+        if graph.stages[stage].idle_count == 0 || !graph.is_ready(stage) {
+            Outcome::NotReady
+        } else if pool.is_known_full(graph.step_of(stage))
+            || self.is_at_limit(now, graph, stage, service, pool)
+        {
+            Outcome::NoRoom
+        } else {
+            Outcome::Unplaced
+        }
+    }
+
+    /// Checks if each worker of a pool runs as many tasks of a stage as its step allows.
+    fn is_at_limit(
+        &self,
+        now: Instant,
+        graph: &Graph,
+        stage: usize,
+        service: &ids::Service,
+        pool: &Pool,
+    ) -> bool {
+        let Some(max) = graph.step_of(stage).max_per_worker else {
+            return false;
+        };
+        let is_on_member = |state: &&State| match &state.placement {
+            Placement::On(id) => self.workers.get(id).is_some_and(|worker| {
+                worker.accepts_tasks(now) && worker.report.service == *service
+            }),
+            Placement::Idle | Placement::Done => false,
         };
-        let graph = self.jobs.get(job);
-        graph.is_some_and(|graph| graph.stages.iter().any(|stage| stage.idle_count > 0))
+        let placed = graph.stages[stage].tasks.iter().filter(is_on_member);
+        placed.count() >= pool.members.len().saturating_mul(max as usize)
     }
 
     fn start_tasks(
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -7,8 +7,7 @@
 use super::graph::Graph;
 use super::load::Arrivals;
 use super::payload::Payloads;
-use super::pool::Tally;
-use super::rank::Rank;
+use super::pool::{Position, Tally};
 use super::recovery::{CONFIRMATION_VALIDITY, Recovery, START_VALIDITY};
 use super::worker::Worker;
 use crate::ids;
@@ -71,7 +70,7 @@
     /// Requests to the policy service in flight.
     pub(super) advice_in_flight: usize,
     /// Jobs with idle tasks, in the order of rank.
-    pub(super) ranked_jobs: Vec<(Rank, ids::Job)>,
+    pub(super) ranked_jobs: Vec<Position>,
     /// Time at which `ranked_jobs` was last built.
     pub(super) ranked_at: Instant,
     /// Whether something changed that may allow a task to start.
@@ -82,6 +81,8 @@
     pub(super) is_placement_scheduled: bool,
     /// Number of passes over all workers and waiting jobs that placed tasks.
     pub(super) placement_passes: usize,
+    /// Position at which the next pass goes on with the jobs that the latest one did not look at, by service.
+    pub(super) placement_cursors: Map<ids::Service, Position>,
     /// What the latest pass made of the waiting jobs, by service.
     pub(super) tallies: Map<ids::Service, Tally>,
     /// Time of the latest log line about them, by service.
@@ -136,6 +137,7 @@
             placed_at: None,
             is_placement_scheduled: false,
             placement_passes: 0,
+            placement_cursors: Map::default(),
             tallies: Map::default(),
             tallies_logged_at: Map::default(),
             unix_ms: 0,
@@ -177,9 +179,9 @@
     }
 
     /// Returns the service whose workers currently run the tasks of a job.
-    pub(super) fn service_of(&self, graph: &Graph) -> ids::Service {
+    pub(super) fn service_of<'a>(&'a self, graph: &'a Graph) -> &'a ids::Service {
         let queue = self.config.queue(&graph.job.queue);
-        queue.map_or_else(|| graph.job.service.clone(), |queue| queue.service.clone())
+        queue.map_or(&graph.job.service, |queue| &queue.service)
     }
 
     /// Returns counts for operators: workers, those that are listed and those that may get tasks,
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -57,6 +57,15 @@
             && self.gpus >= other.gpus
     }
 
+    /// Returns the larger amount of each resource.
+    pub(super) fn largest(self, other: Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.max(other.cpu_millicores),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
     pub(super) fn plus(self, other: Self) -> Self {
         Self {
             cpu_millicores: self.cpu_millicores.saturating_add(other.cpu_millicores),
--- a/crates/core/tests/sched/line.rs
+++ b/crates/core/tests/sched/line.rs
@@ -266,7 +266,8 @@
     assert!((2..=3).contains(&tallies.len()), "{tallies:?}");
     let (service, tally) = tallies.last().unwrap();
     assert_eq!(**service, *SERVICE);
-    assert_eq!((tally.waiting, tally.started), (30, 0));
+    assert_eq!((tally.waiting, tally.without_room), (30, 30));
+    assert_eq!((tally.started, tally.unplaced, tally.unexamined), (0, 0, 0));
     assert_eq!((tally.eligible, tally.free_millicores), (2, 16_000));
     assert_eq!(world.count("waiting_jobs"), 30);
 }
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -12,6 +12,7 @@
 mod restart;
 mod soak;
 mod stale;
+mod starvation;
 mod stop;
 mod worker;
 mod world;
--- a/crates/jobs/src/shard/line.rs
+++ b/crates/jobs/src/shard/line.rs
@@ -93,7 +93,8 @@
 pub(super) fn log_waiting(logger: &Logger, term: ids::Term, service: &ids::Service, tally: &Tally) {
     let first_unexamined = tally.first_unexamined.as_ref().map(ToString::to_string);
     info!(logger, "jobs wait for workers"; "service" => %service, "term" => term,
-        "waiting" => tally.waiting, "started" => tally.started, "unplaced" => tally.unplaced,
+        "waiting" => tally.waiting, "started" => tally.started, "not_ready" => tally.not_ready,
+        "without_room" => tally.without_room, "unplaced" => tally.unplaced,
         "unexamined" => tally.unexamined, "first_unexamined" => first_unexamined,
         "eligible" => tally.eligible, "free_millicores" => tally.free_millicores);
 }
