Ask the next lender if one has no host that may move

A service in its turn got no hosts although another had idle ones above its share: the lender with the lowest demand was asked for each missing host, and those that it could not give, as all of its hosts run long-running tasks, counted as lent. Each pass of planning began with it again, so the others were asked only for what was missing beyond its whole surplus.

Found by reading every pass that looks only so far. Now a lender counts only with a host that may move. The test failed before (no host was lent in 4 s).

--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -151,22 +151,25 @@
         for sizing in sizings {
             let incoming = moves.iter().filter(|(_, to)| *to == sizing.service).count();
             for _ in sizing.host_count + incoming..target_hosts(sizing) {
-                let can_lend = |other: &&Sizing| {
+                let mut lend_host = |other: &Sizing| {
                     let lent_count = lent.get(&other.service).copied().unwrap_or(0);
-                    other.service != sizing.service
-                        && other.host_count > target_hosts(other) + lent_count
+                    if other.service == sizing.service
+                        || other.host_count <= target_hosts(other) + lent_count
+                    {
+                        return None;
+                    }
+                    let hosts = movable
+                        .entry(other.service.clone())
+                        .or_insert_with(|| self.movable_hosts(&other.service, includes_busy));
+                    let host = hosts.get(lent_count).cloned()?;
+                    lent.insert(other.service.clone(), lent_count + 1);
+                    Some(host)
                 };
                 // The service with the lowest demand for its processor time lends first.
-                let Some(lender) = sizings.iter().rev().find(can_lend) else {
+                let Some(host) = sizings.iter().rev().find_map(&mut lend_host) else {
                     break;
                 };
-                let lent_count = lent.entry(lender.service.clone()).or_default();
-                let hosts = movable
-                    .entry(lender.service.clone())
-                    .or_insert_with(|| self.movable_hosts(&lender.service, includes_busy));
-                let host = hosts.get(*lent_count).cloned();
-                *lent_count += 1;
-                moves.extend(host.map(|host| (host, sizing.service.clone())));
+                moves.push((host, sizing.service.clone()));
             }
         }
     }
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -1,5 +1,6 @@
 //! The planner of maintenance and moves, with a simulated host service.
 
+mod blocked;
 mod fixture;
 mod odd;
 mod turns;
