Try hosts whose move or maintenance was refused after all others

A wave with a limit of one host at a time never got beyond two hosts that the host service refused, or whose workers could not be drained in time: they became candidates again at once and came first by cost and name, so that the wave was never completed. A spare host whose move is refused was chosen in each pass in the same way, and a service in its turn got no host.

The time of a refusal or of a drain that took too long is kept for each host; such hosts come after all others, the oldest setback first, until one of their transitions ends.

--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -4,6 +4,7 @@
 //! more than its own pool has, while the others are idle. Hosts therefore move to the pool that lacks them,
 //! from the spare pool first, and idle hosts return to the spare pool when no service needs them.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use super::demand::{Demand, short_running_demand};
@@ -105,7 +106,7 @@
         let mut sizings: Vec<Sizing> = sizings.collect();
         // The service with the highest demand for its processor time comes first.
         sizings.sort_by_key(|sizing| {
-            std::cmp::Reverse((self.demand_percent(&sizing.service), sizing.service.clone()))
+            Reverse((self.demand_percent(&sizing.service), sizing.service.clone()))
         });
         let mut moves: Vec<(ids::Host, ids::Service)> = Vec::new();
         let mut spare_hosts = self.spare_hosts(&spare);
@@ -243,7 +244,8 @@
             .filter(is_free)
             .map(|host| host.name.clone())
             .collect();
-        hosts.sort();
+        // The last one moves first.
+        hosts.sort_by_key(|host| (Reverse(self.setbacks.get(host)), host.clone()));
         hosts
     }
 
@@ -267,9 +269,10 @@
             .short_running_workers
             .iter()
             .filter(|(_, used)| includes_busy || *used == 0);
-        movable
-            .filter_map(|(worker, _)| host_by_worker.get(worker).copied().cloned())
-            .collect()
+        let hosts = movable.filter_map(|(worker, _)| host_by_worker.get(worker).copied());
+        let mut hosts: Vec<ids::Host> = hosts.cloned().collect();
+        hosts.sort_by_key(|host| self.setbacks.get(host));
+        hosts
     }
 }
 
--- a/crates/core/src/upkeep/drain.rs
+++ b/crates/core/src/upkeep/drain.rs
@@ -40,10 +40,13 @@
                 && !transition.is_outcome_unknown
                 && (is_replaced || is_overdue)
             {
-                stale.push(host.clone());
+                stale.push((host.clone(), is_overdue));
             }
         }
-        for host in stale {
+        for (host, is_overdue) in stale {
+            if is_overdue {
+                self.setbacks.insert(host.clone(), now);
+            }
             self.cancel_transition(now, &host, actions);
         }
     }
--- a/crates/core/src/upkeep/maintain.rs
+++ b/crates/core/src/upkeep/maintain.rs
@@ -73,7 +73,10 @@
                 .filter(|host| host.state == State::Up && !self.balance.is_moving(&host.name))
                 .map(|host| (self.cost(host, &usage), host))
                 .collect();
-            candidates.sort_by_key(|(cost, host)| (*cost, host.name.clone()));
+            candidates.sort_by_key(|(cost, host)| {
+                let setback = self.setbacks.get(&host.name);
+                (setback.copied(), *cost, host.name.clone())
+            });
             let concurrency = rollout.concurrency(now, candidates.len() + in_progress);
             for (taken, (cost, host)) in (in_progress + down..).zip(candidates) {
                 let limit = if cost == Cost::None {
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -62,6 +62,8 @@
     pub(super) rollouts: Vec<Rollout>,
     pub(super) balance: Balance,
     pub(super) transitions: Map<ids::Host, Transition>,
+    /// Hosts whose latest transition was refused or took too long, with the time. They come after all others.
+    pub(super) setbacks: Map<ids::Host, Instant>,
     /// Number of transitions planned in this term.
     pub(super) transition_count: u64,
     /// Hosts that are down for maintenance or may be, with the time since when.
@@ -110,6 +112,7 @@
             rollouts: Vec::new(),
             balance: Balance::default(),
             transitions: Map::default(),
+            setbacks: Map::default(),
             transition_count: 0,
             down_since: Map::default(),
             drains: Map::default(),
@@ -220,6 +223,7 @@
                 .is_some_and(|at| now.saturating_duration_since(*at) < UNLISTED_TIMEOUT)
         };
         self.hosts.retain(|host, _| is_listed(host));
+        self.setbacks.retain(|host, _| is_listed(host));
     }
 
     fn handle_answer(
@@ -243,7 +247,10 @@
             }
             Answer::Fenced => transition.not_before = now + self.options.lease,
             // A host whose command is rejected is not maintained, so operators see the wave as incomplete.
-            Answer::Refused => self.cancel_transition(now, &command.host, actions),
+            Answer::Refused => {
+                self.setbacks.insert(command.host.clone(), now);
+                self.cancel_transition(now, &command.host, actions);
+            }
         }
     }
 
@@ -251,6 +258,7 @@
         let Some(transition) = self.transitions.remove(host) else {
             return;
         };
+        self.setbacks.remove(host);
         if let Some((worker, drain)) = transition.drain {
             // The worker has ended, but the host list may still name it. It keeps its drain, so that no
             // task is started there.
--- a/crates/core/tests/upkeep/fixture.rs
+++ b/crates/core/tests/upkeep/fixture.rs
@@ -26,6 +26,10 @@
     pub(crate) drains: Vec<(ids::Worker, Drain)>,
     pub(crate) undrained: Vec<ids::Worker>,
     pub(crate) commands: Vec<Command>,
+    /// Workers that are never drained.
+    pub(crate) stuck: Vec<ids::Worker>,
+    /// Hosts whose commands the host service refuses.
+    pub(crate) refused: Vec<ids::Host>,
     pub(crate) wave_reports: Vec<(ids::WaveNumber, bool)>,
     pub(crate) loads: Vec<Load>,
     /// Highest number of hosts that were under maintenance at once.
@@ -65,6 +69,8 @@
             drains: Vec::new(),
             undrained: Vec::new(),
             commands: Vec::new(),
+            stuck: Vec::new(),
+            refused: Vec::new(),
             wave_reports: Vec::new(),
             loads: Vec::new(),
             peak_down_count: 0,
@@ -114,6 +120,10 @@
 
     /// Carries a command out; the planner gets the answer in the next round.
     pub(crate) fn carry_out(&mut self, command: Command) {
+        if self.refused.contains(&command.host) {
+            self.commands.push(command);
+            return;
+        }
         let pool = match &command.operation {
             Operation::Move(service) => service.clone(),
             Operation::Maintain(_) => self.find(&command.host).service.clone(),
@@ -185,13 +195,20 @@
             }
             self.refresh();
             for (worker, _) in std::mem::take(&mut self.drains) {
-                self.step_once(Event::Drained(worker));
+                if !self.stuck.contains(&worker) {
+                    self.step_once(Event::Drained(worker));
+                }
             }
             self.wait_for_plan();
             while answered < self.commands.len() {
                 let command = self.commands[answered].clone();
                 answered += 1;
-                self.step_once(Event::Answered(command, Answer::Done));
+                let answer = if self.refused.contains(&command.host) {
+                    Answer::Refused
+                } else {
+                    Answer::Done
+                };
+                self.step_once(Event::Answered(command, answer));
             }
             self.step(Event::Tick);
         }
