Ask the policy service about further workers and jobs

A step whose permitted workers were not among the 30 that a request names never started, although they were idle: each request named the same 30, and an answer without a ticket was kept until it expired and then asked for again. In the same way, requests without an answer were repeated at once, so that six jobs took all places in flight for good, and no later job was asked about.

The answer for a step doesn't change, so workers that it leaves out are remembered, and the next request names others; when all were asked, it waits for the expiry as before. A request without an answer is repeated after a second.

--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -7,6 +7,7 @@
 use super::exit::to_u32;
 use crate::ids;
 use crate::job::{Job, MAX_TASKS, Progress, Step, Task};
+use crate::map::Set;
 
 /// Range of run numbers that each term gets, so that the runs of a term are numbered higher than
 /// those of older terms.
@@ -40,8 +41,10 @@
 pub(super) enum Advice {
     /// No request was sent.
     NotRequested,
-    /// A request is in flight.
-    Requested,
+    /// A request about these workers is in flight.
+    Requested(Vec<ids::Worker>),
+    /// A request had no answer, and the next one follows after this time.
+    Unanswered(Instant),
     /// Tickets, with the time until which they are valid.
     Granted(Vec<Ticket>, Instant),
 }
@@ -53,6 +56,8 @@
     pub(super) step: u32,
     pub(super) tasks: Vec<State>,
     pub(super) advice: Advice,
+    /// Workers that the policy service does not permit.
+    pub(super) forbidden: Set<ids::Worker>,
     /// Number of idle tasks.
     pub(super) idle_count: u32,
     /// Number of done tasks.
@@ -192,6 +197,7 @@
             step,
             tasks,
             advice: Advice::NotRequested,
+            forbidden: Set::default(),
             idle_count: count - done_count,
             done_count,
         }
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -54,7 +54,7 @@
                 step,
                 sent_at,
                 answer,
-            } => self.handle_advice(&job, (occurrence, step), sent_at, answer),
+            } => self.handle_advice(now, &job, (occurrence, step), sent_at, answer),
             Event::Appended => self.handle_appended(now, actions),
             Event::TermConfirmed(at) => {
                 let is_resuming = !self.may_act(now);
--- a/crates/core/src/sched/idle.rs
+++ b/crates/core/src/sched/idle.rs
@@ -78,7 +78,7 @@
             let logged_at = self.tallies_logged_at.get(service);
             let is_due =
                 logged_at.is_none_or(|at| now.saturating_duration_since(*at) >= IDLE_LOG_INTERVAL);
-            if is_due && tally.without_room + tally.unplaced + tally.unexamined > 0 {
+            if is_due && tally.started + tally.not_ready < tally.waiting {
                 self.tallies_logged_at.insert(service.clone(), now);
                 let tally = Box::new(tally.clone());
                 actions.push(Action::LogWaiting(service.clone(), tally));
@@ -122,7 +122,10 @@
             below_limit: below_limit.count(),
             permitted: match &current.advice {
                 Advice::Granted(tickets, until) if now < *until => Some(tickets.len()),
-                Advice::Granted(..) | Advice::Requested | Advice::NotRequested => None,
+                Advice::Granted(..)
+                | Advice::Requested(_)
+                | Advice::Unanswered(_)
+                | Advice::NotRequested => None,
             },
             hosted_unknown: self.hosted_unknown_count(),
             waits_for_recovery: graph.predates_term && !self.has_recovered(),
--- a/crates/core/src/sched/pick.rs
+++ b/crates/core/src/sched/pick.rs
@@ -238,7 +238,7 @@
             let has_no_run = !worker.runs.contains_key(&task);
             let is_permitted = match &graph.stages[stage].advice {
                 Advice::Granted(tickets, _) => tickets.iter().any(|t| t.worker == entry.worker),
-                Advice::Requested | Advice::NotRequested => true,
+                Advice::Requested(_) | Advice::Unanswered(_) | Advice::NotRequested => true,
             };
             if !(has_label && in_rack && is_below_limit && has_no_run && is_permitted) {
                 continue;
@@ -264,7 +264,7 @@
                 .iter()
                 .find(|ticket| ticket.worker == entry.worker)
                 .map(|ticket| ticket.ticket.clone()),
-            Advice::Requested | Advice::NotRequested => None,
+            Advice::Requested(_) | Advice::Unanswered(_) | Advice::NotRequested => None,
         };
         Some(Pick {
             index,
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -185,6 +185,8 @@
             || self.is_at_limit(now, graph, stage, service, pool)
         {
             Outcome::NoRoom
+        } else if self.awaits_advice(now, graph, stage) {
+            Outcome::Unadvised
         } else {
             Outcome::Unplaced
         }
--- a/crates/core/src/sched/pool.rs
+++ b/crates/core/src/sched/pool.rs
@@ -27,6 +27,8 @@
     pub not_ready: usize,
     /// Those for which no worker with the required label has room.
     pub without_room: usize,
+    /// Those whose idle tasks wait for an answer of the policy service, or were permitted on no worker.
+    pub unadvised: usize,
     /// Those that had room and of which no task could be placed for another reason.
     pub unplaced: usize,
     /// Those that the pass did not look at, as too many before them could not be placed.
@@ -46,6 +48,8 @@
     NotReady,
     /// No worker with the required label has room.
     NoRoom,
+    /// The policy service has not permitted a worker.
+    Unadvised,
     /// Workers had room, but no task could be placed for another reason.
     Unplaced,
     /// Tasks were started.
@@ -134,6 +138,7 @@
         match outcome {
             Outcome::NotReady => tally.not_ready += 1,
             Outcome::NoRoom => tally.without_room += 1,
+            Outcome::Unadvised => tally.unadvised += 1,
             Outcome::Unplaced => tally.unplaced += 1,
             Outcome::Started => {
                 tally.started += 1;
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler against simulated workers that follow the platform's specification.
 
+mod advice;
 mod availability;
 mod capacity;
 mod crash;
--- a/crates/core/tests/sched/world/mod.rs
+++ b/crates/core/tests/sched/world/mod.rs
@@ -119,6 +119,8 @@
     pub(crate) stub_count: usize,
     /// Workers that the policy service permits; `None` if the queue uses no policy service.
     pub(crate) permitted_workers: Option<Vec<ids::Worker>>,
+    /// Jobs about which the policy service does not answer in time.
+    pub(crate) unanswered_jobs: BTreeSet<ids::Job>,
     /// Log lines about workers, recovery and idle tasks.
     pub(crate) lines: Vec<Action>,
     /// Workers that the worker list does not contain when a leader takes over.
@@ -175,6 +177,7 @@
             task_starts: Vec::new(),
             stub_count: 0,
             permitted_workers: None,
+            unanswered_jobs: BTreeSet::new(),
             lines: Vec::new(),
             lapsed: BTreeSet::new(),
             vacated: BTreeSet::new(),
@@ -403,7 +406,7 @@
                     occurrence,
                     step,
                     workers,
-                    ..
+                    timeout,
                 }) => {
                     let permitted_workers = self.permitted_workers.clone().unwrap_or_default();
                     let permitted = workers
@@ -413,15 +416,18 @@
                         ticket: format!("ticket-{worker}").into(),
                         worker,
                     };
+                    let is_answered = !self.unanswered_jobs.contains(&job);
+                    let tickets = permitted.map(ticket).collect();
                     let event = Event::Advised {
                         job,
                         occurrence,
                         step,
                         sent_at: self.now,
-                        answer: Some((permitted.map(ticket).collect(), TICKET_VALIDITY)),
+                        answer: is_answered.then_some((tickets, TICKET_VALIDITY)),
                     };
+                    let latency = if is_answered { LATENCY } else { timeout };
                     self.schedule(
-                        self.now + LATENCY,
+                        self.now + latency,
                         Activity::Deliver(leader, Box::new(event)),
                     );
                 }
--- a/crates/jobs/src/shard/line.rs
+++ b/crates/jobs/src/shard/line.rs
@@ -94,7 +94,7 @@
     let first_unexamined = tally.first_unexamined.as_ref().map(ToString::to_string);
     info!(logger, "jobs wait for workers"; "service" => %service, "term" => term,
         "waiting" => tally.waiting, "started" => tally.started, "not_ready" => tally.not_ready,
-        "without_room" => tally.without_room, "unplaced" => tally.unplaced,
+        "without_room" => tally.without_room, "unadvised" => tally.unadvised, "unplaced" => tally.unplaced,
         "unexamined" => tally.unexamined, "first_unexamined" => first_unexamined,
         "eligible" => tally.eligible, "free_millicores" => tally.free_millicores);
 }
