--- a/crates/core/tests/upkeep/blocked.rs
+++ b/crates/core/tests/upkeep/blocked.rs
@@ -61,7 +61,7 @@
     let busy = 3 * HOST_CPU_MILLICORES / 2;
     fixture.loads = vec![load("one", busy, 0, &[]), load("two", busy, 0, &[])];
     fixture.stuck = vec!["w-one-0".into(), "w-one-1".into()];
-    let time_limit = Duration::from_secs(120);
+    let time_limit = Duration::from_mins(2);
     fixture.request_wave(Wave {
         time_limit,
         ..wave(1)
