Count tasks at their limit by worker, and ask about all workers again

A worker may run more tasks of a step than it allows, as a start may be carried out late. The check that saves a look at a step compared the sum of its tasks with the sum of the limits, so that such a worker kept a task from another worker with room. It counts workers at their limit now.

A worker that an answer of the policy service leaves out, such as one whose row could not be read, counted as forbidden for good: after all workers were asked about, each request named the same 30 again. Now the next round begins anew. Refused tickets end only a permission, no request in flight, so that an answer is compared with the workers of its own request.

The two tests failed before.

--- a/crates/core/src/sched/advice.rs
+++ b/crates/core/src/sched/advice.rs
@@ -47,12 +47,17 @@
         if self.advice_in_flight >= MAX_REQUESTS_IN_FLIGHT {
             return false;
         }
+        // Once all were asked about, the next round begins.
+        if self.advisable_workers(now, graph, stage).next().is_none()
+            && let Some(graph) = self.jobs.get_mut(job)
+        {
+            graph.stages[stage].forbidden.clear();
+        }
+        let Some(graph) = self.jobs.get(job) else {
+            return false;
+        };
         let required = Resources::reserved_by(graph.step_of(stage));
-        let forbidden = &graph.stages[stage].forbidden;
-        let has_others = self.advisable_workers(now, graph, stage).next().is_some();
-        let candidates = self.workers_for(now, graph, stage);
-        let candidates =
-            candidates.filter(|worker| !has_others || !forbidden.contains(&worker.report.worker));
+        let candidates = self.advisable_workers(now, graph, stage);
         let mut workers: Vec<(bool, u64, ids::Worker)> = candidates
             .map(|worker| {
                 let free = worker.free_resources();
--- a/crates/core/src/sched/command.rs
+++ b/crates/core/src/sched/command.rs
@@ -117,6 +117,7 @@
     fn discard_tickets(&mut self, call: &Call) {
         if let Some(graph) = self.jobs.get_mut(&call.task.job)
             && let Some((stage, _)) = graph.find(&call.task)
+            && matches!(graph.stages[stage].advice, Advice::Granted(..))
         {
             graph.stages[stage].advice = Advice::NotRequested;
         }
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -2,7 +2,7 @@
 
 use super::event::{Action, Call, Command};
 use super::exit::to_u32;
-use super::graph::{Graph, Placement, State};
+use super::graph::{Graph, Placement};
 use super::pick::{Candidate, Pick};
 use super::pool::{Outcome, Pool, Position};
 use super::run::Run;
@@ -192,7 +192,8 @@
         }
     }
 
-    /// Checks if each worker of a pool runs as many tasks of a stage as its step allows.
+    /// Checks if each worker of a pool runs at least as many tasks of a stage as its step allows. A worker may run
+    /// more, as a start may be carried out late.
     fn is_at_limit(
         &self,
         now: Instant,
@@ -204,14 +205,21 @@
         let Some(max) = graph.step_of(stage).max_per_worker else {
             return false;
         };
-        let is_on_member = |state: &&State| match &state.placement {
-            Placement::On(id) => self.workers.get(id).is_some_and(|worker| {
-                worker.accepts_tasks(now) && worker.report.service == *service
-            }),
-            Placement::Idle | Placement::Done => false,
+        let mut counts: Map<&ids::Worker, u32> = Map::default();
+        for state in &graph.stages[stage].tasks {
+            if let Placement::On(id) = &state.placement {
+                *counts.entry(id).or_default() += 1;
+            }
+        }
+        let is_full_member = |(id, count): &(&ids::Worker, u32)| {
+            let worker = self.workers.get(*id);
+            *count >= max
+                && worker.is_some_and(|worker| {
+                    worker.accepts_tasks(now) && worker.report.service == *service
+                })
         };
-        let placed = graph.stages[stage].tasks.iter().filter(is_on_member);
-        placed.count() >= pool.members.len().saturating_mul(max as usize)
+        let full_members = counts.into_iter().filter(is_full_member).count();
+        full_members >= pool.members.len()
     }
 
     fn start_tasks(
--- a/crates/core/tests/sched/advice.rs
+++ b/crates/core/tests/sched/advice.rs
@@ -41,6 +41,22 @@
     assert_no_violations(&world);
 }
 
+// Guards against a worker that is left out of an answer, as its row could not be read: after all workers were
+// asked about, each further request named the same ones.
+#[test]
+fn verify_all_workers_are_asked_about_again_after_the_answers_have_expired() {
+    let mut world = World::new(100, 1);
+    world.permitted_workers = Some(Vec::new());
+    world.elect_leader();
+    world.run(seconds(1));
+    world.submit("job", vec![step(2, 300, &[])]);
+    world.run(seconds(1));
+    world.permitted_workers = Some(vec!["w99".into()]);
+    world.run(seconds(6));
+    assert_eq!(world.outcome("job"), Some(Outcome::Completed));
+    assert_no_violations(&world);
+}
+
 // Guards against requests without an answer that are repeated at once: those of the first jobs took all places
 // in flight for good, and the policy service was never asked about later jobs.
 #[test]
--- a/crates/core/tests/sched/starvation.rs
+++ b/crates/core/tests/sched/starvation.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use persimmongate_core::job::{Outcome, Step};
+use persimmongate_core::job::{Outcome, Step, Task};
 use persimmongate_core::sched::Event;
 use test_case::test_case;
 
@@ -144,3 +144,28 @@
     // Each of them could be placed by its size, so that only a look at the workers shows that it can't.
     assert!(waiting - world.count("unexamined_jobs") <= 24);
 }
+
+// Guards against a step that counts as at its limit on every worker, as one worker runs more of its tasks than
+// allowed since a start was carried out late.
+#[test]
+fn verify_worker_above_its_limit_of_tasks_keeps_no_task_from_another_worker() {
+    let mut world = World::new(2, 1);
+    world.run(Duration::from_millis(500));
+    world.deliver(0, Event::Drain("w1".into(), true));
+    world.submit("job", vec![long_running(4, 0)]);
+    world.run(seconds(1));
+    assert_eq!(world.workers_running("job"), ["w0"]);
+    // A second task of the step turns up on the worker.
+    let runs = &mut world.workers.get_mut("w0").unwrap().runs;
+    let (task, active) = runs.pop_first().unwrap();
+    let other = Task {
+        index: (task.index + 1) % 4,
+        ..task.clone()
+    };
+    runs.insert(task, active.clone());
+    runs.insert(other, active);
+    world.run(seconds(1));
+    world.deliver(0, Event::Drain("w1".into(), false));
+    world.run(START_TIMEOUT);
+    assert_eq!(world.workers_running("job"), ["w0", "w1"]);
+}
