--- a/review/rig2.py
+++ b/review/rig2.py
@@ -232,12 +232,22 @@
 
     async def start(self):
         self.server = await Server(self.handle).start(self.world.address)
+        self.address, self.link = self.server.address, None
+        if self.world.has_links:
+            self.link = await Link(self.server.address).start()
+            self.address = self.link.address
         self.beating = asyncio.create_task(self.beat())
+        self.ticking = asyncio.create_task(self.tick())
         return self
 
     def clock(self):
         return int((time.monotonic() - self.started) * 1000) + 1000
 
+    async def tick(self):
+        while self.is_up:
+            self.advance()
+            await asyncio.sleep(0.1)
+
     async def beat(self):
         while self.is_up:
             self.write_entry()
@@ -246,7 +256,7 @@
     def write_entry(self):
         self.sequence += 1
         self.world.store.write("keyed.servers", self.id, {
-            "Backend": self.service, "Address": self.server.address, "Zone": "a", "Version": "v1", "Slots": 8,
+            "Backend": self.service, "Address": self.address, "Zone": "a", "Version": "v1", "Slots": 8,
             "State": self.state, "ColdLeftMs": 0, "Sequence": self.sequence, "Machine": self.machine.name,
             "born": self.born, "Capacity": self.machine.capacity, "Labels": ["a", self.machine.rack]})
 
@@ -328,7 +338,10 @@
         """Ends the worker and all that it runs."""
         self.is_up = False
         self.beating.cancel()
+        self.ticking.cancel()
         self.server.kill()
+        if self.link:
+            self.link.kill()
         for task, run in self.runs.items():
             self.world.record("worker", self.machine.name, self.id, "gone with run of", task, "run", run["run"])
             self.world.on_end(self, task, run, "gone")
@@ -381,6 +394,8 @@
         self.target = target
         self.is_cut = False
         self.healed = asyncio.Event()
+        self.generation = 0  # connections of an earlier generation are silent
+        self.open = 0
 
     async def start(self, address="127.0.0.1"):
         self.server = await asyncio.start_server(self.serve, address, 0)
@@ -395,7 +410,17 @@
         self.is_cut = False
         self.healed.set()
 
+    def kill(self):
+        """Ends the listener; connections are reset, as the service behind it is gone."""
+        self.server.close()
+
+    def silence(self):
+        """The connections that are open now go silent for good, without a reset; new ones work."""
+        self.generation += 1
+
     async def serve(self, reader, writer):
+        self.open += 1
+        generation = self.generation
         try:
             if self.is_cut:
                 await self.healed.wait()
@@ -403,13 +428,17 @@
                 return
             host, port = self.target.split(":")
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
-            await asyncio.gather(self.pump(reader, far_writer), self.pump(far_reader, writer))
+            await asyncio.gather(self.pump(reader, far_writer, generation), self.pump(far_reader, writer, generation))
         except (ConnectionError, OSError, asyncio.CancelledError):
             pass
+        finally:
+            self.open -= 1
 
-    async def pump(self, reader, writer):
+    async def pump(self, reader, writer, generation):
         try:
             while data := await reader.read(1 << 16):
+                if generation < self.generation:
+                    continue
                 if self.is_cut:
                     await self.healed.wait()
                     if reader.exception():
@@ -544,6 +573,7 @@
         for machine in self.machines.values():
             if machine.worker:
                 machine.worker.beating.cancel()
+                machine.worker.ticking.cancel()
         for task in self.tasks:
             task.cancel()
         self.temporary.cleanup()
@@ -640,6 +670,8 @@
     """Runs a case. Its exit status is 1 if the rule was broken, 0 if it held and 2 if the case could not run."""
 
     async def whole():
+        # A case that is ended from outside ends its processes, too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(112):
                 return await main(world)
@@ -651,7 +683,7 @@
         sys.exit(2)
     try:
         broken = asyncio.run(whole())
-    except Exception as error:  # the case could not run
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         world.record("the case could not run:", repr(error))
         print("could not run:", repr(error))
         sys.exit(2)
