--- a/review/8/case.py
+++ b/review/8/case.py
@@ -56,7 +56,7 @@
     body = {"Spec": "ms=1000", "Steps": [step, step | {"After": [0]}]}
     jobs, idle_since, worst, states = {}, {}, {}, {}
     reported = 0
-    while world.record.now() < 108:
+    while world.record.now() < 98:
         await asyncio.sleep(0.5)
         now = world.record.now()
         # An ordinary job of the same queue every 5 s, as long as there is time for it to end.
@@ -64,8 +64,9 @@
             job = world.job_id()
             answer = await world.call(gateway, "POST", f"/search/{job}", body)
             jobs[job] = answer and answer[0]
-        for job in [job for job, status in jobs.items() if status == 200]:
-            answer = await world.call(gateway, "GET", f"/search/{job}", quiet=True)
+        accepted = [job for job, status in jobs.items() if status == 200]
+        answers = await asyncio.gather(*(world.call(gateway, "GET", f"/search/{job}", quiet=True) for job in accepted))
+        for job, answer in zip(accepted, answers):
             states[job] = answer and answer[1] and answer[1].get("State")
             if states[job] == "completed" or any(task.startswith(job) for task in running):
                 idle_since.pop(job, None)
