Let no acceptance arrive behind the answer to its cancellation

Callers saw: a job is submitted at a gateway that is cut off, answered with 504, and cancelled at another gateway, which answers 410.

Cause, in two halves. Transport: a call that ran out of time closed its connection, and bytes that the cut held up were still delivered. Decision: a cancellation of a job that this process does not know left no record, and a call without an answer may be executed later whatever happens to the connection.

A cancellation is always recorded, in the shards of the services that the queue belongs or belonged to; the index already lets a cancellation that precedes its job win. The answer is 410 only if every record before the cancellation was read and names no such job, and 200 otherwise. A job of which the cancellation is known costs no second record. A detached payload that arrives after the cancellation is deleted.

Weighed: refusing acceptances by their age needs clocks that agree; a conditional append of each acceptance costs a retry for each concurrent one.

--- a/crates/core/src/journal/index.rs
+++ b/crates/core/src/journal/index.rs
@@ -108,6 +108,12 @@
         self.entries.get(job).filter(|entry| entry.job.is_some())
     }
 
+    /// Checks if a caller canceled a job that was not accepted, or that had not ended.
+    #[must_use]
+    pub fn is_canceled(&self, job: &ids::Job) -> bool {
+        self.entries.get(job).is_some_and(|entry| entry.is_canceled)
+    }
+
     /// Iterates over the accepted jobs.
     pub fn jobs(&self) -> impl Iterator<Item = (&Arc<Job>, &Entry)> {
         let is_accepted = |entry: &'_ Entry| entry.job.is_some();
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -160,6 +160,10 @@
         // No older leader could act on a record that follows the claim of this term.
         graph.predates_term = offset.saturating_add(1) < self.term;
         graph.ended_at = graph.is_over().then_some(now);
+        if is_canceled && job.has_detached_payload {
+            // It may have been recorded after the cancellation.
+            actions.push(Action::DropPayloads(vec![job.id.clone()]));
+        }
         if !graph.is_over() {
             let service = self.service_of(&graph).clone();
             self.arrivals.record(now, service, job.occurrence_work());
--- a/crates/jobs/src/router/mod.rs
+++ b/crates/jobs/src/router/mod.rs
@@ -8,6 +8,7 @@
 use persimmongate_core::ids;
 use persimmongate_core::job::Job;
 use persimmongate_core::journal::Phase;
+use persimmongate_core::map::{Map, Set};
 use persimmongate_core::queue::{Config, Queue};
 use persimmongate_node::supervisor::Guard;
 
@@ -102,6 +103,8 @@
 /// `Router` resolves endpoints by the configuration and forwards requests to the shards.
 pub struct Router<P: Platform, C: Copy + Send + Unpin + 'static> {
     config: Option<Arc<Config>>,
+    /// Services that a queue belonged to under earlier configurations.
+    earlier_services: Map<ids::Queue, Set<ids::Service>>,
     shards: Vec<Option<Addr<Shard<P, C>>>>,
     is_shutting_down: bool,
     _guard: Guard<C>,
@@ -113,6 +116,7 @@
     pub fn new(shards: ids::Shard, guard: Guard<C>) -> Self {
         Self {
             config: None,
+            earlier_services: Map::default(),
             shards: vec![None; shards as usize],
             is_shutting_down: false,
             _guard: guard,
@@ -125,6 +129,32 @@
         self.shards.get(shard as usize).cloned().flatten()
     }
 
+    /// Remembers the services of queues that belong to another service from now on.
+    fn record_moves(&mut self, config: &Config) {
+        let Some(previous) = &self.config else {
+            return;
+        };
+        for queue in &previous.queues {
+            let current = config.queue(&queue.name);
+            if current.is_none_or(|current| current.service != queue.service) {
+                let earlier = self.earlier_services.entry(queue.name.clone());
+                earlier.or_default().insert(queue.service.clone());
+            }
+        }
+    }
+
+    /// Returns the shards in which the acceptance of a job of a queue may still be recorded.
+    fn accepting_shards(&self, queue: &Queue) -> Vec<Addr<Shard<P, C>>> {
+        let earlier = self.earlier_services.get(&queue.name);
+        let services = std::iter::once(&queue.service).chain(earlier.into_iter().flatten());
+        let count = ids::Shard::try_from(self.shards.len()).unwrap_or(1);
+        let numbers: Set<ids::Shard> = services.map(|service| shard_of(service, count)).collect();
+        let shards = numbers.into_iter();
+        shards
+            .filter_map(|shard| self.shards.get(shard as usize).cloned().flatten())
+            .collect()
+    }
+
     /// Returns the shards that may hold a job of a queue: first the shard of the queue's service, then those
     /// of the other services, as the queue may have belonged to another service before.
     fn candidates(&self, queue: &Queue) -> Vec<Addr<Shard<P, C>>> {
@@ -159,6 +189,31 @@
     (status, None)
 }
 
+/// Cancels a job that no shard knows, as its acceptance may be on the way to the log.
+async fn cancel_unknown<P: Platform, C: Copy + Send + Unpin + 'static>(
+    shards: Vec<Addr<Shard<P, C>>>,
+    cancel: Cancel,
+    status: Status,
+) -> Answer {
+    let mut answer = Answer::Missing;
+    for shard in shards {
+        let message = shard::Cancel {
+            job: cancel.job.clone(),
+            deadline: cancel.deadline,
+        };
+        match shard.send(message).await.unwrap_or(Answer::Unknown) {
+            Answer::Missing => {}
+            Answer::Done => answer = Answer::Done,
+            failed => return failed,
+        }
+    }
+    match status {
+        // A shard that could not tell may hold the job.
+        Status::Unavailable => Answer::Unknown,
+        Status::Missing | Status::Phase(_) => answer,
+    }
+}
+
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Actor for Router<P, C> {
     type Context = Context<Self>;
 }
@@ -167,6 +222,7 @@
     type Result = ();
 
     fn handle(&mut self, Configured(config): Configured, _: &mut Self::Context) {
+        self.record_moves(&config);
         self.config = Some(config);
     }
 }
@@ -234,13 +290,11 @@
 
     fn handle(&mut self, cancel: Cancel, _: &mut Self::Context) -> Self::Result {
         let shards = self.candidates(&cancel.queue);
+        let accepting_shards = self.accepting_shards(&cancel.queue);
         Box::pin(async move {
             let (status, shard) = find(shards, &cancel.job).await;
             let Some(shard) = shard else {
-                return match status {
-                    Status::Missing => Answer::Missing,
-                    Status::Phase(_) | Status::Unavailable => Answer::Unknown,
-                };
+                return cancel_unknown(accepting_shards, cancel, status).await;
             };
             if matches!(
                 status,
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -1,5 +1,6 @@
 //! Jobs of one shard: their state replayed from the log, callers' requests, and leadership of the shard.
 
+mod dump;
 mod gauge;
 mod lag;
 mod leadership;
@@ -24,10 +25,8 @@
 use persimmongate_core::queue::Config;
 use persimmongate_core::sched::{Event, Options};
 use persimmongate_core::term::{self, Election};
-use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
 use persimmongate_node::supervisor::Guard;
-use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 
 use crate::cursor::{Batch, Cursor};
@@ -130,6 +129,8 @@
     drains: Map<ids::Worker, Drain>,
     loads: Vec<Load>,
     election: Election,
+    /// Offset up to which all records were read.
+    read_through: ids::Offset,
     /// Send time of the latest read that reached the end of the partition.
     last_complete_read: Option<Instant>,
     /// Time of the latest request of a caller about a job that had not ended.
@@ -176,6 +177,7 @@
             drains: Map::default(),
             loads: Vec::new(),
             election,
+            read_through: 0,
             last_complete_read: None,
             last_queried_at: None,
             log_failed_at: None,
@@ -283,6 +285,7 @@
         if !cursor.has_reached(batch.end_offset) {
             return;
         }
+        self.read_through = batch.end_offset;
         self.last_complete_read = Some(batch.sent_at);
         let read = term::Event::Read {
             sent_at: batch.sent_at,
@@ -369,26 +372,6 @@
     }
 }
 
-impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Dump> for Shard<P, C> {
-    type Result = actix::MessageResult<Dump>;
-
-    fn handle(&mut self, _: Dump, _: &mut Self::Context) -> Self::Result {
-        let counts = self.leadership.as_ref().map(|leadership| {
-            let counts = leadership.scheduler.counts(clock::now()).into_iter();
-            counts
-                .map(|(name, count)| (name.to_owned(), json!(count)))
-                .collect::<serde_json::Map<_, _>>()
-        });
-        actix::MessageResult(json!({
-            "active": self.is_active,
-            "leader": self.election.leader().map(ToString::to_string),
-            "leads": counts.map(Value::Object),
-            "jobs": self.job_index.jobs().count(),
-            "fresh": self.is_fresh(),
-        }))
-    }
-}
-
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Stop> for Shard<P, C> {
     type Result = ();
 
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -124,16 +124,16 @@
         )
     }
 
-    pub(super) fn persist(
+    /// Appends a record of a caller and applies it. Returns its offset, or what the caller is told.
+    fn record(
         &self,
         record: Record,
         deadline: Instant,
-    ) -> ResponseActFuture<Self, Answer> {
+    ) -> ResponseActFuture<Self, Result<ids::Offset, Answer>> {
         let append = unconditional_append(self.partition(), std::slice::from_ref(&record));
         let Some(append) = encoded_or_logged(append, &self.setup.logger) else {
-            return Box::pin(
-                std::future::ready(Answer::Refused(UNAVAILABLE_RETRY_DELAY)).into_actor(self),
-            );
+            let refused = std::future::ready(Err(Answer::Refused(UNAVAILABLE_RETRY_DELAY)));
+            return Box::pin(refused.into_actor(self));
         };
         let appending =
             append_with_retry(self.setup.platform.clone(), append, Some(deadline)).into_actor(self);
@@ -142,13 +142,29 @@
             match appended {
                 Ok(offset) => {
                     act.job_index.apply(offset, &record);
-                    Answer::Done
+                    Ok(offset)
                 }
-                Err(Failure::Unknown) => Answer::Unknown,
-                Err(_) => Answer::Refused(UNAVAILABLE_RETRY_DELAY),
+                Err(Failure::Unknown) => Err(Answer::Unknown),
+                Err(_) => Err(Answer::Refused(UNAVAILABLE_RETRY_DELAY)),
             }
         }))
     }
+
+    pub(super) fn persist(
+        &self,
+        record: Record,
+        deadline: Instant,
+    ) -> ResponseActFuture<Self, Answer> {
+        let recorded = self.record(record, deadline);
+        Box::pin(
+            recorded.map(|recorded, _, _| recorded.map_or_else(|answer| answer, |_| Answer::Done)),
+        )
+    }
+
+    /// Checks if no job with the id was accepted before an offset.
+    fn is_unknown_before(&self, job: &ids::Job, offset: ids::Offset) -> bool {
+        self.read_through >= offset && self.job_index.get(job).is_none()
+    }
 }
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Submit> for Shard<P, C> {
@@ -212,20 +228,32 @@
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Cancel> for Shard<P, C> {
     type Result = ResponseActFuture<Self, Answer>;
 
+    /// Records the cancellation also if no such job is known: its acceptance may be on the way to the log.
     fn handle(&mut self, cancel: Cancel, _: &mut Self::Context) -> Self::Result {
-        let answer = match self.job_index.get(&cancel.job) {
+        let entry = self.job_index.get(&cancel.job);
+        let answer = match entry {
             Some(entry) if entry.is_over() => Some(Answer::Done),
-            Some(_) => None,
-            None if !self.is_active || self.is_fresh() => Some(Answer::Missing),
-            None => Some(Answer::Unavailable(UNAVAILABLE_RETRY_DELAY)),
+            None if self.job_index.is_canceled(&cancel.job) && self.is_fresh() => {
+                Some(Answer::Missing)
+            }
+            None if !self.is_fresh() && self.is_log_failing() => {
+                Some(Answer::Unavailable(UNAVAILABLE_RETRY_DELAY))
+            }
+            _ => None,
         };
         if let Some(answer) = answer {
             return Box::pin(std::future::ready(answer).into_actor(self));
         }
-        let id = cancel.job.clone();
-        let appending = self.persist(Record::Canceled(cancel.job), cancel.deadline);
-        Box::pin(appending.map(move |answer, act: &mut Self, _| {
-            info!(act.setup.logger, "job cancellation"; "job" => %id, "answer" => ?answer);
+        let (id, is_known) = (cancel.job.clone(), entry.is_some());
+        let recorded = self.record(Record::Canceled(cancel.job), cancel.deadline);
+        Box::pin(recorded.map(move |recorded, act: &mut Self, _| {
+            let answer = match recorded {
+                // Without all records before it, it is not known whether there was such a job.
+                Ok(offset) if act.is_unknown_before(&id, offset) => Answer::Missing,
+                Ok(_) => Answer::Done,
+                Err(answer) => answer,
+            };
+            info!(act.setup.logger, "job cancellation"; "job" => %id, "known" => is_known, "answer" => ?answer);
             answer
         }))
     }
