Bound the record of a job's progress, and go on without a record that the log refuses

Callers saw: a job with 10,080 occurrences is accepted.

The progress of a job held a bit set and a key of each occurrence and step that was ever begun, and each failed run, so it grew with what was done. And a record that the log refuses made its leader give up the lead, as any failure of an append; each next leader built the same record.

The log named the failure, but neither the record nor its size; "record too large for the log" does, with key, bytes and limit.

Change: finished occurrences are kept as ranges, with nothing of their tasks, runs and crashes; records of the earlier format are read, and compacted by the leader. Occurrences are opened as long as the tasks of unfinished ones, done or not, stay within the tasks that a leader holds, so neither the record nor the memory grows with what is done or with the number of occurrences. Records are measured before an append, in appends that the log takes; of one that is too large the leader records the end of its job in the same append, so that the job fails alone. An append that is refused all the same is divided until only the refused record is left out. A submission that can't be stored is answered with 400 and no longer counts as a failure of the log, which turned other callers away.

--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs of callers, their steps and tasks, and the recorded progress of a job.
 
 mod progress;
+mod ranges;
 mod spec;
 
 pub use progress::{Outcome, Progress};
--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -118,6 +118,24 @@
     pub term: ids::Term,
 }
 
+/// `Limits` bounds what the log takes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Maximum size of a record with its key, in bytes.
+    pub record_bytes: usize,
+    /// Maximum size of the records of one append, in bytes.
+    pub append_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            record_bytes: 256 * 1024,
+            append_bytes: 2 * 1024 * 1024,
+        }
+    }
+}
+
 impl Heartbeat {
     /// Checks if a record at this offset may have the term: that of a claim is its offset plus 1.
     #[must_use]
@@ -144,4 +162,27 @@
             Self::Dropped(key) => key.clone(),
         }
     }
+    /// Returns what is recorded in place of a record that the log can't store: the end of the job whose progress it
+    /// is, or a heartbeat without workers. `None` if nothing can take its place.
+    #[must_use]
+    pub fn reduced(&self, unix_ms: u64) -> Option<Self> {
+        let reduced = match self {
+            Self::Progress(job, progress) => Self::Progress(job.clone(), progress.summary(unix_ms)),
+            Self::Heartbeat(heartbeat) => {
+                let mut heartbeat = heartbeat.clone();
+                for load in &mut heartbeat.loads {
+                    load.short_running_workers.clear();
+                }
+                Self::Heartbeat(heartbeat)
+            }
+            Self::Accepted(_)
+            | Self::Canceled(_)
+            | Self::Drain(..)
+            | Self::Payload(..)
+            | Self::Drained(..)
+            | Self::Wave(..)
+            | Self::Dropped(_) => return None,
+        };
+        (reduced != *self).then_some(reduced)
+    }
 }
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -263,6 +263,8 @@
     },
     /// The log has stored the records of the latest append.
     Appended,
+    /// The log can't store the progress of a job, and holds its end in place of it.
+    Overflowed(ids::Job),
     /// A read of the log at the given time showed no newer term.
     TermConfirmed(Instant),
     /// The delay of `Action::SchedulePoll` has passed for a worker.
@@ -290,6 +292,7 @@
             Self::Called { .. } => "called",
             Self::Advised { .. } => "advised",
             Self::Appended => "appended",
+            Self::Overflowed(_) => "overflowed",
             Self::TermConfirmed(_) => "term confirmed",
             Self::PollDue(_) => "poll due",
             Self::PlacementDue => "placement due",
--- a/crates/core/src/sched/exit.rs
+++ b/crates/core/src/sched/exit.rs
@@ -107,6 +107,8 @@
             }
             graph.set_placement(stage, index, Placement::Done);
         }
+        let job = graph.job.clone();
+        graph.progress.finish_if_done(&job, task.occurrence);
         if graph.progress.outcome.is_none() && graph.progress.is_complete(&graph.job) {
             graph.progress.outcome = Some(Outcome::Completed);
             graph.progress.ended_at_ms = self.unix_ms;
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -13,6 +13,10 @@
 /// those of older terms.
 const RUNS_PER_TERM: u64 = 1_000;
 
+/// Most steps of opened occurrences that the leader keeps, finished ones among them. A job that reaches it waits for the
+/// oldest of its occurrences that is not finished.
+const MAX_STAGES: usize = 100_000;
+
 /// `Placement` is where a task runs, or whether it waits or is done.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Placement {
@@ -83,7 +87,10 @@
     pub(super) deadline: Instant,
     /// Time at which it completed, failed or was canceled.
     pub(super) ended_at: Option<Instant>,
+    /// Stages of the opened occurrences from `first_occurrence` on.
     pub(super) stages: Vec<Stage>,
+    /// Occurrence of the first stage; all earlier ones are finished.
+    first_occurrence: u32,
     /// Time since which it has had idle long-running tasks.
     pub(super) idle_since: Option<Instant>,
     /// Time of the latest log line about them.
@@ -102,12 +109,14 @@
 impl Graph {
     pub(super) fn new(
         job: Arc<Job>,
-        progress: Progress,
+        mut progress: Progress,
         is_canceled: bool,
         accepted_at: Instant,
         objective: Duration,
     ) -> Self {
         let payload = (!job.has_detached_payload).then(|| job.payload.clone());
+        progress.compact(&job);
+        let first_occurrence = progress.first_unfinished();
         Self {
             job,
             payload,
@@ -119,9 +128,10 @@
             deadline: accepted_at + objective,
             ended_at: None,
             stages: Vec::new(),
+            first_occurrence,
             idle_since: None,
             idle_logged_at: None,
-            opened_occurrences: 0,
+            opened_occurrences: first_occurrence,
         }
     }
 
@@ -145,22 +155,27 @@
         if self.is_over() {
             return false;
         }
+        self.drop_finished();
         let previous = self.opened_occurrences;
-        let mut open_count = None;
+        let step_count = self.job.steps.len();
+        let mut held_count = None;
         while self.opened_occurrences < self.job.occurrences() {
             if let Some(schedule) = self.job.schedule
                 && unix_ms < schedule.due_ms(self.opened_occurrences)
             {
                 break;
             }
-            let open_count = open_count.get_or_insert_with(|| self.open_task_count());
-            if *open_count > 0 && *open_count + self.job.task_count() > u64::from(MAX_TASKS) {
+            let held_count = held_count.get_or_insert_with(|| self.held_task_count());
+            if *held_count > 0
+                && (*held_count + self.job.task_count() > u64::from(MAX_TASKS)
+                    || self.stages.len() + step_count > MAX_STAGES)
+            {
                 break;
             }
             let occurrence = self.opened_occurrences;
-            for step in (0_u32..).take(self.job.steps.len()) {
+            for step in (0_u32..).take(step_count) {
                 let stage = self.new_stage(occurrence, step);
-                *open_count += stage.open_task_count();
+                *held_count += stage.tasks.len() as u64;
                 self.stages.push(stage);
             }
             self.opened_occurrences += 1;
@@ -168,13 +183,38 @@
         self.opened_occurrences != previous
     }
 
-    /// Returns the number of tasks that were created and are not done.
-    fn open_task_count(&self) -> u64 {
-        self.stages.iter().map(Stage::open_task_count).sum()
+    /// Returns the number of tasks of the opened occurrences that are not finished. The progress of the job holds
+    /// something of each.
+    fn held_task_count(&self) -> u64 {
+        let counts = self.stages.iter().map(|stage| stage.tasks.len() as u64);
+        counts.sum()
+    }
+
+    /// Drops the tasks of finished occurrences, and the stages before the first one that is not finished.
+    fn drop_finished(&mut self) {
+        let first_unfinished = self.progress.first_unfinished();
+        let first_unfinished = first_unfinished.min(self.opened_occurrences);
+        let finished = (first_unfinished - self.first_occurrence) as usize;
+        self.stages.drain(..finished * self.job.steps.len());
+        self.first_occurrence = first_unfinished;
+        let progress = &self.progress;
+        let is_finished =
+            |stage: &&mut Stage| !stage.tasks.is_empty() && progress.is_finished(stage.occurrence);
+        for stage in self.stages.iter_mut().filter(is_finished) {
+            stage.tasks = Vec::new();
+            stage.idle_count = 0;
+            stage.done_count = 0;
+            stage.advice = Advice::NotRequested;
+            stage.forbidden = Set::default();
+        }
     }
 
     fn new_stage(&self, occurrence: u32, step: u32) -> Stage {
-        let count = self.job.steps[step as usize].count;
+        let count = if self.progress.is_finished(occurrence) {
+            0
+        } else {
+            self.job.steps[step as usize].count
+        };
         let task_state = |index| {
             let task = self.task(occurrence, step, index);
             State {
@@ -250,10 +290,10 @@
     }
 
     /// Finds the index of the stage of a step and occurrence. There is one of each step of each
-    /// opened occurrence, in this order.
+    /// opened occurrence from the first one on that is not finished, in this order.
     fn stage_index(&self, occurrence: u32, step: u32) -> Option<usize> {
         let (step, step_count) = (step as usize, self.job.steps.len());
-        let index = (occurrence as usize)
+        let index = (occurrence.checked_sub(self.first_occurrence)? as usize)
             .checked_mul(step_count)?
             .checked_add(step)?;
         (step < step_count && index < self.stages.len()).then_some(index)
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -56,6 +56,7 @@
                 answer,
             } => self.handle_advice(now, &job, (occurrence, step), sent_at, answer),
             Event::Appended => self.handle_appended(now, actions),
+            Event::Overflowed(job) => self.handle_overflow(now, &job, actions),
             Event::TermConfirmed(at) => {
                 let is_resuming = !self.may_act(now);
                 self.term_confirmed_at = self.term_confirmed_at.max(at);
@@ -192,6 +193,14 @@
         self.needs_placement = true;
     }
 
+    /// Ends a job as failed whose progress the log can't store.
+    fn handle_overflow(&mut self, now: Instant, job: &ids::Job, actions: &mut Vec<Action>) {
+        self.fail_job(now, job, actions);
+        if let Some(graph) = self.jobs.get_mut(job) {
+            graph.progress = graph.progress.summary(self.unix_ms);
+        }
+    }
+
     fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let unix_ms = self.unix_ms;
         let is_expired = |graph: &Graph| {
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -4,6 +4,7 @@
 
 use super::reader::Reader;
 use crate::errors::{Error, Result};
+use crate::journal::Limits;
 use crate::{ids, sched, upkeep};
 
 /// Default number of shards of the fleet.
@@ -13,6 +14,11 @@
 /// Accepted numbers of shards.
 const SHARD_COUNT_RANGE: std::ops::RangeInclusive<usize> = 2..=1_024;
 
+/// Accepted limits of the size of a record, in bytes.
+const RECORD_BYTES_RANGE: std::ops::RangeInclusive<usize> = 1_024..=64 * 1_024 * 1_024;
+/// Accepted limits of the size of an append, in bytes.
+const APPEND_BYTES_RANGE: std::ops::RangeInclusive<usize> = 1_024..=1_024 * 1_024 * 1_024;
+
 /// `Gateway` holds the settings of the gateway daemon.
 #[derive(Clone, Debug)]
 pub struct Gateway {
@@ -28,6 +34,8 @@
     pub admin_address: SocketAddr,
     /// Address of the log.
     pub log_address: SocketAddr,
+    /// Largest records and appends that the log takes.
+    pub log_limits: Limits,
     /// Address of the host service, the first of the `hosts` setting; `None` if it is not used.
     pub host_service: Option<SocketAddr>,
     /// Address of the policy service, the first of the `advice` setting; `None` if it is not used.
@@ -55,6 +63,11 @@
             let readiness_address = reader.read_listen_address("ready");
             let admin_address = reader.read_listen_address("admin");
             let log_address = reader.read_address("log");
+            let limits = Limits::default();
+            let record_bytes =
+                reader.read_count("record_bytes", limits.record_bytes, RECORD_BYTES_RANGE);
+            let append_bytes =
+                reader.read_count("append_bytes", limits.append_bytes, APPEND_BYTES_RANGE);
             let host_services = reader.read_service_addresses("hosts");
             let policy_services = reader.read_service_addresses("advice");
             let shard_count = reader.read_count("shards", DEFAULT_SHARD_COUNT, SHARD_COUNT_RANGE);
@@ -72,6 +85,10 @@
                 readiness_address: readiness_address?,
                 admin_address: admin_address?,
                 log_address: log_address?,
+                log_limits: Limits {
+                    record_bytes: record_bytes?,
+                    append_bytes: append_bytes?,
+                },
                 host_service: host_services?.first().copied(),
                 policy_service: policy_services?.first().copied(),
                 shard_count: ids::Shard::try_from(shard_count?).ok()?,
--- a/crates/jobs/src/fleet/leadership.rs
+++ b/crates/jobs/src/fleet/leadership.rs
@@ -9,7 +9,8 @@
 
 use super::{APPEND_TIMEOUT, DEMAND_LOG_INTERVAL, Fleet, SHARD, TICK_INTERVAL};
 use crate::leadership::{
-    Sequencer, append_with_retry, claim, encoded_or_logged, resignation, unconditional_append,
+    Sequencer, append_with_retry, claim, encoded_or_logged, remove_unstorable, resignation,
+    unconditional_append,
 };
 use crate::platform::{Append, Failure, Partition, Platform};
 use crate::roster::{Subscribe, Unsubscribe};
@@ -197,9 +198,10 @@
         let append = leadership
             .sequencer
             .append(&std::mem::take(&mut leadership.pending));
-        let Some(append) = encoded_or_logged(append, &self.setup.logger) else {
+        let Some(mut append) = encoded_or_logged(append, &self.setup.logger) else {
             return;
         };
+        remove_unstorable(&mut append, &self.setup.log_limits, &self.setup.logger);
         leadership.is_appending = true;
         let appending = append_with_retry(
             self.setup.platform.clone(),
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 };
 use opentelemetry::metrics::Counter;
 use persimmongate_core::ids;
-use persimmongate_core::journal::{Drain, Load, Record};
+use persimmongate_core::journal::{Drain, Limits, Load, Record};
 use persimmongate_core::map::Map;
 use persimmongate_core::queue::Config;
 use persimmongate_core::term::{self, Election};
@@ -55,6 +55,8 @@
     pub cpu_millicores: u32,
     /// Limits of the planner.
     pub options: Options,
+    /// Largest records and appends that the log takes.
+    pub log_limits: Limits,
     /// Source of updates about workers and hosts.
     pub roster: Addr<Roster<P, C>>,
     /// Receives a message when this process starts or stops leading the fleet.
--- a/crates/jobs/src/leadership/mod.rs
+++ b/crates/jobs/src/leadership/mod.rs
@@ -1,11 +1,15 @@
 //! Parts shared by the leaders of a shard and of the fleet: claims of a partition, numbered appends and retries.
 
+mod outbox;
+
+pub(crate) use outbox::{Encoded, Outbox, Overflow};
+
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use bytestring::ByteString;
 use persimmongate_core::ids;
-use persimmongate_core::journal::{Heartbeat, Record};
+use persimmongate_core::journal::{Heartbeat, Limits, Record};
 use persimmongate_core::term::Election;
 use persimmongate_node::clock;
 use persimmongate_wire::errors::Result as WireResult;
@@ -83,6 +87,29 @@
     })
 }
 
+/// Returns the size of a record with its key and the length of the key, in bytes.
+fn record_size((key, value): &(ByteString, Option<Bytes>)) -> usize {
+    1 + key.len() + value.as_ref().map_or(0, Bytes::len)
+}
+
+/// Checks if the log can store each record of an append.
+pub(crate) fn is_storable(append: &Append, limits: &Limits) -> bool {
+    let mut records = append.records.iter();
+    records.all(|record| record_size(record) <= limits.record_bytes)
+}
+
+/// Leaves out the records of an append that the log can't store, and logs them.
+pub(crate) fn remove_unstorable(append: &mut Append, limits: &Limits, logger: &Logger) {
+    append.records.retain(|record| {
+        let (size, limit) = (record_size(record), limits.record_bytes);
+        if size > limit {
+            error!(logger, "record too large for the log"; "key" => %record.0, "bytes" => size,
+                "limit" => limit, "replaced" => false);
+        }
+        size <= limit
+    });
+}
+
 /// `Sequencer` numbers the appends that a leader makes in one term.
 #[derive(Debug)]
 pub(crate) struct Sequencer {
@@ -102,6 +129,28 @@
         }
     }
 
+    /// Creates the leader's next append, of records that are encoded.
+    pub(crate) fn append_encoded(&mut self, records: &[Encoded]) -> Append {
+        self.sequence += 1;
+        Append {
+            partition: self.partition,
+            records: records.iter().map(Encoded::entry).collect(),
+            expected_end: None,
+            writer: Some(Writer {
+                term: self.term,
+                sequence: self.sequence,
+            }),
+        }
+    }
+
+    /// Gives the number of an append that the log refused to the next one. Returns false if a later append was made
+    /// meanwhile.
+    pub(crate) fn retract(&mut self, writer: Writer) -> bool {
+        let is_latest = writer.term == self.term && writer.sequence == self.sequence;
+        self.sequence -= u64::from(is_latest);
+        is_latest
+    }
+
     /// Creates the leader's next append.
     ///
     /// # Errors
@@ -206,6 +255,8 @@
             Err(Failure::Order) if out_of_order_retries < MAX_OUT_OF_ORDER_RETRIES => {
                 out_of_order_retries += 1;
             }
+            // An earlier attempt of an append without a number may still take effect.
+            Err(_) if may_take_effect && append.writer.is_none() => return Err(Failure::Unknown),
             Err(failure) => return Err(failure),
         }
         if deadline.is_some_and(|deadline| clock::now() + RETRY_DELAY >= deadline) {
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -12,7 +12,7 @@
 use super::lag::Lag;
 use super::line;
 use super::{Shard, Transition};
-use crate::leadership::{Sequencer, append_with_retry, claim, encoded_or_logged};
+use crate::leadership::{Outbox, Sequencer, claim, encoded_or_logged};
 use crate::platform::{Append, Failure, Platform};
 use crate::roster::{Change, Unsubscribe, Update};
 
@@ -31,7 +31,8 @@
 pub(super) struct Leadership {
     pub(super) term: ids::Term,
     pub(super) scheduler: Scheduler,
-    sequencer: Sequencer,
+    pub(super) sequencer: Sequencer,
+    pub(super) outbox: Outbox,
     tick_timer: SpawnHandle,
     counts: Counts,
     lag: Lag,
@@ -107,6 +108,7 @@
             term,
             scheduler,
             sequencer: Sequencer::new(self.partition(), term),
+            outbox: Outbox::new(self.setup.log_limits),
             tick_timer,
             counts: Counts::new(self.led_shards.clone(), self.setup.shard),
             lag: Lag::new(clock::now()),
@@ -205,7 +207,12 @@
     }
 
     /// Passes an event to the scheduler unless it belongs to an earlier term of this process.
-    fn step_scheduler_in_term(&mut self, term: ids::Term, event: Event, ctx: &mut Context<Self>) {
+    pub(super) fn step_scheduler_in_term(
+        &mut self,
+        term: ids::Term,
+        event: Event,
+        ctx: &mut Context<Self>,
+    ) {
         if self.leads_in(term) {
             self.step_scheduler(event, ctx);
         }
@@ -283,7 +290,7 @@
                 });
             }
             Action::DropPayloads(jobs) => self.drop_payloads(jobs, ctx),
-            Action::Append(records) => self.append(term, &records, ctx),
+            Action::Append(records) => self.append(term, records, ctx),
             Action::Fenced => self.step_election(term::Event::Fenced, ctx),
             Action::LogStarts {
                 job,
@@ -313,24 +320,6 @@
         }
     }
 
-    fn append(&mut self, term: ids::Term, records: &[Record], ctx: &mut Context<Self>) {
-        let Some(append) = self.next_append(records) else {
-            return;
-        };
-        let appending =
-            append_with_retry(self.setup.platform.clone(), append, None).into_actor(self);
-        ctx.spawn(appending.map(move |appended, act, ctx| match appended {
-            Ok(_) => act.step_scheduler_in_term(term, Event::Appended, ctx),
-            Err(failure) => {
-                warn!(act.setup.logger, "append of leader failed"; "shard" => act.setup.shard,
-                    "term" => term, "reason" => ?failure);
-                if act.leads_in(term) {
-                    act.step_election(term::Event::Fenced, ctx);
-                }
-            }
-        }));
-    }
-
     /// Creates the leader's next append.
     pub(super) fn next_append(&mut self, records: &[Record]) -> Option<Append> {
         let leadership = self.leadership.as_mut()?;
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -1,5 +1,6 @@
 //! Jobs of one shard: their state replayed from the log, callers' requests, and leadership of the shard.
 
+mod append;
 mod dump;
 mod gauge;
 mod lag;
@@ -20,7 +21,7 @@
 };
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 use persimmongate_core::ids;
-use persimmongate_core::journal::{Drain, Index, Load, Record};
+use persimmongate_core::journal::{Drain, Index, Limits, Load, Record};
 use persimmongate_core::map::Map;
 use persimmongate_core::queue::Config;
 use persimmongate_core::sched::{Event, Options};
@@ -104,6 +105,8 @@
     pub cpu_millicores: u32,
     /// Limits of the scheduler.
     pub options: Options,
+    /// Largest records and appends that the log takes.
+    pub log_limits: Limits,
     /// Source of updates about workers and hosts.
     pub roster: Addr<Roster<P, C>>,
     /// Receives a message when this process starts or stops leading the shard.
--- a/crates/jobs/src/shard/payload.rs
+++ b/crates/jobs/src/shard/payload.rs
@@ -12,13 +12,13 @@
 use persimmongate_node::clock;
 use slog::warn;
 
-use super::request::{Answer, UNAVAILABLE_RETRY_DELAY};
+use super::request::{Answer, UNAVAILABLE_RETRY_DELAY, is_outage};
 use super::{LEADER_READ_PAUSE, Shard};
 use crate::cursor::{Batch, Cursor};
 use crate::leadership::{
-    MAX_READ_WAIT, append_with_retry, encoded_or_logged, unconditional_append,
+    MAX_READ_WAIT, append_with_retry, encoded_or_logged, is_storable, unconditional_append,
 };
-use crate::platform::{Partition, Platform};
+use crate::platform::{Failure, Partition, Platform};
 
 /// Time limit of the deletion of payloads. One that stays is deleted by the next leader.
 const DROP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -99,10 +99,18 @@
         deadline: Instant,
     ) -> ResponseActFuture<Self, Answer> {
         let append = unconditional_append(self.payload_partition(), std::slice::from_ref(payload));
-        let Some(append) = encoded_or_logged(append, &self.setup.logger) else {
+        let acceptance = unconditional_append(self.partition(), std::slice::from_ref(&accepted));
+        let (Some(append), Some(acceptance)) = (
+            encoded_or_logged(append, &self.setup.logger),
+            encoded_or_logged(acceptance, &self.setup.logger),
+        ) else {
             let refused = std::future::ready(Answer::Refused(UNAVAILABLE_RETRY_DELAY));
             return Box::pin(refused.into_actor(self));
         };
+        let limits = &self.setup.log_limits;
+        if !is_storable(&append, limits) || !is_storable(&acceptance, limits) {
+            return Box::pin(std::future::ready(Answer::Rejected).into_actor(self));
+        }
         let appending = append_with_retry(self.setup.platform.clone(), append, Some(deadline));
         let appending = appending.into_actor(self);
         Box::pin(appending.then(move |appended, act, _| {
@@ -110,9 +118,12 @@
                 return act.persist(accepted, deadline);
             }
             // Whether the payload was recorded or not, the job was not accepted.
-            act.log_failed_at = Some(clock::now());
-            let refused = std::future::ready(Answer::Refused(UNAVAILABLE_RETRY_DELAY));
-            Box::pin(refused.into_actor(act))
+            act.log_failed_at = appended.as_ref().is_err_and(is_outage).then(clock::now);
+            let answer = match appended {
+                Err(Failure::Refused(_)) => Answer::Rejected,
+                _ => Answer::Refused(UNAVAILABLE_RETRY_DELAY),
+            };
+            Box::pin(std::future::ready(answer).into_actor(act))
         }))
     }
 }
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -6,10 +6,10 @@
 use persimmongate_core::journal::{Phase, Record};
 use persimmongate_core::queue::Queue;
 use persimmongate_node::clock;
-use slog::info;
+use slog::{info, warn};
 
 use super::Shard;
-use crate::leadership::{append_with_retry, encoded_or_logged, unconditional_append};
+use crate::leadership::{append_with_retry, encoded_or_logged, is_storable, unconditional_append};
 use crate::platform::{Failure, Platform};
 
 /// Delay after which a caller should retry while the log is unavailable. The length of an outage is not
@@ -27,6 +27,8 @@
     Refused(Duration),
     /// The outcome is not known; the caller should repeat the request.
     Unknown,
+    /// The log can't store the job, so it was not accepted and never will be.
+    Rejected,
     /// No such job exists.
     Missing,
     /// The request had no effect, as this process does not know the job's state at the moment; the caller
@@ -135,16 +137,23 @@
             let refused = std::future::ready(Err(Answer::Refused(UNAVAILABLE_RETRY_DELAY)));
             return Box::pin(refused.into_actor(self));
         };
+        if !is_storable(&append, &self.setup.log_limits) {
+            return Box::pin(std::future::ready(Err(Answer::Rejected)).into_actor(self));
+        }
         let appending =
             append_with_retry(self.setup.platform.clone(), append, Some(deadline)).into_actor(self);
         Box::pin(appending.map(move |appended, act, _| {
-            act.log_failed_at = appended.is_err().then(clock::now);
+            act.log_failed_at = appended.as_ref().is_err_and(is_outage).then(clock::now);
             match appended {
                 Ok(offset) => {
                     act.job_index.apply(offset, &record);
                     Ok(offset)
                 }
                 Err(Failure::Unknown) => Err(Answer::Unknown),
+                Err(Failure::Refused(status)) => {
+                    warn!(act.setup.logger, "log refused a record"; "key" => ?record.key(), "status" => status);
+                    Err(Answer::Rejected)
+                }
                 Err(_) => Err(Answer::Refused(UNAVAILABLE_RETRY_DELAY)),
             }
         }))
@@ -167,6 +176,11 @@
     }
 }
 
+/// Checks if a failure tells that the log fails, rather than that it refuses a record.
+pub(super) fn is_outage(failure: &Failure) -> bool {
+    !matches!(failure, Failure::Refused(_))
+}
+
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Submit> for Shard<P, C> {
     type Result = ResponseActFuture<Self, Answer>;
 
--- a/crates/jobs/tests/shard/fixture.rs
+++ b/crates/jobs/tests/shard/fixture.rs
@@ -8,7 +8,7 @@
 use bytestring::ByteString;
 use futures_util::future::{LocalBoxFuture, ready};
 use persimmongate_core::ids;
-use persimmongate_core::journal::{Drain, Record};
+use persimmongate_core::journal::{Drain, Limits, Record};
 use persimmongate_core::queue::{Config, Service};
 use persimmongate_core::sched::{Answer, Call, Inventory, Options, Poll, Query, Report, Ticket};
 use persimmongate_core::upkeep::{self, Listing};
@@ -130,6 +130,7 @@
                     node: "node".into(),
                     cpu_millicores: 1_000,
                     options: Options::default(),
+                    log_limits: Limits::default(),
                     roster: self.roster.clone().expect("a started roster"),
                     leadership_observer: self.observer.clone().recipient(),
                     observer: self.observer.clone().recipient(),
--- a/crates/wire/tests/journal/main.rs
+++ b/crates/wire/tests/journal/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the encoding of the records about jobs.
 
 mod odd;
+mod progress;
 
 use std::time::Duration;
 
