Repeat the first unanswered poll of a worker at once

Callers saw: nothing yet.

Cause: the pause of 250 ms before the next poll counts the silence of a connection as that of the worker.

--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -14,7 +14,7 @@
 const MAX_POLL_WAIT: Duration = Duration::from_millis(800);
 /// Time between an answer and the next poll, so that exits are batched.
 const POLL_PAUSE: Duration = Duration::from_millis(40);
-/// Delay before the first retry of an unanswered poll; it grows with each further one.
+/// Delay before the retry of a poll for each one in a row that was missed. The first unanswered one is repeated at once.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Time after lease expiry for which the tasks of a listed worker are not restarted, as they may be
 /// done: a silent worker is unlisted after three heartbeats of 1.5 s.
@@ -129,7 +129,12 @@
                 if worker.missed_polls == 1 {
                     actions.push(worker.log(now, Change::Unreachable(answer)));
                 }
-                (RETRY_DELAY * worker.missed_polls).min(MAX_RETRY_DELAY)
+                if answer == Answer::Unknown && worker.missed_polls == 1 {
+                    // The connection may have been silent rather than the worker, and the lease goes on.
+                    Duration::ZERO
+                } else {
+                    (RETRY_DELAY * worker.missed_polls).min(MAX_RETRY_DELAY)
+                }
             }
         };
         actions.push(Action::SchedulePoll(id.clone(), delay));
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -15,6 +15,7 @@
 mod stale;
 mod starvation;
 mod stop;
+mod unanswered;
 mod worker;
 mod world;
 
--- a/crates/core/tests/sched/world/fixture.rs
+++ b/crates/core/tests/sched/world/fixture.rs
@@ -8,7 +8,7 @@
 
 use super::{ATTEMPTS, SERVICE};
 
-pub(super) fn report(number: usize) -> Report {
+pub(crate) fn report(number: usize) -> Report {
     Report {
         worker: format!("w{number}").into(),
         service: SERVICE.into(),
--- a/crates/core/tests/sched/world/mod.rs
+++ b/crates/core/tests/sched/world/mod.rs
@@ -21,10 +21,10 @@
 
 use crate::availability::Ledger;
 use crate::worker::Worker;
-use fixture::{config, report};
+use fixture::config;
 use transport::addressee;
 
-pub(crate) use fixture::{long_running, step};
+pub(crate) use fixture::{long_running, report, step};
 
 /// Time for which a ticket is valid.
 const TICKET_VALIDITY: Duration = Duration::from_secs(3);
