--- a/crates/wire/tests/journal/progress.rs
+++ b/crates/wire/tests/journal/progress.rs
@@ -123,6 +123,42 @@
     assert!(size(&progress) < 100);
 }
 
+// The leader of a shard with very many workers could record nothing any more.
+#[test]
+fn verify_reduced_heartbeat_fits_a_record() {
+    let mut heartbeat = super::heartbeat();
+    let workers = (0..30_000).map(|number| (format!("worker-{number}").into(), number));
+    heartbeat.loads[0].short_running_workers = workers.collect();
+    let record = Record::Heartbeat(heartbeat);
+    let limit = Limits::default().record_bytes;
+    assert!(encode(&record).unwrap().unwrap().len() > limit);
+    let reduced = record.reduced(0).unwrap();
+    assert!(encode(&reduced).unwrap().unwrap().len() < limit);
+    assert_eq!(reduced.reduced(0), None);
+}
+
+#[test_case(None, Outcome::Failed, 7; "job that had not ended")]
+#[test_case(Some(Outcome::Completed), Outcome::Completed, 3; "job that had completed")]
+fn verify_reduced_progress_is_the_end_of_the_job(
+    outcome: Option<Outcome>,
+    expected: Outcome,
+    ended_at_ms: u64,
+) {
+    let mut progress = Progress::default();
+    progress.has_started = true;
+    progress.record_done(&task(0, 0, 5));
+    progress.outcome = outcome;
+    progress.ended_at_ms = 3;
+    let Some(Record::Progress(_, reduced)) = Record::Progress("job".into(), progress).reduced(7)
+    else {
+        panic!("no record takes its place");
+    };
+    assert_eq!(reduced.outcome, Some(expected));
+    assert_eq!(reduced.ended_at_ms, ended_at_ms);
+    assert!(reduced.has_started);
+    assert!(!reduced.is_done(&task(0, 0, 5)));
+}
+
 // A run that is reported again by a worker, to the next leader, after its task was done.
 #[test]
 fn verify_late_report_of_a_failed_run_does_not_count_for_a_done_task() {
