Move the client and the owner of its connections to the node crate

The pool decides which connection a call uses and which are closed, and knows no name or format of the platform, so it belongs to the product and not to platform/. The tree names the services for its metrics. A connection past its lifetime is closed alone; before, all idle ones to its destination were.

--- a/platform/src/http/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -13,8 +13,6 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 
-use super::pool::Destination;
-
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for which the library keeps an idle connection; the pool closes it earlier.
@@ -40,13 +38,13 @@
 impl Connection {
     pub(super) fn new(
         address: SocketAddr,
-        destination: Destination,
+        label: KeyValue,
         opened: Counter<u64>,
         now: Instant,
     ) -> Self {
         let dialer = Dialer {
             address,
-            label: destination.label(),
+            label,
             opened,
         };
         let connector = Connector::new()
--- a/platform/src/http/mod.rs
+++ b/crates/node/src/client/mod.rs
@@ -1,4 +1,4 @@
-//! HTTP client for the services of the platform.
+//! HTTP client whose connections are owned by an actor, [`Pool`].
 
 mod connection;
 mod pool;
@@ -10,20 +10,21 @@
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::Method;
 use bytes::Bytes;
-use persimmongate_node::clock;
 use serde::Serialize;
 use tokio::sync::{oneshot, watch};
 
 use connection::Connection;
 use pool::{Message, Silence};
-pub(crate) use pool::{Pool, Sender};
+pub use pool::{Pool, Sender, Setup, Stop};
+
+use crate::clock;
 
 /// Maximum size of the body of a response, in bytes.
 const RESPONSE_BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
 
 /// `Client` makes HTTP calls over the connections of the current pool.
 #[derive(Clone)]
-pub(crate) struct Client {
+pub struct Client {
     pool: watch::Receiver<Option<Sender>>,
 }
 
@@ -36,29 +37,35 @@
 }
 
 /// `Request` is an HTTP request with its time limit.
-pub(crate) struct Request {
-    pub(crate) method: Method,
-    pub(crate) address: SocketAddr,
+pub struct Request {
+    /// Method.
+    pub method: Method,
+    /// Address of the service.
+    pub address: SocketAddr,
     /// Path with the query string.
-    pub(crate) path: String,
-    pub(crate) headers: Vec<(&'static str, String)>,
-    pub(crate) body: Bytes,
+    pub path: String,
+    /// Names and values of headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body; empty for none.
+    pub body: Bytes,
     /// Time limit of the whole call, including the body of the response.
-    pub(crate) timeout: Duration,
+    pub timeout: Duration,
     /// Time limit until the response begins. A large body takes longer than a service that does not answer
     /// should be waited for.
-    pub(crate) head_timeout: Duration,
+    pub head_timeout: Duration,
 }
 
 /// `Response` is the status and the body of an HTTP response.
-pub(crate) struct Response {
-    pub(crate) status: u16,
-    pub(crate) body: Bytes,
+pub struct Response {
+    /// HTTP status.
+    pub status: u16,
+    /// Body, of 8 MiB at most.
+    pub body: Bytes,
 }
 
 /// `SendError` is the reason for which a call got no response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum SendError {
+pub enum SendError {
     /// No connection was made, so nothing was sent.
     Unsent,
     /// The request may have been sent, so the call may have taken effect or may do so later.
@@ -75,7 +82,8 @@
 
 impl Client {
     /// Creates a client of the pool that is published in `pool`.
-    pub(crate) fn new(pool: watch::Receiver<Option<Sender>>) -> Self {
+    #[must_use]
+    pub fn new(pool: watch::Receiver<Option<Sender>>) -> Self {
         Self { pool }
     }
 
@@ -92,7 +100,11 @@
     }
 
     /// Makes a call. If the time limit passes or the future is dropped, the connection is closed.
-    pub(crate) async fn send(&self, request: Request) -> Result<Response, SendError> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no response, which tells whether the request may have been sent.
+    pub async fn send(&self, request: Request) -> Result<Response, SendError> {
         let lease = self.lease(request.address).await;
         let mut lease = lease.ok_or(SendError::Unsent)?;
         let outcome = actix_rt::time::timeout(request.timeout, lease.exchange(request)).await;
@@ -173,7 +185,9 @@
 }
 
 impl Request {
-    pub(crate) fn get(address: SocketAddr, path: String, timeout: Duration) -> Self {
+    /// Creates a GET request.
+    #[must_use]
+    pub fn get(address: SocketAddr, path: String, timeout: Duration) -> Self {
         Self {
             method: Method::GET,
             address,
@@ -185,7 +199,9 @@
         }
     }
 
-    pub(crate) fn post(address: SocketAddr, path: String, body: Bytes, timeout: Duration) -> Self {
+    /// Creates a POST request.
+    #[must_use]
+    pub fn post(address: SocketAddr, path: String, body: Bytes, timeout: Duration) -> Self {
         Self {
             method: Method::POST,
             body,
@@ -194,12 +210,7 @@
     }
 
     /// Creates a POST request with a JSON body.
-    pub(crate) fn json(
-        address: SocketAddr,
-        path: &str,
-        body: &impl Serialize,
-        timeout: Duration,
-    ) -> Self {
+    pub fn json(address: SocketAddr, path: &str, body: &impl Serialize, timeout: Duration) -> Self {
         // Serializing plain structures to memory never fails.
         let body = serde_json::to_vec(body).unwrap_or_default();
         let mut request = Self::post(address, path.to_owned(), body.into(), timeout);
@@ -211,7 +222,7 @@
 }
 
 /// Appends a query parameter to a path. Bytes of the value that have a meaning in a query are encoded.
-pub(crate) fn push_query(path: &mut String, name: &str, value: &impl Display) {
+pub fn push_query(path: &mut String, name: &str, value: &impl Display) {
     let separator = if path.contains('?') { '&' } else { '?' };
     // Writing to a string never fails.
     let _ = write!(path, "{separator}{name}=");
--- a/platform/src/http/pool.rs
+++ b/crates/node/src/client/pool.rs
@@ -4,20 +4,17 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use actix::{Actor, AsyncContext, Context, Handler, StreamHandler};
+use actix::{Actor, ActorContext, Addr, AsyncContext, Context, Handler, StreamHandler};
 use futures_util::stream;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 use persimmongate_core::map::Map;
-use persimmongate_core::settings::Gateway;
-use persimmongate_jobs::shard::Stop;
-use persimmongate_node::clock;
-use persimmongate_node::supervisor::Guard;
 use slog::{Logger, info};
 use tokio::sync::{mpsc, oneshot};
 
 use super::connection::Connection;
-use crate::tree::Child;
+use crate::clock;
+use crate::supervisor::Guard;
 
 /// Time after which an idle connection is closed: longer than the usual pauses between calls to a worker.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -28,13 +25,21 @@
 /// Interval of the search for connections that are idle for too long.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
-/// `Destination` is the kind of service that a connection leads to.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Destination {
-    Hosts,
-    Log,
-    Policy,
-    Worker,
+/// `Stop` ends the pool, before a new one replaces it.
+#[derive(Clone, Copy, Debug, actix::Message)]
+#[rtype(result = "()")]
+pub struct Stop;
+
+/// `Setup` holds the parameters of a pool.
+pub struct Setup {
+    /// Names of the services at some addresses, for metrics and log lines.
+    pub services: Map<SocketAddr, &'static str>,
+    /// Name of the services at all other addresses.
+    pub default_service: &'static str,
+    /// Creates the metrics of the connections.
+    pub meter: Meter,
+    /// Logger of the process.
+    pub logger: Logger,
 }
 
 /// `Message` is a request to the pool, or what a call reports to it.
@@ -59,15 +64,14 @@
 }
 
 /// `Pool` is the actor that owns the idle connections.
-pub(crate) struct Pool {
+pub struct Pool<C: Copy + Send + 'static> {
     /// Idle connections of each destination, the one used last at the end.
     idle: Map<SocketAddr, VecDeque<Connection>>,
     idle_count: usize,
     in_use_count: usize,
-    services: Map<SocketAddr, Destination>,
+    setup: Setup,
     instruments: Instruments,
-    logger: Logger,
-    _guard: Guard<Child>,
+    _guard: Guard<C>,
 }
 
 /// `Instruments` holds the metrics of the connections.
@@ -89,22 +93,6 @@
     Doubtful,
 }
 
-impl Destination {
-    fn name(self) -> &'static str {
-        match self {
-            Self::Hosts => "hosts",
-            Self::Log => "log",
-            Self::Policy => "advice",
-            Self::Worker => "worker",
-        }
-    }
-
-    /// Returns the label of metrics about the destination.
-    pub(super) fn label(self) -> KeyValue {
-        KeyValue::new("service", self.name())
-    }
-}
-
 impl Reason {
     fn name(self) -> &'static str {
         match self {
@@ -115,39 +103,29 @@
     }
 }
 
-impl Pool {
+impl<C: Copy + Send + Unpin + 'static> Pool<C> {
     /// Creates a pool without connections.
-    pub(crate) fn new(
-        settings: &Gateway,
-        meter: &Meter,
-        logger: Logger,
-        guard: Guard<Child>,
-    ) -> Self {
-        let services = [
-            (Some(settings.log_address), Destination::Log),
-            (settings.host_service, Destination::Hosts),
-            (settings.policy_service, Destination::Policy),
-        ];
-        let services = services.into_iter();
-        let services = services.filter_map(|(address, service)| Some((address?, service)));
+    #[must_use]
+    pub fn new(setup: Setup, guard: Guard<C>) -> Self {
+        let meter = &setup.meter;
         Self {
             idle: Map::default(),
             idle_count: 0,
             in_use_count: 0,
-            services: services.collect(),
             instruments: Instruments {
                 opened: meter.u64_counter("connections_opened").build(),
                 closed: meter.u64_counter("idle_connections_closed").build(),
                 unanswered: meter.u64_counter("calls_unanswered").build(),
                 open: meter.u64_gauge("connections").build(),
             },
-            logger,
+            setup,
             _guard: guard,
         }
     }
 
     /// Starts the pool, which receives messages from the returned sender.
-    pub(crate) fn launch(self) -> (actix::Addr<Self>, Sender) {
+    #[must_use]
+    pub fn launch(self) -> (Addr<Self>, Sender) {
         let (sender, mut receiver) = mpsc::unbounded_channel();
         let pool = Self::create(|ctx| {
             ctx.add_stream(stream::poll_fn(move |ctx| receiver.poll_recv(ctx)));
@@ -156,23 +134,28 @@
         (pool, Sender(sender))
     }
 
-    fn destination(&self, address: SocketAddr) -> Destination {
-        let service = self.services.get(&address);
-        service.copied().unwrap_or(Destination::Worker)
+    /// Returns the name of the service at an address.
+    fn service(&self, address: SocketAddr) -> &'static str {
+        let service = self.setup.services.get(&address);
+        service.copied().unwrap_or(self.setup.default_service)
+    }
+
+    fn label(&self, address: SocketAddr) -> KeyValue {
+        KeyValue::new("service", self.service(address))
     }
 
     /// Takes the connection that was used last, so that the others expire, or a new one.
     fn acquire(&mut self, address: SocketAddr, reply: oneshot::Sender<Connection>) {
         let now = clock::now();
-        let mut idle = self.idle.get_mut(&address).and_then(VecDeque::pop_back);
-        self.idle_count -= usize::from(idle.is_some());
-        if let Some(connection) = idle.take_if(|connection| connection.is_expired(now)) {
-            drop(connection);
-            self.close(address, Reason::Expired, |_| true);
+        let mut idle = self.pop(address);
+        while let Some(expired) = idle.take_if(|connection| connection.is_expired(now)) {
+            drop(expired);
+            self.count_closed(address, Reason::Expired, 1);
+            idle = self.pop(address);
         }
         let connection = idle.unwrap_or_else(|| {
             let opened = self.instruments.opened.clone();
-            Connection::new(address, self.destination(address), opened, now)
+            Connection::new(address, self.label(address), opened, now)
         });
         match reply.send(connection) {
             Ok(()) => self.in_use_count += 1,
@@ -182,6 +165,12 @@
         }
     }
 
+    fn pop(&mut self, address: SocketAddr) -> Option<Connection> {
+        let connection = self.idle.get_mut(&address)?.pop_back()?;
+        self.idle_count -= 1;
+        Some(connection)
+    }
+
     fn keep(&mut self, connection: Connection) {
         let address = connection.address;
         self.idle.entry(address).or_default().push_back(connection);
@@ -202,6 +191,13 @@
         self.close(address, Reason::Excess, |_| std::mem::take(&mut is_first));
     }
 
+    fn count_closed(&self, address: SocketAddr, reason: Reason, count: usize) {
+        if count > 0 {
+            let labels = [self.label(address), KeyValue::new("reason", reason.name())];
+            self.instruments.closed.add(count as u64, &labels);
+        }
+    }
+
     /// Closes the idle connections of a destination that match, and returns their number.
     fn close(
         &mut self,
@@ -219,13 +215,7 @@
             self.idle.remove(&address);
         }
         self.idle_count -= closed;
-        if closed > 0 {
-            let labels = [
-                self.destination(address).label(),
-                KeyValue::new("reason", reason.name()),
-            ];
-            self.instruments.closed.add(closed as u64, &labels);
-        }
+        self.count_closed(address, reason, closed);
         closed
     }
 
@@ -237,10 +227,9 @@
             sent_at,
             answered_at,
         } = silence;
-        let destination = self.destination(address);
         let is_reused = answered_at.is_some();
         let labels = [
-            destination.label(),
+            self.label(address),
             KeyValue::new("connection", if is_reused { "reused" } else { "new" }),
         ];
         self.instruments.unanswered.add(1, &labels);
@@ -253,7 +242,7 @@
         });
         let idle = answered_at.map(|at| sent_at.saturating_duration_since(at).as_millis());
         let waited = clock::now().saturating_duration_since(sent_at);
-        info!(self.logger, "no answer on an open connection"; "service" => destination.name(),
+        info!(self.setup.logger, "no answer on an open connection"; "service" => self.service(address),
             "address" => %address, "idle_ms" => idle, "waited_ms" => waited.as_millis(), "closed" => closed);
     }
 
@@ -281,7 +270,7 @@
     }
 }
 
-impl Actor for Pool {
+impl<C: Copy + Send + Unpin + 'static> Actor for Pool<C> {
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
@@ -289,7 +278,7 @@
     }
 }
 
-impl StreamHandler<Message> for Pool {
+impl<C: Copy + Send + Unpin + 'static> StreamHandler<Message> for Pool<C> {
     fn handle(&mut self, message: Message, _: &mut Self::Context) {
         match message {
             Message::Acquire(address, reply) => self.acquire(address, reply),
@@ -306,18 +295,18 @@
     }
 }
 
-impl Handler<Stop> for Pool {
+impl<C: Copy + Send + Unpin + 'static> Handler<Stop> for Pool<C> {
     type Result = ();
 
     fn handle(&mut self, _: Stop, ctx: &mut Self::Context) {
-        actix::ActorContext::stop(ctx);
+        ctx.stop();
     }
 }
 
 /// `Sender` sends messages to one instance of the pool. The connections stay on its thread, so a channel of that
 /// thread takes the place of the mailbox.
 #[derive(Clone)]
-pub(crate) struct Sender(mpsc::UnboundedSender<Message>);
+pub struct Sender(mpsc::UnboundedSender<Message>);
 
 impl Sender {
     /// Sends a message. One to an instance that has ended needs no effect, as its connections are closed.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`admin`]: HTTP interface for metrics, health and dumps
 //! - [`boot`]: loading of settings, start of a daemon, and signals
+//! - [`client`]: HTTP client and the owner of its connections
 //! - [`clock`]: the runtime's clock, and the time of day
 //! - [`errors`]: the error type, its alias and its constructors
 //! - [`http`]: HTTP servers as children of a supervisor
@@ -16,6 +17,7 @@
 
 pub mod admin;
 pub mod boot;
+pub mod client;
 pub mod clock;
 pub mod errors;
 pub mod http;
