Try a cancellation while the log was read recently

Callers saw: a cancellation at the gateway whose submission has just lost its answer got 503 until the next read of the log, within 0.7 s.

Cause: the failed append counted as an outage of the log, in which unknown ids were refused at once.

Change: they are refused at once only if the log was not read for 2.5 s either, as submissions are; otherwise the append is tried.

--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -250,7 +250,9 @@
             None if self.job_index.is_canceled(&cancel.job) && self.is_fresh() => {
                 Some(Answer::Missing)
             }
-            None if self.is_log_failing() => Some(Answer::Unavailable(UNAVAILABLE_RETRY_DELAY)),
+            None if !self.is_fresh() && self.is_log_failing() => {
+                Some(Answer::Unavailable(UNAVAILABLE_RETRY_DELAY))
+            }
             _ => None,
         };
         if let Some(answer) = answer {
