Bound what a router remembers of moved queues, and finish an occurrence without a look at all others

The services that queues had before were kept for queues and services that no configuration has any more. Finishing an occurrence passed over the done tasks of all open ones. A crash under a task that is done was recorded, as its failures were until now, and could count towards giving the job up.

--- a/crates/core/src/job/progress.rs
+++ b/crates/core/src/job/progress.rs
@@ -114,10 +114,9 @@
             return;
         }
         self.finished.insert(occurrence);
-        self.done_tasks.retain(|(other, _), _| *other != occurrence);
-        self.failed_runs
-            .retain(|(other, ..), _| *other != occurrence);
-        self.crashes.retain(|(other, ..), _| *other != occurrence);
+        for (step, _) in (0..).zip(&job.steps) {
+            self.done_tasks.remove(&(occurrence, step));
+        }
     }
 
     /// Brings the progress of a job that an earlier version recorded into the present form.
@@ -126,6 +125,11 @@
         for occurrence in occurrences {
             self.finish_if_done(job, occurrence);
         }
+        let finished = &self.finished;
+        self.failed_runs
+            .retain(|(occurrence, ..), _| !finished.contains(*occurrence));
+        self.crashes
+            .retain(|(occurrence, ..), _| !finished.contains(*occurrence));
     }
 
     /// Returns the progress without the details of tasks, as that of a job that ends as failed unless it has ended.
@@ -164,6 +168,9 @@
     ///
     /// `is_unexplained` is true if only this task can have caused it.
     pub fn record_crash(&mut self, task: &Task, run: ids::Run, is_unexplained: bool) -> bool {
+        if self.is_done(task) {
+            return false;
+        }
         let key = (task.occurrence, task.step, task.index);
         let crashes = self.crashes.entry(key).or_default();
         if crashes.runs.contains(&run) {
--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -162,6 +162,7 @@
             Self::Dropped(key) => key.clone(),
         }
     }
+
     /// Returns what is recorded in place of a record that the log can't store: the end of the job whose progress it
     /// is, or a heartbeat without workers. `None` if nothing can take its place.
     #[must_use]
--- a/crates/jobs/src/router/mod.rs
+++ b/crates/jobs/src/router/mod.rs
@@ -129,18 +129,23 @@
         self.shards.get(shard as usize).cloned().flatten()
     }
 
-    /// Remembers the services of queues that belong to another service from now on.
+    /// Remembers the services of queues that belong to another service from now on, as long as the configuration has
+    /// both.
     fn record_moves(&mut self, config: &Config) {
         let Some(previous) = &self.config else {
             return;
         };
         for queue in &previous.queues {
             let current = config.queue(&queue.name);
-            if current.is_none_or(|current| current.service != queue.service) {
+            if current.is_some_and(|current| current.service != queue.service) {
                 let earlier = self.earlier_services.entry(queue.name.clone());
                 earlier.or_default().insert(queue.service.clone());
             }
         }
+        self.earlier_services.retain(|queue, services| {
+            services.retain(|service| config.service(service).is_some());
+            config.queue(queue).is_some() && !services.is_empty()
+        });
     }
 
     /// Returns the shards in which the acceptance of a job of a queue may still be recorded.
