Bound idle connections by the descriptors of the process

Change: half of the descriptors of the process, by the new setting descriptors; past that the longer idle half is closed at once.

--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -14,6 +14,10 @@
 /// Accepted numbers of shards.
 const SHARD_COUNT_RANGE: std::ops::RangeInclusive<usize> = 2..=1_024;
 
+/// Default number of descriptors that a process may have open.
+const DEFAULT_MAX_DESCRIPTORS: usize = 4_096;
+/// Accepted numbers of descriptors.
+const DESCRIPTORS_RANGE: std::ops::RangeInclusive<usize> = 256..=1_048_576;
 /// Accepted limits of the size of a record, in bytes.
 const RECORD_BYTES_RANGE: std::ops::RangeInclusive<usize> = 1_024..=64 * 1_024 * 1_024;
 /// Accepted limits of the size of an append, in bytes.
@@ -44,6 +48,8 @@
     pub shard_count: ids::Shard,
     /// Processor time of the host, in thousandths of a core.
     pub cpu_millicores: u32,
+    /// Maximum number of descriptors that the process may have open.
+    pub max_descriptors: usize,
     /// Options of the schedulers.
     pub sched: sched::Options,
     /// Options of the maintenance planner.
@@ -72,6 +78,8 @@
             let policy_services = reader.read_service_addresses("advice");
             let shard_count = reader.read_count("shards", DEFAULT_SHARD_COUNT, SHARD_COUNT_RANGE);
             let cpu_millicores = reader.read_cores("processor", DEFAULT_CPU_MILLICORES);
+            let max_descriptors =
+                reader.read_count("descriptors", DEFAULT_MAX_DESCRIPTORS, DESCRIPTORS_RANGE);
             let max_lease = reader.read_duration("lease_max", sched_defaults.max_lease);
             let stop_timeout = reader.read_duration("stop", sched_defaults.stop_timeout);
             let holder_lease = reader.read_duration("holder_lease", upkeep_defaults.lease);
@@ -93,6 +101,7 @@
                 policy_service: policy_services?.first().copied(),
                 shard_count: ids::Shard::try_from(shard_count?).ok()?,
                 cpu_millicores: cpu_millicores?,
+                max_descriptors: max_descriptors?,
                 sched: sched::Options {
                     node: instance,
                     max_lease: max_lease?,
--- a/crates/node/src/client/pool.rs
+++ b/crates/node/src/client/pool.rs
@@ -20,8 +20,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum age of a connection, after which it is not used again.
 const LIFETIME: Duration = Duration::from_mins(10);
-/// Maximum number of idle connections to all destinations, about a quarter of the descriptors of a process.
-const MAX_IDLE: usize = 1_024;
+/// Divisor of the descriptors of a process that gives the maximum number of idle connections to all destinations. The
+/// others are for calls in flight and for callers.
+const IDLE_DIVISOR: usize = 2;
 /// Interval of the search for connections that are idle for too long.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -36,6 +37,8 @@
     pub services: Map<SocketAddr, &'static str>,
     /// Name of the services at all other addresses.
     pub default_service: &'static str,
+    /// Maximum number of descriptors that the process may have open.
+    pub max_descriptors: usize,
     /// Creates the metrics of the connections.
     pub meter: Meter,
     /// Logger of the process.
@@ -175,20 +178,22 @@
         let address = connection.address;
         self.idle.entry(address).or_default().push_back(connection);
         self.idle_count += 1;
-        if self.idle_count > MAX_IDLE {
+        if self.idle_count > self.setup.max_descriptors / IDLE_DIVISOR {
             self.close_longest_idle();
         }
     }
 
+    /// Closes the longer idle half of the connections, so that the next search for them is far off.
     fn close_longest_idle(&mut self) {
-        let first = |(address, idle): (&SocketAddr, &VecDeque<Connection>)| {
-            idle.front().map(|first| (first.answered_at, *address))
-        };
-        let Some((_, address)) = self.idle.iter().filter_map(first).min() else {
-            return;
-        };
-        let mut is_first = true;
-        self.close(address, Reason::Excess, |_| std::mem::take(&mut is_first));
+        let answer_times = self.idle.values().flatten().map(|idle| idle.answered_at);
+        let mut answer_times: Vec<Option<Instant>> = answer_times.collect();
+        let middle = answer_times.len() / 2;
+        let (_, median, _) = answer_times.select_nth_unstable(middle);
+        let median = *median;
+        let addresses: Vec<SocketAddr> = self.idle.keys().copied().collect();
+        for address in addresses {
+            self.close(address, Reason::Excess, |idle| idle.answered_at < median);
+        }
     }
 
     fn count_closed(&self, address: SocketAddr, reason: Reason, count: usize) {
