Publish the clients of destinations, so that a call waits for no other task

Suspected: each call waited for a message to the pool and its answer, each of which waits for all tasks that are ready, and a leader with hundreds of workers has hundreds.

Change: the pool owns one client of the HTTP library for each destination and publishes them over a watch channel; only the first call to a destination asks for one. What calls and connections report is not waited for. A call without an answer drops the client, with all of its idle connections; unused clients are dropped after 30 s; past three quarters of the descriptors, those used longest ago.

--- a/crates/node/src/client/mod.rs
+++ b/crates/node/src/client/mod.rs
@@ -13,9 +13,8 @@
 use serde::Serialize;
 use tokio::sync::{oneshot, watch};
 
-use connection::Connection;
-use pool::{Message, Silence};
-pub use pool::{Pool, Sender, Setup, Stop};
+pub use pool::{Handle, Pool, Setup, Stop};
+use pool::{Message, Sender};
 
 use crate::clock;
 
@@ -25,15 +24,15 @@
 /// `Client` makes HTTP calls over the connections of the current pool.
 #[derive(Clone)]
 pub struct Client {
-    pool: watch::Receiver<Option<Sender>>,
+    pool: watch::Receiver<Option<Handle>>,
 }
 
-/// `Lease` is the use of a connection by one call. If it is dropped before the call ended, the call counts as
-/// unanswered.
-struct Lease {
+/// `Attempt` is a call in progress. If it is dropped before the call ended, the call counts as unanswered.
+struct Attempt {
     pool: Sender,
-    connection: Option<Connection>,
+    address: SocketAddr,
     sent_at: Instant,
+    has_ended: bool,
 }
 
 /// `Request` is an HTTP request with its time limit.
@@ -83,96 +82,84 @@
 impl Client {
     /// Creates a client of the pool that is published in `pool`.
     #[must_use]
-    pub fn new(pool: watch::Receiver<Option<Sender>>) -> Self {
+    pub fn new(pool: watch::Receiver<Option<Handle>>) -> Self {
         Self { pool }
     }
 
-    async fn lease(&self, address: SocketAddr) -> Option<Lease> {
-        let pool = self.pool.borrow().clone()?;
-        let (reply, connection) = oneshot::channel();
-        pool.send(Message::Acquire(address, reply));
-        let connection = connection.await.ok()?;
-        Some(Lease {
-            pool,
-            connection: Some(connection),
-            sent_at: clock::now(),
-        })
-    }
-
     /// Makes a call. If the time limit passes or the future is dropped, the connection is closed.
     ///
     /// # Errors
     ///
     /// Returns an error if there is no response, which tells whether the request may have been sent.
     pub async fn send(&self, request: Request) -> Result<Response, SendError> {
-        let lease = self.lease(request.address).await;
-        let mut lease = lease.ok_or(SendError::Unsent)?;
-        let outcome = actix_rt::time::timeout(request.timeout, lease.exchange(request)).await;
-        // A call that ran out of time drops its lease.
-        let outcome = outcome.map_err(|_| SendError::Unknown)?;
+        let address = request.address;
+        let pool = self.pool.borrow().clone().ok_or(SendError::Unsent)?;
+        let known = pool.clients.borrow().get(&address).cloned();
+        let http = match known {
+            Some(known) => known,
+            None => pool.add(address).await.ok_or(SendError::Unsent)?,
+        };
+        let mut attempt = Attempt {
+            pool: pool.sender,
+            address,
+            sent_at: clock::now(),
+            has_ended: false,
+        };
+        let timeout = request.timeout;
+        let outcome = actix_rt::time::timeout(timeout, exchange(&http, request)).await;
         match outcome {
-            Ok(_) => lease.release(),
-            Err(Failure::Broken(_)) => lease.discard(),
-            Err(Failure::Silent) => {}
+            Ok(Ok(response)) => {
+                attempt.has_ended = true;
+                attempt.pool.send(Message::Answered(address));
+                Ok(response)
+            }
+            Ok(Err(Failure::Broken(error))) => {
+                attempt.has_ended = true;
+                Err(error)
+            }
+            // The end of the attempt reports that there was no answer.
+            Ok(Err(Failure::Silent)) | Err(_) => Err(SendError::Unknown),
         }
-        outcome.map_err(|failure| match failure {
-            Failure::Broken(error) => error,
-            Failure::Silent => SendError::Unknown,
-        })
     }
 }
 
-impl Lease {
-    async fn exchange(&mut self, request: Request) -> Result<Response, Failure> {
-        let Some(connection) = &self.connection else {
-            return Err(Failure::Broken(SendError::Unsent));
-        };
-        let url = format!("http://{}{}", request.address, request.path);
-        let mut call = connection.http.request(request.method, url);
-        for (name, value) in request.headers {
-            call = call.insert_header((name, value));
-        }
-        let head = if request.body.is_empty() {
-            call.send()
-        } else {
-            call.send_body(request.body)
-        };
-        let response = actix_rt::time::timeout(request.head_timeout, head).await;
-        let response = response.map_err(|_| Failure::Silent)?;
-        let mut response = response.map_err(|error| Failure::Broken(classify(&error)))?;
-        let body = response.body().limit(RESPONSE_BODY_MAX_BYTES).await;
-        Ok(Response {
-            status: response.status().as_u16(),
-            body: body.map_err(|_| Failure::Broken(SendError::Unknown))?,
-        })
-    }
-
-    /// Returns the connection to the pool after an answer.
-    fn release(mut self) {
-        if let Some(mut connection) = self.connection.take() {
-            connection.answered_at = Some(clock::now());
-            self.pool.send(Message::Release(connection));
-        }
+impl Handle {
+    /// Returns the client of a destination that had none.
+    async fn add(&self, address: SocketAddr) -> Option<awc::Client> {
+        let (reply, client) = oneshot::channel();
+        self.sender.send(Message::Add(address, reply));
+        client.await.ok()
     }
+}
 
-    /// Closes the connection after an error.
-    fn discard(mut self) {
-        if self.connection.take().is_some() {
-            self.pool.send(Message::Broken);
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            let message = Message::Unanswered(self.address, self.sent_at);
+            self.pool.send(message);
         }
     }
 }
 
-impl Drop for Lease {
-    fn drop(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            self.pool.send(Message::Unanswered(Silence {
-                address: connection.address,
-                sent_at: self.sent_at,
-                answered_at: connection.answered_at,
-            }));
-        }
+async fn exchange(http: &awc::Client, request: Request) -> Result<Response, Failure> {
+    let url = format!("http://{}{}", request.address, request.path);
+    let mut call = http.request(request.method, url);
+    for (name, value) in request.headers {
+        call = call.insert_header((name, value));
     }
+    let head = if request.body.is_empty() {
+        call.send()
+    } else {
+        call.send_body(request.body)
+    };
+    let response = actix_rt::time::timeout(request.head_timeout, head).await;
+    let response = response.map_err(|_| Failure::Silent)?;
+    let mut response = response.map_err(|error| Failure::Broken(classify(&error)))?;
+    let body = response.body().limit(RESPONSE_BODY_MAX_BYTES).await;
+    Ok(Response {
+        status: response.status().as_u16(),
+        body: body.map_err(|_| Failure::Broken(SendError::Unknown))?,
+    })
 }
 
 fn classify(error: &SendRequestError) -> SendError {
--- a/crates/node/src/client/pool.rs
+++ b/crates/node/src/client/pool.rs
@@ -1,6 +1,8 @@
-//! Owner of the connections: hands them out to calls, and closes those that are idle for long or in doubt.
+//! Owner of the connections: one client of the HTTP library for each destination, which is replaced when its connections
+//! are in doubt, and dropped when it is not used.
+//!
+//! The clients are published, so that a call to a known destination waits for no other task.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -10,20 +12,15 @@
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 use persimmongate_core::map::Map;
 use slog::{Logger, info};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
-use super::connection::Connection;
+use super::connection::{IDLE_TIMEOUT, new_client};
 use crate::clock;
 use crate::supervisor::Guard;
 
-/// Time after which an idle connection is closed: longer than the usual pauses between calls to a worker.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Maximum age of a connection, after which it is not used again.
-const LIFETIME: Duration = Duration::from_mins(10);
-/// Divisor of the descriptors of a process that gives the maximum number of idle connections to all destinations. The
-/// others are for calls in flight and for callers.
-const IDLE_DIVISOR: usize = 2;
-/// Interval of the search for connections that are idle for too long.
+/// Share of the descriptors of a process, in percent, that connections may take. The others are for callers.
+const OPEN_PERCENT: usize = 75;
+/// Interval of the search for destinations that are not used.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
 /// `Stop` ends the pool, before a new one replaces it.
@@ -45,33 +42,52 @@
     pub logger: Logger,
 }
 
-/// `Message` is a request to the pool, or what a call reports to it.
+/// `Message` is a request to the pool, or what a call or a connection reports to it.
 pub(super) enum Message {
-    /// A call asks for a connection.
-    Acquire(SocketAddr, oneshot::Sender<Connection>),
-    /// A call was answered, so that the connection may be used again.
-    Release(Connection),
-    /// A connection broke or could not be opened, and is closed.
-    Broken,
-    /// A call got no answer in time, and its connection is closed.
-    Unanswered(Silence),
+    /// A call asks for the client of a destination that has none.
+    Add(SocketAddr, oneshot::Sender<awc::Client>),
+    /// A connection was opened.
+    Opened(SocketAddr),
+    /// A connection was closed.
+    Closed,
+    /// A call was answered.
+    Answered(SocketAddr),
+    /// A call that was sent at this time got no answer.
+    Unanswered(SocketAddr, Instant),
 }
 
-/// `Silence` is a call that got no answer.
+/// `Clients` is the clients of all destinations in use.
+pub(super) type Clients = Map<SocketAddr, awc::Client>;
+
+/// `Handle` is what a call needs of one instance of the pool.
+#[derive(Clone)]
+pub struct Handle {
+    pub(super) clients: watch::Receiver<Clients>,
+    pub(super) sender: Sender,
+}
+
+/// `Sender` sends messages to one instance of the pool. The clients stay on its thread, so a channel of that thread takes
+/// the place of the mailbox.
+#[derive(Clone)]
+pub(super) struct Sender(mpsc::UnboundedSender<Message>);
+
+/// `Destination` is the state of the client of a destination.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Silence {
-    pub(super) address: SocketAddr,
-    pub(super) sent_at: Instant,
-    /// Time of the latest answer on the connection before; `None` if it was opened for the call.
-    pub(super) answered_at: Option<Instant>,
+struct Destination {
+    /// Time from which on calls use the present client.
+    created_at: Instant,
+    /// Time of the latest answer to a call; `None` before the first one of the present client.
+    answered_at: Option<Instant>,
 }
 
-/// `Pool` is the actor that owns the idle connections.
+/// `Pool` is the actor that owns the clients.
 pub struct Pool<C: Copy + Send + 'static> {
-    /// Idle connections of each destination, the one used last at the end.
-    idle: Map<SocketAddr, VecDeque<Connection>>,
-    idle_count: usize,
-    in_use_count: usize,
+    destinations: Map<SocketAddr, Destination>,
+    clients: watch::Sender<Clients>,
+    sender: Sender,
+    open_count: usize,
+    /// Whether connections were closed as there were too many, and some of them are still open.
+    is_closing: bool,
     setup: Setup,
     instruments: Instruments,
     _guard: Guard<C>,
@@ -80,61 +96,76 @@
 /// `Instruments` holds the metrics of the connections.
 struct Instruments {
     opened: Counter<u64>,
-    closed: Counter<u64>,
+    replaced: Counter<u64>,
     unanswered: Counter<u64>,
     open: Gauge<u64>,
 }
 
-/// `Reason` is why the pool closed idle connections.
+/// `Reason` is why the pool dropped a client with its idle connections.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Reason {
-    /// They were idle for too long, or too old.
-    Expired,
-    /// There were too many.
+    /// The destination was not called for long.
+    Unused,
+    /// There were too many connections.
     Excess,
-    /// A call sent after their latest answer got none.
+    /// A call got no answer.
     Doubtful,
 }
 
 impl Reason {
     fn name(self) -> &'static str {
         match self {
-            Self::Expired => "expired",
+            Self::Unused => "unused",
             Self::Excess => "excess",
             Self::Doubtful => "doubtful",
         }
     }
 }
 
-impl<C: Copy + Send + Unpin + 'static> Pool<C> {
-    /// Creates a pool without connections.
-    #[must_use]
-    pub fn new(setup: Setup, guard: Guard<C>) -> Self {
-        let meter = &setup.meter;
-        Self {
-            idle: Map::default(),
-            idle_count: 0,
-            in_use_count: 0,
-            instruments: Instruments {
-                opened: meter.u64_counter("connections_opened").build(),
-                closed: meter.u64_counter("idle_connections_closed").build(),
-                unanswered: meter.u64_counter("calls_unanswered").build(),
-                open: meter.u64_gauge("connections").build(),
-            },
-            setup,
-            _guard: guard,
-        }
+impl Sender {
+    /// Sends a message. One to an instance that has ended needs no effect, as its connections are closed.
+    pub(super) fn send(&self, message: Message) {
+        self.0.send(message).ok();
     }
+}
+
+impl Destination {
+    fn used_at(&self) -> Instant {
+        self.answered_at.unwrap_or(self.created_at)
+    }
+}
 
-    /// Starts the pool, which receives messages from the returned sender.
-    #[must_use]
-    pub fn launch(self) -> (Addr<Self>, Sender) {
+impl<C: Copy + Send + Unpin + 'static> Pool<C> {
+    /// Starts a pool without connections, and returns what calls need of it.
+    pub fn launch(setup: Setup, guard: Guard<C>) -> (Addr<Self>, Handle) {
         let (sender, mut receiver) = mpsc::unbounded_channel();
+        let sender = Sender(sender);
+        let clients = watch::Sender::new(Clients::default());
+        let handle = Handle {
+            clients: clients.subscribe(),
+            sender: sender.clone(),
+        };
+        let meter = &setup.meter;
+        let instruments = Instruments {
+            opened: meter.u64_counter("connections_opened").build(),
+            replaced: meter.u64_counter("clients_dropped").build(),
+            unanswered: meter.u64_counter("calls_unanswered").build(),
+            open: meter.u64_gauge("connections").build(),
+        };
         let pool = Self::create(|ctx| {
             ctx.add_stream(stream::poll_fn(move |ctx| receiver.poll_recv(ctx)));
-            self
+            Self {
+                destinations: Map::default(),
+                clients,
+                sender,
+                open_count: 0,
+                is_closing: false,
+                setup,
+                instruments,
+                _guard: guard,
+            }
         });
-        (pool, Sender(sender))
+        (pool, handle)
     }
 
     /// Returns the name of the service at an address.
@@ -147,131 +178,93 @@
         KeyValue::new("service", self.service(address))
     }
 
-    /// Takes the connection that was used last, so that the others expire, or a new one.
-    fn acquire(&mut self, address: SocketAddr, reply: oneshot::Sender<Connection>) {
-        let now = clock::now();
-        let mut idle = self.pop(address);
-        while let Some(expired) = idle.take_if(|connection| connection.is_expired(now)) {
-            drop(expired);
-            self.count_closed(address, Reason::Expired, 1);
-            idle = self.pop(address);
+    /// Returns the client of a destination, which is new if it has none.
+    fn client(&mut self, address: SocketAddr) -> awc::Client {
+        if let Some(known) = self.clients.borrow().get(&address) {
+            return known.clone();
         }
-        let connection = idle.unwrap_or_else(|| {
-            let opened = self.instruments.opened.clone();
-            Connection::new(address, self.label(address), opened, now)
+        let client = new_client(address, self.sender.clone());
+        let destination = Destination {
+            created_at: clock::now(),
+            answered_at: None,
+        };
+        self.destinations.insert(address, destination);
+        let published = client.clone();
+        self.clients.send_modify(|clients| {
+            clients.insert(address, published);
         });
-        match reply.send(connection) {
-            Ok(()) => self.in_use_count += 1,
-            // The call was given up while it waited.
-            Err(connection) if connection.answered_at.is_some() => self.keep(connection),
-            Err(_) => {}
-        }
+        client
     }
 
-    fn pop(&mut self, address: SocketAddr) -> Option<Connection> {
-        let connection = self.idle.get_mut(&address)?.pop_back()?;
-        self.idle_count -= 1;
-        Some(connection)
-    }
-
-    fn keep(&mut self, connection: Connection) {
-        let address = connection.address;
-        self.idle.entry(address).or_default().push_back(connection);
-        self.idle_count += 1;
-        if self.idle_count > self.setup.max_descriptors / IDLE_DIVISOR {
-            self.close_longest_idle();
-        }
+    /// Drops the client of a destination. Its idle connections are closed, and those in use when their calls end.
+    fn drop_client(&mut self, address: SocketAddr, reason: Reason) {
+        self.destinations.remove(&address);
+        self.clients.send_modify(|clients| {
+            clients.remove(&address);
+        });
+        let labels = [self.label(address), KeyValue::new("reason", reason.name())];
+        self.instruments.replaced.add(1, &labels);
     }
 
-    /// Closes the longer idle half of the connections, so that the next search for them is far off.
-    fn close_longest_idle(&mut self) {
-        let answer_times = self.idle.values().flatten().map(|idle| idle.answered_at);
-        let mut answer_times: Vec<Option<Instant>> = answer_times.collect();
-        let middle = answer_times.len() / 2;
-        let (_, median, _) = answer_times.select_nth_unstable(middle);
-        let median = *median;
-        let addresses: Vec<SocketAddr> = self.idle.keys().copied().collect();
-        for address in addresses {
-            self.close(address, Reason::Excess, |idle| idle.answered_at < median);
+    /// Closes the connections of the destinations that were used longest ago if there are too many.
+    fn limit_open(&mut self) {
+        let is_over = self.open_count * 100 > self.setup.max_descriptors * OPEN_PERCENT;
+        if !is_over || self.is_closing {
+            return;
         }
-    }
-
-    fn count_closed(&self, address: SocketAddr, reason: Reason, count: usize) {
-        if count > 0 {
-            let labels = [self.label(address), KeyValue::new("reason", reason.name())];
-            self.instruments.closed.add(count as u64, &labels);
+        self.is_closing = true;
+        let used =
+            |(address, destination): (&SocketAddr, &Destination)| (destination.used_at(), *address);
+        let mut used: Vec<(Instant, SocketAddr)> = self.destinations.iter().map(used).collect();
+        used.sort_unstable();
+        for (_, address) in &used[..used.len().div_ceil(2)] {
+            self.drop_client(*address, Reason::Excess);
         }
     }
 
-    /// Closes the idle connections of a destination that match, and returns their number.
-    fn close(
-        &mut self,
-        address: SocketAddr,
-        reason: Reason,
-        mut matches: impl FnMut(&Connection) -> bool,
-    ) -> usize {
-        let Some(idle) = self.idle.get_mut(&address) else {
-            return 0;
-        };
-        let previous = idle.len();
-        idle.retain(|connection| !matches(connection));
-        let closed = previous - idle.len();
-        if idle.is_empty() {
-            self.idle.remove(&address);
+    fn handle_answer(&mut self, address: SocketAddr) {
+        if let Some(destination) = self.destinations.get_mut(&address) {
+            destination.answered_at = Some(clock::now());
         }
-        self.idle_count -= closed;
-        self.count_closed(address, reason, closed);
-        closed
     }
 
-    /// Closes the idle connections of a destination that have not answered since an unanswered call was sent: what
-    /// silenced one may have silenced all that were open.
-    fn handle_silence(&mut self, silence: Silence) {
-        let Silence {
-            address,
-            sent_at,
-            answered_at,
-        } = silence;
-        let is_reused = answered_at.is_some();
+    /// Drops the client of a destination after a call without an answer: what silenced one connection may have silenced
+    /// all that were open.
+    fn handle_silence(&mut self, address: SocketAddr, sent_at: Instant) {
+        let destination = self.destinations.get(&address).copied();
+        let present = destination.filter(|destination| destination.created_at <= sent_at);
+        let answered_at = present.and_then(|destination| destination.answered_at);
         let labels = [
             self.label(address),
-            KeyValue::new("connection", if is_reused { "reused" } else { "new" }),
+            KeyValue::new("client", if answered_at.is_some() { "used" } else { "new" }),
         ];
         self.instruments.unanswered.add(1, &labels);
-        if !is_reused {
-            // The destination does not answer, whatever the connection.
+        // A destination that has not answered the present client has no idle connections.
+        let Some(answered_at) = answered_at else {
             return;
-        }
-        let closed = self.close(address, Reason::Doubtful, |connection| {
-            connection.answered_at.is_none_or(|at| at < sent_at)
-        });
-        let idle = answered_at.map(|at| sent_at.saturating_duration_since(at).as_millis());
-        let waited = clock::now().saturating_duration_since(sent_at);
+        };
+        self.drop_client(address, Reason::Doubtful);
+        let now = clock::now();
+        let since = |at: Instant| now.saturating_duration_since(at).as_millis();
         info!(self.setup.logger, "no answer on an open connection"; "service" => self.service(address),
-            "address" => %address, "idle_ms" => idle, "waited_ms" => waited.as_millis(), "closed" => closed);
+            "address" => %address, "answer_age_ms" => since(answered_at), "waited_ms" => since(sent_at),
+            "open" => self.open_count);
     }
 
-    /// Closes the connections that are idle for too long, and reports how many are open.
+    /// Drops the clients of destinations that are not used, and reports how many connections are open.
     fn sweep(&mut self) {
         let now = clock::now();
-        let addresses: Vec<SocketAddr> = self.idle.keys().copied().collect();
-        for address in addresses {
-            self.close(address, Reason::Expired, |connection| {
-                connection.is_expired(now)
-            });
-        }
-        for (state, count) in [("idle", self.idle_count), ("in_use", self.in_use_count)] {
-            let labels = [KeyValue::new("state", state)];
-            self.instruments.open.record(count as u64, &labels);
+        let is_unused = |(_, destination): &(&SocketAddr, &Destination)| {
+            now.saturating_duration_since(destination.used_at()) > IDLE_TIMEOUT
+        };
+        let unused = self.destinations.iter().filter(is_unused);
+        let unused: Vec<SocketAddr> = unused.map(|(address, _)| *address).collect();
+        for address in unused {
+            self.drop_client(address, Reason::Unused);
         }
-    }
-}
-
-impl Connection {
-    fn is_expired(&self, now: Instant) -> bool {
-        let answered_at = self.answered_at.unwrap_or(self.created_at);
-        now.saturating_duration_since(answered_at) > IDLE_TIMEOUT
-            || now.saturating_duration_since(self.created_at) > LIFETIME
+        self.is_closing = false;
+        self.limit_open();
+        self.instruments.open.record(self.open_count as u64, &[]);
     }
 }
 
@@ -286,16 +279,18 @@
 impl<C: Copy + Send + Unpin + 'static> StreamHandler<Message> for Pool<C> {
     fn handle(&mut self, message: Message, _: &mut Self::Context) {
         match message {
-            Message::Acquire(address, reply) => self.acquire(address, reply),
-            Message::Release(connection) => {
-                self.in_use_count -= 1;
-                self.keep(connection);
+            Message::Add(address, reply) => {
+                // The call may have been given up while it waited.
+                reply.send(self.client(address)).ok();
             }
-            Message::Broken => self.in_use_count -= 1,
-            Message::Unanswered(silence) => {
-                self.in_use_count -= 1;
-                self.handle_silence(silence);
+            Message::Opened(address) => {
+                self.instruments.opened.add(1, &[self.label(address)]);
+                self.open_count += 1;
+                self.limit_open();
             }
+            Message::Closed => self.open_count -= 1,
+            Message::Answered(address) => self.handle_answer(address),
+            Message::Unanswered(address, sent_at) => self.handle_silence(address, sent_at),
         }
     }
 }
@@ -307,15 +302,3 @@
         ctx.stop();
     }
 }
-
-/// `Sender` sends messages to one instance of the pool. The connections stay on its thread, so a channel of that
-/// thread takes the place of the mailbox.
-#[derive(Clone)]
-pub struct Sender(mpsc::UnboundedSender<Message>);
-
-impl Sender {
-    /// Sends a message. One to an instance that has ended needs no effect, as its connections are closed.
-    pub(super) fn send(&self, message: Message) {
-        self.0.send(message).ok();
-    }
-}
