--- a/crates/node/src/client/mod.rs
+++ b/crates/node/src/client/mod.rs
@@ -93,14 +93,14 @@
     /// Returns an error if there is no response, which tells whether the request may have been sent.
     pub async fn send(&self, request: Request) -> Result<Response, SendError> {
         let address = request.address;
-        let pool = self.pool.borrow().clone().ok_or(SendError::Unsent)?;
-        let known = pool.clients.borrow().get(&address).cloned();
+        let current = self.pool.borrow().as_ref().map(|pool| pool.find(address));
+        let (known, pool) = current.ok_or(SendError::Unsent)?;
         let http = match known {
             Some(known) => known,
             None => pool.add(address).await.ok_or(SendError::Unsent)?,
         };
         let mut attempt = Attempt {
-            pool: pool.sender,
+            pool,
             address,
             sent_at: clock::now(),
             has_ended: false,
@@ -124,10 +124,18 @@
 }
 
 impl Handle {
-    /// Returns the client of a destination that had none.
+    /// Returns the client of a destination, if it has one, and what reports to the pool.
+    fn find(&self, address: SocketAddr) -> (Option<awc::Client>, Sender) {
+        let client = self.clients.borrow().get(&address).cloned();
+        (client, self.sender.clone())
+    }
+}
+
+impl Sender {
+    /// Returns the client of a destination that had none; `None` if the pool has ended.
     async fn add(&self, address: SocketAddr) -> Option<awc::Client> {
         let (reply, client) = oneshot::channel();
-        self.sender.send(Message::Add(address, reply));
+        self.send(Message::Add(address, reply));
         client.await.ok()
     }
 }
