Report at most one answer of a destination in five seconds

The processors of its leaders bind, and each answered call sent a message to the pool, which needs the time of use only to find destinations that are not used.

--- a/crates/node/src/client/mod.rs
+++ b/crates/node/src/client/mod.rs
@@ -13,8 +13,8 @@
 use serde::Serialize;
 use tokio::sync::{oneshot, watch};
 
+use pool::{Entry, Message, Sender};
 pub use pool::{Handle, Pool, Setup, Stop};
-use pool::{Message, Sender};
 
 use crate::clock;
 
@@ -95,9 +95,9 @@
         let address = request.address;
         let current = self.pool.borrow().as_ref().map(|pool| pool.find(address));
         let (known, pool) = current.ok_or(SendError::Unsent)?;
-        let http = match known {
-            Some(known) => known,
-            None => pool.add(address).await.ok_or(SendError::Unsent)?,
+        let (http, report_after) = match known {
+            Some(entry) => (entry.http, entry.report_after),
+            None => (pool.add(address).await.ok_or(SendError::Unsent)?, None),
         };
         let mut attempt = Attempt {
             pool,
@@ -110,7 +110,9 @@
         match outcome {
             Ok(Ok(response)) => {
                 attempt.has_ended = true;
-                attempt.pool.send(Message::Answered(address));
+                if report_after.is_none_or(|after| clock::now() > after) {
+                    attempt.pool.send(Message::Answered(address));
+                }
                 Ok(response)
             }
             Ok(Err(Failure::Broken(error))) => {
@@ -125,9 +127,9 @@
 
 impl Handle {
     /// Returns the client of a destination, if it has one, and what reports to the pool.
-    fn find(&self, address: SocketAddr) -> (Option<awc::Client>, Sender) {
-        let client = self.clients.borrow().get(&address).cloned();
-        (client, self.sender.clone())
+    fn find(&self, address: SocketAddr) -> (Option<Entry>, Sender) {
+        let entry = self.clients.borrow().get(&address).cloned();
+        (entry, self.sender.clone())
     }
 }
 
--- a/crates/node/src/client/pool.rs
+++ b/crates/node/src/client/pool.rs
@@ -20,6 +20,8 @@
 
 /// Share of the descriptors of a process, in percent, that connections may take. The others are for callers.
 const OPEN_PERCENT: usize = 75;
+/// Time after the report of an answer until the next one of the same destination is reported.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval of the search for destinations that are not used.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -50,14 +52,22 @@
     Opened(SocketAddr),
     /// A connection was closed.
     Closed,
-    /// A call was answered.
+    /// A call was answered, and the answer is to be reported.
     Answered(SocketAddr),
     /// A call that was sent at this time got no answer.
     Unanswered(SocketAddr, Instant),
 }
 
+/// `Entry` is the published client of a destination.
+#[derive(Clone)]
+pub(super) struct Entry {
+    pub(super) http: awc::Client,
+    /// Time after which the next answer is reported.
+    pub(super) report_after: Option<Instant>,
+}
+
 /// `Clients` is the clients of all destinations in use.
-pub(super) type Clients = Map<SocketAddr, awc::Client>;
+pub(super) type Clients = Map<SocketAddr, Entry>;
 
 /// `Handle` is what a call needs of one instance of the pool.
 #[derive(Clone)]
@@ -76,7 +86,7 @@
 struct Destination {
     /// Time from which on calls use the present client.
     created_at: Instant,
-    /// Time of the latest answer to a call; `None` before the first one of the present client.
+    /// Time of the latest reported answer to a call; `None` before the first one of the present client.
     answered_at: Option<Instant>,
 }
 
@@ -181,7 +191,7 @@
     /// Returns the client of a destination, which is new if it has none.
     fn client(&mut self, address: SocketAddr) -> awc::Client {
         if let Some(known) = self.clients.borrow().get(&address) {
-            return known.clone();
+            return known.http.clone();
         }
         let client = new_client(address, self.sender.clone());
         let destination = Destination {
@@ -189,9 +199,12 @@
             answered_at: None,
         };
         self.destinations.insert(address, destination);
-        let published = client.clone();
+        let entry = Entry {
+            http: client.clone(),
+            report_after: None,
+        };
         self.clients.send_modify(|clients| {
-            clients.insert(address, published);
+            clients.insert(address, entry);
         });
         client
     }
@@ -223,8 +236,14 @@
     }
 
     fn handle_answer(&mut self, address: SocketAddr) {
+        let now = clock::now();
         if let Some(destination) = self.destinations.get_mut(&address) {
-            destination.answered_at = Some(clock::now());
+            destination.answered_at = Some(now);
+            self.clients.send_modify(|clients| {
+                if let Some(entry) = clients.get_mut(&address) {
+                    entry.report_after = Some(now + REPORT_INTERVAL);
+                }
+            });
         }
     }
 
