--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -1,5 +1,6 @@
 //! TCP connections of the HTTP library, counted while they are open.
 
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -55,8 +56,8 @@
         .finish()
 }
 
-impl std::fmt::Debug for Dialer {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Debug for Dialer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter
             .debug_tuple("Dialer")
             .field(&self.address)
