Add the types of client accounts

Change: account::{Account, Limit, Directory}, the accounts of a configuration, the account of a job, and queues that are open to all. Nothing uses them yet, so all deployments are served as before.

--- a/crates/core/examples/measure/placement.rs
+++ b/crates/core/examples/measure/placement.rs
@@ -159,6 +159,7 @@
             id: format!("job-{number:06}").into(),
             queue: QUEUE.into(),
             service: SERVICE.into(),
+            account: None,
             payload: "text".into(),
             steps: vec![step],
             schedule: None,
@@ -264,6 +265,7 @@
         allowance: Duration::from_secs(1),
         call_timeout: Duration::from_secs(3),
         policy_service: (pattern == Pattern::Forbidden).then_some(policy),
+        is_open: false,
     };
     let service = Service {
         name: SERVICE.into(),
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -5,6 +5,8 @@
 
 use bytestring::ByteString;
 
+/// `Account` names the client account that jobs are submitted for.
+pub type Account = ByteString;
 /// `Caller` names the client account that requests are charged to: one caller or a team.
 pub type Caller = ByteString;
 /// `Generation` numbers the starts of a host, as the platform counts them.
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -28,6 +28,10 @@
     pub queue: ids::Queue,
     /// Service whose workers ran the queue's tasks when the job was accepted.
     pub service: ids::Service,
+    /// Client account that it belongs to; `None` if its queue was open to all when it was accepted, and in records
+    /// from before accounts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<ids::Account>,
     /// Payload that is sent with the start of each task; empty if it is detached.
     #[serde(default, rename = "text", skip_serializing_if = "is_default")]
     pub payload: ByteString,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate does no I/O and reads no clock. Each decision function takes the current time and an
 //! event, and returns actions that the daemons execute.
 //!
+//! - [`account`]: client accounts with their keys, shares and limits
 //! - [`errors`]: error type, result alias and constructors
 //! - [`finding`]: problems in operator input, with their locations
 //! - [`fleet`]: claims, moves, drains and waves of one pool
@@ -26,6 +27,7 @@
 //! - [`trace`]: traces of decisions and their replay
 //! - [`upkeep`]: planner of maintenance waves and host moves
 
+pub mod account;
 pub mod errors;
 pub mod finding;
 pub mod fleet;
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -4,6 +4,7 @@
 
 use bytestring::ByteString;
 
+use crate::account::Directory;
 use crate::ids;
 use crate::map::Map;
 
@@ -38,6 +39,8 @@
     pub call_timeout: Duration,
     /// Policy service that decides which workers may run a step, if there is one.
     pub policy_service: Option<Policy>,
+    /// Whether callers need no key, so that its jobs belong to no account.
+    pub is_open: bool,
 }
 
 /// `Policy` is the declared latency of the policy service of a queue, and the validity of its tickets.
@@ -71,6 +74,8 @@
     pub queues: Vec<Queue>,
     /// All services.
     pub services: Vec<Service>,
+    /// Client accounts; without any, no caller needs a key.
+    pub accounts: Directory,
     /// Positions of the queues by name, as a configuration may have thousands.
     positions: Map<ids::Queue, usize>,
 }
@@ -122,10 +127,17 @@
             version,
             queues,
             services,
+            accounts: Directory::default(),
             positions,
         }
     }
 
+    /// Returns the configuration with client accounts.
+    #[must_use]
+    pub fn with_accounts(self, accounts: Directory) -> Self {
+        Self { accounts, ..self }
+    }
+
     /// Finds the queue of a request: the one with the longest matching path prefix.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
--- a/crates/core/tests/job/main.rs
+++ b/crates/core/tests/job/main.rs
@@ -11,6 +11,7 @@
         id: "5c0e7a21d94b36f8".into(),
         queue: "queue".into(),
         service: "service".into(),
+        account: None,
         payload: "text".into(),
         steps,
         schedule: None,
--- a/crates/core/tests/sched/odd/mod.rs
+++ b/crates/core/tests/sched/odd/mod.rs
@@ -22,6 +22,7 @@
         id: "odd".into(),
         queue: "queue".into(),
         service: SERVICE.into(),
+        account: None,
         payload: "text".into(),
         steps,
         schedule: None,
--- a/crates/core/tests/sched/odd/queue.rs
+++ b/crates/core/tests/sched/odd/queue.rs
@@ -22,6 +22,7 @@
         allowance: Duration::from_secs(1),
         call_timeout: Duration::from_secs(3),
         policy_service: None,
+        is_open: false,
     };
     change(&mut queue);
     let service = Service {
--- a/crates/core/tests/sched/world/fixture.rs
+++ b/crates/core/tests/sched/world/fixture.rs
@@ -37,6 +37,7 @@
         allowance: Duration::from_secs(1),
         call_timeout: Duration::from_secs(3),
         policy_service,
+        is_open: false,
     };
     let service = Service {
         name: SERVICE.into(),
--- a/crates/wire/tests/journal/main.rs
+++ b/crates/wire/tests/journal/main.rs
@@ -17,6 +17,7 @@
         id: "5c0e7a21d94b36f8".into(),
         queue: "queue".into(),
         service: "service".into(),
+        account: None,
         payload: "text".into(),
         steps: vec![Step {
             count: 4,
