Ask callers for the key of a client account, and keep jobs of accounts apart

The configuration's accounts and open queues were read by no code: every call was served, whatever its key. The rows are decoded into core::account; a key selects the account of a call, and a call without a known one gets 401. The account is part of the stored acceptance. A job of another account is answered as if it did not exist, its id can't be taken (409), and a cancellation of an id that is not known yet counts for the jobs of its caller only (records `b/ID/...`).

--- a/crates/core/src/account/spec.rs
+++ b/crates/core/src/account/spec.rs
@@ -1,7 +1,6 @@
 use std::fmt;
 
-use bytes::Bytes;
-
+use super::Key;
 use crate::ids;
 
 /// `Account` is a client account of the configuration.
@@ -10,7 +9,7 @@
     /// Name of the account.
     pub name: ids::Account,
     /// Keys that callers of the account present. They are secrets and appear in no log line and no dump.
-    pub keys: Vec<Bytes>,
+    pub keys: Vec<Key>,
     /// Share of the account when all accounts together want more than there is, relative to those of the
     /// others. It is also the rate, in jobs per second, up to which its jobs come before those of accounts
     /// that exceed theirs.
--- a/crates/core/src/journal/index.rs
+++ b/crates/core/src/journal/index.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use super::{Key, Record};
+use crate::account::Caller;
 use crate::ids;
 use crate::job::{Job, Outcome, Progress};
 use crate::map::Map;
@@ -31,6 +32,8 @@
     pub progress: Progress,
     /// Whether a caller canceled it before it ended.
     pub is_canceled: bool,
+    /// Callers that canceled it before its acceptance was known to them.
+    barred_by: Vec<Caller>,
 }
 
 impl Entry {
@@ -46,6 +49,18 @@
         }
     }
 
+    /// Checks if an accepted job is the caller's.
+    #[must_use]
+    pub fn is_owned_by(&self, caller: &Caller) -> bool {
+        self.job.as_ref().is_some_and(|job| caller.owns(job))
+    }
+
+    /// Cancels the job if a caller that it belongs to did so before its acceptance was known.
+    fn apply_bars(&mut self) {
+        let is_barred = self.barred_by.iter().any(|caller| self.is_owned_by(caller));
+        self.is_canceled |= is_barred && self.progress.outcome.is_none();
+    }
+
     /// Checks if the job has completed, failed or was canceled.
     #[must_use]
     pub fn is_over(&self) -> bool {
@@ -72,6 +87,7 @@
                 }
                 entry.job = Some(Arc::new((**job).clone()));
                 entry.offset = offset;
+                entry.apply_bars();
                 Some(job.id.clone())
             }
             Record::Canceled(job) => {
@@ -79,6 +95,14 @@
                 entry.is_canceled |= entry.progress.outcome.is_none();
                 Some(job.clone())
             }
+            Record::Barred(job, caller) => {
+                let entry = self.entries.entry(job.clone()).or_default();
+                if !entry.barred_by.contains(caller) {
+                    entry.barred_by.push(caller.clone());
+                }
+                entry.apply_bars();
+                Some(job.clone())
+            }
             Record::Progress(job, progress) => {
                 let entry = self.entries.entry(job.clone()).or_default();
                 entry.progress = progress.clone();
@@ -114,6 +138,13 @@
         self.entries.get(job).is_some_and(|entry| entry.is_canceled)
     }
 
+    /// Checks if a job that is not known would be canceled if it turned out to be the caller's.
+    #[must_use]
+    pub fn is_barred(&self, job: &ids::Job, caller: &Caller) -> bool {
+        let entry = self.entries.get(job);
+        entry.is_some_and(|entry| entry.is_canceled || entry.barred_by.contains(caller))
+    }
+
     /// Iterates over the accepted jobs.
     pub fn jobs(&self) -> impl Iterator<Item = (&Arc<Job>, &Entry)> {
         let is_accepted = |entry: &'_ Entry| entry.job.is_some();
--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -3,6 +3,7 @@
 use bytestring::ByteString;
 use serde::{Deserialize, Serialize};
 
+use crate::account::Caller;
 use crate::ids;
 use crate::job::{Job, Progress};
 
@@ -15,6 +16,8 @@
     Heartbeat,
     /// The cancellation of a job by a caller.
     Canceled(ids::Job),
+    /// The cancellation of a job by a caller that did not know its acceptance.
+    Barred(ids::Job, Caller),
     /// The drain request for a worker.
     Drain(ids::Worker),
     /// The detached payload of a job.
@@ -36,6 +39,8 @@
     Heartbeat(Heartbeat),
     /// A caller canceled a job.
     Canceled(ids::Job),
+    /// A caller canceled a job whose acceptance was not known. It has effect if the job is the caller's.
+    Barred(ids::Job, Caller),
     /// A worker is to be drained; `None` withdraws the request.
     Drain(ids::Worker, Option<Drain>),
     /// The payload of a job, recorded before its acceptance in a partition that only leaders read.
@@ -154,6 +159,7 @@
             Self::Accepted(job) => Key::Accepted(job.id.clone()),
             Self::Heartbeat(_) => Key::Heartbeat,
             Self::Canceled(job) => Key::Canceled(job.clone()),
+            Self::Barred(job, caller) => Key::Barred(job.clone(), caller.clone()),
             Self::Drain(worker, _) => Key::Drain(worker.clone()),
             Self::Payload(job, _) => Key::Payload(job.clone()),
             Self::Progress(job, _) => Key::Progress(job.clone()),
@@ -178,6 +184,7 @@
             }
             Self::Accepted(_)
             | Self::Canceled(_)
+            | Self::Barred(..)
             | Self::Drain(..)
             | Self::Payload(..)
             | Self::Drained(..)
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -4,7 +4,7 @@
 
 use bytestring::ByteString;
 
-use crate::account::Directory;
+use crate::account::{Caller, Denial, Directory, Key};
 use crate::ids;
 use crate::map::Map;
 
@@ -146,6 +146,21 @@
         self.queues.iter().find(matches)
     }
 
+    /// Finds out who calls a queue.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the queue needs a key that the call doesn't have.
+    pub fn identify(&self, queue: &Queue, key: Option<&Key>) -> Result<Caller, Denial> {
+        if queue.is_open || !self.accounts.requires_keys() {
+            return Ok(Caller::Public(queue.name.clone()));
+        }
+        let key = key.ok_or(Denial::NoKey)?;
+        let account = self.accounts.authenticate(key);
+        let account = account.ok_or(Denial::UnknownKey)?;
+        Ok(Caller::Account(account.name.clone()))
+    }
+
     /// Finds a queue by its name.
     #[must_use]
     pub fn queue(&self, name: &ids::Queue) -> Option<&Queue> {
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -1,6 +1,7 @@
 //! Settings of the gateway daemon.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::reader::Reader;
 use crate::errors::{Error, Result};
@@ -18,6 +19,11 @@
 const DEFAULT_MAX_DESCRIPTORS: usize = 4_096;
 /// Accepted numbers of descriptors.
 const DESCRIPTORS_RANGE: std::ops::RangeInclusive<usize> = 256..=1_048_576;
+/// Default age of the latest read of operators' records from which on a configuration with accounts is not used.
+const DEFAULT_CONFIG_MAX_AGE: Duration = Duration::from_secs(2);
+/// Accepted values of that age. It takes several reads, of which one may get no answer.
+const CONFIG_MAX_AGE_RANGE: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(200)..=Duration::from_hours(1);
 /// Accepted limits of the size of a record, in bytes.
 const RECORD_BYTES_RANGE: std::ops::RangeInclusive<usize> = 1_024..=64 * 1_024 * 1_024;
 /// Accepted limits of the size of an append, in bytes.
@@ -50,6 +56,8 @@
     pub cpu_millicores: u32,
     /// Maximum number of descriptors that the process may have open.
     pub max_descriptors: usize,
+    /// Age of the latest complete read of operators' records from which on a configuration with accounts is not used.
+    pub config_max_age: Duration,
     /// Options of the schedulers.
     pub sched: sched::Options,
     /// Options of the maintenance planner.
@@ -80,6 +88,11 @@
             let cpu_millicores = reader.read_cores("processor", DEFAULT_CPU_MILLICORES);
             let max_descriptors =
                 reader.read_count("descriptors", DEFAULT_MAX_DESCRIPTORS, DESCRIPTORS_RANGE);
+            let config_max_age = reader.read_duration_within(
+                "config_max_age",
+                DEFAULT_CONFIG_MAX_AGE,
+                CONFIG_MAX_AGE_RANGE,
+            );
             let max_lease = reader.read_duration("lease_max", sched_defaults.max_lease);
             let stop_timeout = reader.read_duration("stop", sched_defaults.stop_timeout);
             let holder_lease = reader.read_duration("holder_lease", upkeep_defaults.lease);
@@ -102,6 +115,7 @@
                 shard_count: ids::Shard::try_from(shard_count?).ok()?,
                 cpu_millicores: cpu_millicores?,
                 max_descriptors: max_descriptors?,
+                config_max_age: config_max_age?,
                 sched: sched::Options {
                     node: instance,
                     max_lease: max_lease?,
--- a/crates/jobs/src/cursor/mod.rs
+++ b/crates/jobs/src/cursor/mod.rs
@@ -48,6 +48,12 @@
         Self { wait, ..self }
     }
 
+    /// Checks if the next read returns the newest record of each key.
+    #[must_use]
+    pub fn is_at_start(&self) -> bool {
+        self.next_offset.is_none()
+    }
+
     /// Reads the next batch and returns it with the advanced cursor.
     ///
     /// # Errors
--- a/crates/jobs/src/router/mod.rs
+++ b/crates/jobs/src/router/mod.rs
@@ -1,20 +1,27 @@
 //! Routing of callers' requests to the shards.
 
+mod refusal;
+
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix::{Actor, Addr, Context, Handler, Message, MessageResult, ResponseFuture};
 use bytestring::ByteString;
+use opentelemetry::metrics::Meter;
+use persimmongate_core::account::{Caller, Denial, Key};
 use persimmongate_core::ids;
 use persimmongate_core::job::Job;
 use persimmongate_core::journal::Phase;
 use persimmongate_core::map::{Map, Set};
 use persimmongate_core::queue::{Config, Queue};
+use persimmongate_node::clock;
 use persimmongate_node::supervisor::Guard;
+use slog::Logger;
 
-use crate::operator::Configured;
+use crate::operator::{Configured, Confirmed};
 use crate::platform::Platform;
 use crate::shard::{self, Answer, Shard, Status, shard_of};
+use refusal::{Basis, Reason, Refusals};
 
 /// `Endpoint` is the address that a caller's request names.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -28,18 +35,25 @@
 /// `Route` is the queue or the job that an endpoint stands for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Route {
-    /// This process has no configuration yet.
+    /// This process has no configuration yet, or can't know that the one it has is still in force.
     Unconfigured,
     /// No queue is configured at the endpoint.
     Missing,
-    /// A queue, with the id of a job in it unless the endpoint is the queue itself.
-    Queue(Box<Queue>, Option<ids::Job>),
+    /// The queue needs a key that the call doesn't have.
+    Denied(Denial),
+    /// A queue and who calls it, with the id of a job in it unless the endpoint is the queue itself.
+    Queue(Box<Queue>, Caller, Option<ids::Job>),
 }
 
-/// `Resolve` looks up the queue or the job at an endpoint.
+/// `Resolve` looks up the queue or the job at an endpoint for a caller.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "Route")]
-pub struct Resolve(pub Endpoint);
+pub struct Resolve {
+    /// Address that the request names.
+    pub endpoint: Endpoint,
+    /// Key of the request, if it has one that an account could have.
+    pub key: Option<Key>,
+}
 
 /// `Submit` submits a job to a queue.
 #[derive(Clone, Debug, Message)]
@@ -49,6 +63,8 @@
     pub job: Job,
     /// Its queue.
     pub queue: Queue,
+    /// Who submits it.
+    pub caller: Caller,
     /// Time until which the caller waits for the answer.
     pub deadline: Instant,
 }
@@ -61,6 +77,8 @@
     pub job: ids::Job,
     /// Queue that the caller addressed.
     pub queue: Queue,
+    /// Who asks.
+    pub caller: Caller,
 }
 
 /// `Cancel` cancels a job.
@@ -71,6 +89,8 @@
     pub job: ids::Job,
     /// Queue that the caller addressed.
     pub queue: Queue,
+    /// Who asks.
+    pub caller: Caller,
     /// Time until which the caller waits for the answer.
     pub deadline: Instant,
 }
@@ -100,9 +120,25 @@
     pub actor: Addr<Shard<P, C>>,
 }
 
+/// `Setup` holds the parameters of a router.
+pub struct Setup {
+    /// Number of shards of the fleet.
+    pub shard_count: ids::Shard,
+    /// Age of the latest complete read of operators' records from which on a configuration with accounts is not used.
+    pub config_max_age: Duration,
+    /// Creates the metrics of the router.
+    pub meter: Meter,
+    /// Logger of the process.
+    pub logger: Logger,
+}
+
 /// `Router` resolves endpoints by the configuration and forwards requests to the shards.
 pub struct Router<P: Platform, C: Copy + Send + Unpin + 'static> {
     config: Option<Arc<Config>>,
+    config_max_age: Duration,
+    /// Send time of the latest complete read of operators' records.
+    confirmed_at: Option<Instant>,
+    refusals: Refusals,
     /// Services that a queue belonged to under earlier configurations.
     earlier_services: Map<ids::Queue, Set<ids::Service>>,
     shards: Vec<Option<Addr<Shard<P, C>>>>,
@@ -113,16 +149,38 @@
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Router<P, C> {
     /// Creates a router without any shard.
     #[must_use]
-    pub fn new(shards: ids::Shard, guard: Guard<C>) -> Self {
+    pub fn new(setup: Setup, guard: Guard<C>) -> Self {
         Self {
             config: None,
+            config_max_age: setup.config_max_age,
+            confirmed_at: None,
+            refusals: Refusals::new(&setup.meter, setup.logger),
             earlier_services: Map::default(),
-            shards: vec![None; shards as usize],
+            shards: vec![None; setup.shard_count as usize],
             is_shutting_down: false,
             _guard: guard,
         }
     }
 
+    /// Returns what decides on a call by a configuration.
+    fn basis(&self) -> Basis {
+        let now = clock::now();
+        Basis {
+            version: self.config.as_ref().map_or(0, |config| config.version),
+            age: self
+                .confirmed_at
+                .map(|at| now.saturating_duration_since(at)),
+        }
+    }
+
+    /// Checks if the configuration has accounts and can't be known to be in force, as operators' records were not read
+    /// for too long.
+    fn is_config_outdated(&self) -> bool {
+        let has_accounts = |config: &Arc<Config>| config.accounts.requires_keys();
+        let is_recent = |age: Duration| age < self.config_max_age;
+        self.config.as_ref().is_some_and(has_accounts) && !self.basis().age.is_some_and(is_recent)
+    }
+
     fn shard(&self, queue: &Queue) -> Option<Addr<Shard<P, C>>> {
         let count = ids::Shard::try_from(self.shards.len()).unwrap_or(1);
         let shard = shard_of(&queue.service, count);
@@ -182,11 +240,17 @@
 async fn find<P: Platform, C: Copy + Send + Unpin + 'static>(
     shards: Vec<Addr<Shard<P, C>>>,
     job: &ids::Job,
+    caller: &Caller,
 ) -> (Status, Option<Addr<Shard<P, C>>>) {
     let mut status = Status::Missing;
     for shard in shards {
-        match shard.send(shard::Query(job.clone())).await {
+        let query = shard::Query {
+            job: job.clone(),
+            caller: caller.clone(),
+        };
+        match shard.send(query).await {
             Ok(Status::Phase(phase)) => return (Status::Phase(phase), Some(shard)),
+            Ok(Status::Foreign) => return (Status::Foreign, None),
             Ok(Status::Missing) => {}
             Ok(Status::Unavailable) | Err(_) => status = Status::Unavailable,
         }
@@ -204,6 +268,7 @@
     for shard in shards {
         let message = shard::Cancel {
             job: cancel.job.clone(),
+            caller: cancel.caller.clone(),
             deadline: cancel.deadline,
         };
         match shard.send(message).await.unwrap_or(Answer::Unknown) {
@@ -215,7 +280,7 @@
     match status {
         // A shard that could not tell may hold the job.
         Status::Unavailable => Answer::Unknown,
-        Status::Missing | Status::Phase(_) => answer,
+        Status::Missing | Status::Phase(_) | Status::Foreign => answer,
     }
 }
 
@@ -232,6 +297,14 @@
     }
 }
 
+impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Confirmed> for Router<P, C> {
+    type Result = ();
+
+    fn handle(&mut self, Confirmed(sent_at): Confirmed, _: &mut Self::Context) {
+        self.confirmed_at = self.confirmed_at.max(Some(sent_at));
+    }
+}
+
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Register<P, C>> for Router<P, C> {
     type Result = ();
 
@@ -245,16 +318,32 @@
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Resolve> for Router<P, C> {
     type Result = MessageResult<Resolve>;
 
-    fn handle(&mut self, Resolve(endpoint): Resolve, _: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, resolve: Resolve, _: &mut Self::Context) -> Self::Result {
+        let Resolve { endpoint, key } = resolve;
+        let basis = self.basis();
+        if self.is_config_outdated() {
+            // Neither what it allows nor what it refuses need be so by a newer one.
+            self.refusals
+                .report(Reason::OutdatedConfig, &endpoint, basis);
+            return MessageResult(Route::Unconfigured);
+        }
         let Some(config) = &self.config else {
             return MessageResult(Route::Unconfigured);
         };
         let Some(queue) = config.route(&endpoint.host, &endpoint.path) else {
             return MessageResult(Route::Missing);
         };
+        let caller = match config.identify(queue, key.as_ref()) {
+            Ok(caller) => caller,
+            Err(denial) => {
+                self.refusals
+                    .report(Reason::Denied(denial), &endpoint, basis);
+                return MessageResult(Route::Denied(denial));
+            }
+        };
         let name = &endpoint.path[queue.path_prefix.len()..];
         let job = (!name.is_empty()).then(|| ByteString::from(name));
-        MessageResult(Route::Queue(Box::new(queue.clone()), job))
+        MessageResult(Route::Queue(Box::new(queue.clone()), caller, job))
     }
 }
 
@@ -268,12 +357,15 @@
         let others = self.candidates(&submit.queue).into_iter().skip(1).collect();
         Box::pin(async move {
             // A job that the shard of another service accepted before is not accepted twice.
-            if let (Status::Phase(_), _) = find(others, &submit.job.id).await {
-                return Answer::Done;
+            match find(others, &submit.job.id, &submit.caller).await.0 {
+                Status::Phase(_) => return Answer::Done,
+                Status::Foreign => return Answer::Taken,
+                Status::Missing | Status::Unavailable => {}
             }
             let message = shard::Submit {
                 job: submit.job,
                 queue: submit.queue,
+                caller: submit.caller,
                 deadline: submit.deadline,
             };
             owner.send(message).await.unwrap_or(Answer::Unknown)
@@ -286,7 +378,7 @@
 
     fn handle(&mut self, query: Query, _: &mut Self::Context) -> Self::Result {
         let shards = self.candidates(&query.queue);
-        Box::pin(async move { find(shards, &query.job).await.0 })
+        Box::pin(async move { find(shards, &query.job, &query.caller).await.0 })
     }
 }
 
@@ -297,7 +389,10 @@
         let shards = self.candidates(&cancel.queue);
         let accepting_shards = self.accepting_shards(&cancel.queue);
         Box::pin(async move {
-            let (status, shard) = find(shards, &cancel.job).await;
+            let (status, shard) = find(shards, &cancel.job, &cancel.caller).await;
+            if status == Status::Foreign {
+                return Answer::Missing;
+            }
             let Some(shard) = shard else {
                 return cancel_unknown(accepting_shards, cancel, status).await;
             };
@@ -309,6 +404,7 @@
             }
             let message = shard::Cancel {
                 job: cancel.job,
+                caller: cancel.caller,
                 deadline: cancel.deadline,
             };
             shard.send(message).await.unwrap_or(Answer::Unknown)
@@ -329,7 +425,8 @@
     type Result = ResponseFuture<bool>;
 
     fn handle(&mut self, _: Readiness, _: &mut Self::Context) -> Self::Result {
-        let may_serve = self.config.is_some() && !self.is_shutting_down;
+        let may_serve =
+            self.config.is_some() && !self.is_config_outdated() && !self.is_shutting_down;
         let shards: Vec<_> = self.shards.iter().flatten().cloned().collect();
         Box::pin(async move {
             if !may_serve {
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -317,6 +317,9 @@
                 self.step_election(term::Event::Heartbeat { offset, heartbeat }, ctx);
             }
             Record::Canceled(job) => self.step_scheduler(Event::Canceled(job.clone()), ctx),
+            Record::Barred(job, _) if self.job_index.is_canceled(job) => {
+                self.step_scheduler(Event::Canceled(job.clone()), ctx);
+            }
             Record::Drain(worker, drain) => {
                 match drain {
                     Some(drain) => self.drains.insert(worker.clone(), drain.clone()),
@@ -333,7 +336,11 @@
                     .observer
                     .do_send(Observation::Drained(worker.clone()));
             }
-            Record::Dropped(_) | Record::Drained(..) | Record::Payload(..) | Record::Wave(..) => {}
+            Record::Barred(..)
+            | Record::Dropped(_)
+            | Record::Drained(..)
+            | Record::Payload(..)
+            | Record::Wave(..) => {}
         }
     }
 }
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
 use actix::{ActorFutureExt, Handler, Message, MessageResult, ResponseActFuture, WrapFuture};
+use persimmongate_core::account::Caller;
 use persimmongate_core::ids;
 use persimmongate_core::job::Job;
 use persimmongate_core::journal::{Phase, Record};
@@ -31,6 +32,8 @@
     Rejected,
     /// No such job exists.
     Missing,
+    /// The id is that of another account's job; nothing was changed.
+    Taken,
     /// The request had no effect, as this process does not know the job's state at the moment; the caller
     /// may retry after the delay.
     Unavailable(Duration),
@@ -43,6 +46,8 @@
     Phase(Phase),
     /// No such job exists here.
     Missing,
+    /// The job belongs to another account. Callers are told that no such job exists.
+    Foreign,
     /// This process does not know at the moment.
     Unavailable,
 }
@@ -55,6 +60,8 @@
     pub job: Job,
     /// Its queue.
     pub queue: Queue,
+    /// Who submits it.
+    pub caller: Caller,
     /// Time until which the caller waits for the answer.
     pub deadline: Instant,
 }
@@ -62,7 +69,12 @@
 /// `Query` asks for the state of a job.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "Status")]
-pub struct Query(pub ids::Job);
+pub struct Query {
+    /// The job.
+    pub job: ids::Job,
+    /// Who asks.
+    pub caller: Caller,
+}
 
 /// `Cancel` cancels a job.
 #[derive(Clone, Debug, Message)]
@@ -70,6 +82,8 @@
 pub struct Cancel {
     /// The job.
     pub job: ids::Job,
+    /// Who cancels it.
+    pub caller: Caller,
     /// Time until which the caller waits for the answer.
     pub deadline: Instant,
 }
@@ -170,6 +184,18 @@
         )
     }
 
+    /// Checks if the configuration has accounts.
+    fn has_accounts(&self) -> bool {
+        let config = self.config.as_ref();
+        config.is_some_and(|config| config.accounts.requires_keys())
+    }
+
+    /// Checks if a job is known to belong to another account than the caller's.
+    fn is_foreign(&self, job: &ids::Job, caller: &Caller) -> bool {
+        let entry = self.job_index.get(job);
+        entry.is_some_and(|entry| !entry.is_owned_by(caller))
+    }
+
     /// Checks if no job with the id was accepted before an offset.
     fn is_unknown_before(&self, job: &ids::Job, offset: ids::Offset) -> bool {
         self.read_through >= offset && self.job_index.get(job).is_none()
@@ -187,14 +213,19 @@
     fn handle(&mut self, submit: Submit, _: &mut Self::Context) -> Self::Result {
         let job = submit.job;
         let id = job.id.clone();
-        let is_known = self.job_index.get(&id).is_some();
+        let entry = self.job_index.get(&id);
+        let is_known = entry.is_some();
+        let is_foreign = entry.is_some_and(|entry| !entry.is_owned_by(&submit.caller));
         let refusal = self.refusal_delay(&job, &submit.queue);
         let values = slog::o!("job" => id.to_string(), "queue" => job.queue.to_string(),
+            "account" => job.account.as_ref().map(ToString::to_string),
             "work" => job.occurrence_work(), "chain_ms" => job.critical_path().as_millis(),
             "delay_ms" => self.start_delay(&submit.queue).map(|delay| delay.as_millis()),
             "read_age_ms" => self.read_age().as_millis());
         let logger = self.setup.logger.new(values);
-        let answer = if is_known {
+        let answer = if is_foreign {
+            Some(Answer::Taken)
+        } else if is_known {
             Some(Answer::Done)
         } else if !self.is_fresh() || self.is_log_failing() {
             Some(Answer::Unavailable(UNAVAILABLE_RETRY_DELAY))
@@ -225,8 +256,13 @@
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Query> for Shard<P, C> {
     type Result = MessageResult<Query>;
 
-    fn handle(&mut self, Query(job): Query, _: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, query: Query, _: &mut Self::Context) -> Self::Result {
+        let Query { job, caller } = query;
         MessageResult(match self.job_index.get(&job) {
+            Some(entry) if !entry.is_owned_by(&caller) => {
+                info!(self.setup.logger, "job of another account requested"; "job" => %job, "caller" => ?caller);
+                Status::Foreign
+            }
             Some(entry) => {
                 if !entry.is_over() {
                     self.last_queried_at = Some(clock::now());
@@ -244,10 +280,16 @@
 
     /// Records the cancellation also if no such job is known: its acceptance may be on the way to the log.
     fn handle(&mut self, cancel: Cancel, _: &mut Self::Context) -> Self::Result {
-        let entry = self.job_index.get(&cancel.job);
+        let Cancel {
+            job: id,
+            caller,
+            deadline,
+        } = cancel;
+        let entry = self.job_index.get(&id);
         let answer = match entry {
+            Some(entry) if !entry.is_owned_by(&caller) => Some(Answer::Missing),
             Some(entry) if entry.is_over() => Some(Answer::Done),
-            None if self.job_index.is_canceled(&cancel.job) && self.is_fresh() => {
+            None if self.job_index.is_barred(&id, &caller) && self.is_fresh() => {
                 Some(Answer::Missing)
             }
             None if !self.is_fresh() && self.is_log_failing() => {
@@ -258,12 +300,19 @@
         if let Some(answer) = answer {
             return Box::pin(std::future::ready(answer).into_actor(self));
         }
-        let (id, is_known) = (cancel.job.clone(), entry.is_some());
-        let recorded = self.record(Record::Canceled(cancel.job), cancel.deadline);
+        let is_known = entry.is_some();
+        // A job that is not known may turn out to be another account's.
+        let record = if is_known || !self.has_accounts() {
+            Record::Canceled(id.clone())
+        } else {
+            Record::Barred(id.clone(), caller.clone())
+        };
+        let recorded = self.record(record, deadline);
         Box::pin(recorded.map(move |recorded, act: &mut Self, _| {
             let answer = match recorded {
                 // Without all records before it, it is not known whether there was such a job.
                 Ok(offset) if act.is_unknown_before(&id, offset) => Answer::Missing,
+                Ok(_) if act.is_foreign(&id, &caller) => Answer::Missing,
                 Ok(_) => Answer::Done,
                 Err(answer) => answer,
             };
--- a/crates/wire/src/journal/mod.rs
+++ b/crates/wire/src/journal/mod.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use bytestring::ByteString;
+use persimmongate_core::account::Caller;
 use persimmongate_core::ids;
 use persimmongate_core::job::Job;
 use persimmongate_core::journal::{Key, Record};
@@ -27,6 +28,8 @@
         Key::Accepted(job) => join_key("a", job),
         Key::Heartbeat => ByteString::from_static(HEARTBEAT_KEY),
         Key::Canceled(job) => join_key("c", job),
+        Key::Barred(job, Caller::Account(account)) => join_key("b", &format!("{job}/a/{account}")),
+        Key::Barred(job, Caller::Public(queue)) => join_key("b", &format!("{job}/q/{queue}")),
         Key::Drain(worker) => join_key("d", worker),
         Key::Payload(job) => join_key("t", job),
         Key::Progress(job) => join_key("p", job),
@@ -53,6 +56,7 @@
     let id = ByteString::from(name);
     Ok(match kind {
         "a" => Key::Accepted(id),
+        "b" => decode_barred(name)?,
         "c" => Key::Canceled(id),
         "d" => Key::Drain(id),
         "p" => Key::Progress(id),
@@ -66,6 +70,18 @@
     })
 }
 
+/// Decodes the rest of the key of a cancellation of a job that was not known: the job, and whose it may be.
+fn decode_barred(name: &str) -> Result<Key> {
+    let mut parts = name.splitn(3, '/');
+    let job = ids::Job::from(parts.next().unwrap_or_default());
+    let caller = match (parts.next(), parts.next()) {
+        (Some("a"), Some(account)) => Caller::Account(account.into()),
+        (Some("q"), Some(queue)) => Caller::Public(queue.into()),
+        _ => return Err(malformed_error("journal key", &"no caller")),
+    };
+    Ok(Key::Barred(job, caller))
+}
+
 /// Encodes the value of a record; `None` deletes the key from the log.
 ///
 /// # Errors
@@ -75,7 +91,7 @@
     Ok(match record {
         Record::Accepted(job) => Some(encode_value(job)?),
         Record::Heartbeat(heartbeat) => Some(encode_value(heartbeat)?),
-        Record::Canceled(job) => Some(encode_value(job)?),
+        Record::Canceled(job) | Record::Barred(job, _) => Some(encode_value(job)?),
         Record::Drain(_, drain) => drain.as_ref().map(encode_value).transpose()?,
         Record::Payload(_, payload) => Some(encode_value(payload)?),
         Record::Progress(_, progress) => Some(encode_value(progress)?),
@@ -103,6 +119,7 @@
         Key::Accepted(id) => Record::Accepted(Box::new(decode_job(&id, value)?)),
         Key::Heartbeat => Record::Heartbeat(decode_value(value)?),
         Key::Canceled(job) => Record::Canceled(job),
+        Key::Barred(job, caller) => Record::Barred(job, caller),
         Key::Drain(worker) => Record::Drain(worker, Some(decode_value(value)?)),
         Key::Payload(job) => Record::Payload(job, decode_value(value)?),
         Key::Progress(job) => Record::Progress(job, decode_value(value)?),
--- a/crates/wire/tests/journal/main.rs
+++ b/crates/wire/tests/journal/main.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use persimmongate_core::account::Caller;
 use persimmongate_core::job::{Job, Outcome, Progress, Step, Task};
 use persimmongate_core::journal::{Drain, Drained, Heartbeat, Key, Load, Record};
 use persimmongate_wire::journal::{decode, decode_key, encode, encode_key};
@@ -33,6 +34,13 @@
     }
 }
 
+fn job_of_account() -> Job {
+    Job {
+        account: Some("one".into()),
+        ..job()
+    }
+}
+
 fn progress() -> Progress {
     let mut progress = Progress::default();
     let task = |index| Task {
@@ -64,7 +72,10 @@
 
 #[test_case(Record::Accepted(Box::new(job())))]
 #[test_case(Record::Heartbeat(heartbeat()))]
+#[test_case(Record::Accepted(Box::new(job_of_account())))]
 #[test_case(Record::Canceled("job".into()))]
+#[test_case(Record::Barred("job".into(), Caller::Account("a/b".into())))]
+#[test_case(Record::Barred("job".into(), Caller::Public("queue".into())))]
 #[test_case(Record::Drain("worker".into(), Some(Drain { host: "h".into(), service: "s".into() })))]
 #[test_case(Record::Drain("worker".into(), None))]
 #[test_case(Record::Payload("job".into(), "text".into()))]
@@ -83,6 +94,8 @@
 #[test_case("a"; "no name")]
 #[test_case("z/name"; "unknown kind")]
 #[test_case("w/name"; "a wave without a number")]
+#[test_case("b/job"; "a cancellation without a caller")]
+#[test_case("b/job/z/name"; "a cancellation by an unknown kind of caller")]
 fn verify_unknown_key_is_rejected(key: &str) {
     assert!(decode_key(key).is_err());
 }
@@ -92,7 +105,7 @@
     fn verify_arbitrary_bytes_cause_no_panic(key in ".{0,12}", value: Vec<u8>) {
         let value = Bytes::from(value);
         let _ = decode(&key, Some(&value));
-        for kind in ["a/job", "beat", "d/worker", "p/job", "v/worker", "w/1"] {
+        for kind in ["a/job", "b/job/a/one", "beat", "d/worker", "p/job", "v/worker", "w/1"] {
             let _ = decode(kind, Some(&value));
         }
     }
@@ -142,3 +155,21 @@
         assert!(!text.contains(field), "{field}: {text}");
     }
 }
+
+// Builds from before accounts wrote such records, and a completed job keeps its account.
+#[test]
+fn verify_records_with_and_without_an_account_are_read() {
+    let value = encode(&Record::Accepted(Box::new(job()))).unwrap().unwrap();
+    let fields: ciborium::Value = ciborium::from_reader(&value[..]).unwrap();
+    assert!(!format!("{fields:?}").contains("account"), "{fields:?}");
+    let decoded = decode("a/5c0e7a21d94b36f8", Some(&value)).unwrap();
+    assert_eq!(decoded, Record::Accepted(Box::new(job())));
+    let stub = Record::Accepted(Box::new(job_of_account().stub()));
+    let value = encode(&stub).unwrap();
+    let decoded = decode("a/5c0e7a21d94b36f8", value.as_ref()).unwrap();
+    let Record::Accepted(decoded) = decoded else {
+        panic!("{decoded:?}");
+    };
+    assert!(decoded.is_stub());
+    assert_eq!(decoded.account, Some("one".into()));
+}
