Join the records of callers in one append while another is in flight

Cause: a partition of the log carries out one append after another. Change: core::intake decides what goes together; a record that was never sent is refused at its deadline, an append whose callers are all answered is given up. While the log is slow the payload stays in the acceptance.

--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -3,6 +3,7 @@
 mod append;
 mod dump;
 mod gauge;
+mod intake;
 mod lag;
 mod leadership;
 mod line;
@@ -36,6 +37,7 @@
 use crate::platform::{Partition, Platform};
 use crate::reader::Reader;
 use crate::roster::{Roster, Subscribe};
+use intake::Intakes;
 use leadership::Leadership;
 
 /// Pause of a leader between two reads, so that one read returns several records. It is short compared
@@ -140,6 +142,8 @@
     last_queried_at: Option<Instant>,
     /// Time of the latest failed call to the log, if no call has succeeded since.
     log_failed_at: Option<Instant>,
+    /// Records of callers that the log does not hold yet.
+    intakes: Intakes,
     /// Counts of the shards that this process leads.
     led_shards: Gauge<u64>,
     leadership: Option<Leadership>,
@@ -171,6 +175,7 @@
             setup.skipped_entries.clone(),
             setup.logger.clone(),
         );
+        let intakes = Intakes::new(&setup.log_limits);
         Self {
             setup,
             reader,
@@ -184,6 +189,7 @@
             last_complete_read: None,
             last_queried_at: None,
             log_failed_at: None,
+            intakes,
             led_shards,
             leadership: None,
             _guard: guard,
--- a/crates/jobs/src/shard/payload.rs
+++ b/crates/jobs/src/shard/payload.rs
@@ -7,18 +7,20 @@
 
 use actix::{ActorFutureExt, AsyncContext, Context, ResponseActFuture, WrapFuture};
 use persimmongate_core::ids;
+use persimmongate_core::intake::Verdict;
 use persimmongate_core::journal::{Entry, Key, Record};
 use persimmongate_core::sched::Event;
 use persimmongate_node::clock;
 use slog::warn;
 
-use super::request::{Answer, UNAVAILABLE_RETRY_DELAY, is_outage};
+use super::intake::Target;
+use super::request::{Answer, UNAVAILABLE_RETRY_DELAY};
 use super::{LEADER_READ_PAUSE, Shard};
 use crate::cursor::{Batch, Cursor};
 use crate::leadership::{
-    MAX_READ_WAIT, append_with_retry, encoded_or_logged, is_storable, unconditional_append,
+    MAX_READ_WAIT, append_with_retry, encoded_or_logged, unconditional_append,
 };
-use crate::platform::{Failure, Partition, Platform};
+use crate::platform::{Partition, Platform};
 
 /// Time limit of the deletion of payloads. One that stays is deleted by the next leader.
 const DROP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -93,35 +95,26 @@
 
     /// Records the payload of a job that is not accepted yet, and accepts the job after it.
     pub(super) fn persist_with_payload(
-        &self,
+        &mut self,
         payload: &Record,
         accepted: Record,
         deadline: Instant,
+        ctx: &mut Context<Self>,
     ) -> ResponseActFuture<Self, Answer> {
-        let append = unconditional_append(self.payload_partition(), std::slice::from_ref(payload));
-        let acceptance = unconditional_append(self.partition(), std::slice::from_ref(&accepted));
-        let (Some(append), Some(acceptance)) = (
-            encoded_or_logged(append, &self.setup.logger),
-            encoded_or_logged(acceptance, &self.setup.logger),
-        ) else {
-            let refused = std::future::ready(Answer::Refused(UNAVAILABLE_RETRY_DELAY));
-            return Box::pin(refused.into_actor(self));
-        };
-        let limits = &self.setup.log_limits;
-        if !is_storable(&append, limits) || !is_storable(&acceptance, limits) {
-            return Box::pin(std::future::ready(Answer::Rejected).into_actor(self));
-        }
-        let appending = append_with_retry(self.setup.platform.clone(), append, Some(deadline));
-        let appending = appending.into_actor(self);
-        Box::pin(appending.then(move |appended, act, _| {
-            if appended.is_ok() {
-                return act.persist(accepted, deadline);
+        let rows = (self.storable_row(payload), self.storable_row(&accepted));
+        let (row, _) = match rows {
+            (Ok(row), Ok(acceptance)) => (row, acceptance),
+            (Err(answer), _) | (_, Err(answer)) => {
+                return Box::pin(std::future::ready(answer).into_actor(self));
             }
+        };
+        let stored = self.take_in(Target::Payloads, row, deadline, ctx);
+        Box::pin(stored.into_actor(self).then(move |verdict, act, ctx| {
             // Whether the payload was recorded or not, the job was not accepted.
-            act.log_failed_at = appended.as_ref().is_err_and(is_outage).then(clock::now);
-            let answer = match appended {
-                Err(Failure::Refused(_)) => Answer::Rejected,
-                _ => Answer::Refused(UNAVAILABLE_RETRY_DELAY),
+            let answer = match verdict {
+                Verdict::Stored(_) => return act.persist(accepted, deadline, ctx),
+                Verdict::Refused(_) => Answer::Rejected,
+                Verdict::Unknown | Verdict::Ineffective => Answer::Refused(UNAVAILABLE_RETRY_DELAY),
             };
             Box::pin(std::future::ready(answer).into_actor(act))
         }))
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -1,8 +1,11 @@
 use std::time::{Duration, Instant};
 
-use actix::{ActorFutureExt, Handler, Message, MessageResult, ResponseActFuture, WrapFuture};
+use actix::{
+    ActorFutureExt, Context, Handler, Message, MessageResult, ResponseActFuture, WrapFuture,
+};
 use persimmongate_core::account::Caller;
 use persimmongate_core::ids;
+use persimmongate_core::intake::Verdict;
 use persimmongate_core::job::Job;
 use persimmongate_core::journal::{Phase, Record};
 use persimmongate_core::queue::Queue;
@@ -10,8 +13,9 @@
 use slog::{info, warn};
 
 use super::Shard;
-use crate::leadership::{append_with_retry, encoded_or_logged, is_storable, unconditional_append};
-use crate::platform::{Failure, Platform};
+use super::intake::{Row, Target};
+use crate::leadership::{encoded_or_logged, is_storable, unconditional_append};
+use crate::platform::Platform;
 
 /// Delay after which a caller should retry while the log is unavailable. The length of an outage is not
 /// known, so callers retry soon and at another process.
@@ -142,43 +146,51 @@
 
     /// Appends a record of a caller and applies it. Returns its offset, or what the caller is told.
     fn record(
-        &self,
+        &mut self,
         record: Record,
         deadline: Instant,
+        ctx: &mut Context<Self>,
     ) -> ResponseActFuture<Self, Result<ids::Offset, Answer>> {
-        let append = unconditional_append(self.partition(), std::slice::from_ref(&record));
-        let Some(append) = encoded_or_logged(append, &self.setup.logger) else {
-            let refused = std::future::ready(Err(Answer::Refused(UNAVAILABLE_RETRY_DELAY)));
-            return Box::pin(refused.into_actor(self));
+        let row = match self.storable_row(&record) {
+            Ok(row) => row,
+            Err(answer) => return Box::pin(std::future::ready(Err(answer)).into_actor(self)),
         };
-        if !is_storable(&append, &self.setup.log_limits) {
-            return Box::pin(std::future::ready(Err(Answer::Rejected)).into_actor(self));
-        }
-        let appending =
-            append_with_retry(self.setup.platform.clone(), append, Some(deadline)).into_actor(self);
-        Box::pin(appending.map(move |appended, act, _| {
-            act.log_failed_at = appended.as_ref().is_err_and(is_outage).then(clock::now);
-            match appended {
-                Ok(offset) => {
+        let stored = self.take_in(Target::Jobs, row, deadline, ctx);
+        Box::pin(stored.into_actor(self).map(move |verdict, act, _| {
+            match verdict {
+                Verdict::Stored(offset) => {
                     act.job_index.apply(offset, &record);
                     Ok(offset)
                 }
-                Err(Failure::Unknown) => Err(Answer::Unknown),
-                Err(Failure::Refused(status)) => {
+                Verdict::Unknown => Err(Answer::Unknown),
+                Verdict::Refused(status) => {
                     warn!(act.setup.logger, "log refused a record"; "key" => ?record.key(), "status" => status);
                     Err(Answer::Rejected)
                 }
-                Err(_) => Err(Answer::Refused(UNAVAILABLE_RETRY_DELAY)),
+                Verdict::Ineffective => Err(Answer::Refused(UNAVAILABLE_RETRY_DELAY)),
             }
         }))
     }
 
+    /// Encodes a record, or returns what the caller is told if the log can't store it.
+    pub(super) fn storable_row(&self, record: &Record) -> Result<Row, Answer> {
+        let append = unconditional_append(self.partition(), std::slice::from_ref(record));
+        let append = encoded_or_logged(append, &self.setup.logger)
+            .ok_or(Answer::Refused(UNAVAILABLE_RETRY_DELAY))?;
+        if !is_storable(&append, &self.setup.log_limits) {
+            return Err(Answer::Rejected);
+        }
+        let row = append.records.into_iter().next();
+        row.ok_or(Answer::Refused(UNAVAILABLE_RETRY_DELAY))
+    }
+
     pub(super) fn persist(
-        &self,
+        &mut self,
         record: Record,
         deadline: Instant,
+        ctx: &mut Context<Self>,
     ) -> ResponseActFuture<Self, Answer> {
-        let recorded = self.record(record, deadline);
+        let recorded = self.record(record, deadline, ctx);
         Box::pin(
             recorded.map(|recorded, _, _| recorded.map_or_else(|answer| answer, |_| Answer::Done)),
         )
@@ -202,15 +214,10 @@
     }
 }
 
-/// Checks if a failure tells that the log fails, rather than that it refuses a record.
-pub(super) fn is_outage(failure: &Failure) -> bool {
-    !matches!(failure, Failure::Refused(_))
-}
-
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Submit> for Shard<P, C> {
     type Result = ResponseActFuture<Self, Answer>;
 
-    fn handle(&mut self, submit: Submit, _: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, submit: Submit, ctx: &mut Self::Context) -> Self::Result {
         let job = submit.job;
         let id = job.id.clone();
         let entry = self.job_index.get(&id);
@@ -237,12 +244,18 @@
             return Box::pin(std::future::ready(answer).into_actor(self));
         }
         self.last_queried_at = Some(clock::now());
-        let (job, payload) = job.detach_payload();
+        // While the log is slow, an append less counts for more than what all processes have to read.
+        let is_slow = self.intakes.is_slow(clock::now());
+        let (job, payload) = if is_slow {
+            (job, None)
+        } else {
+            job.detach_payload()
+        };
         let payload = payload.map(|payload| Record::Payload(job.id.clone(), payload));
         let record = Record::Accepted(Box::new(job));
         let appending = match payload {
-            Some(payload) => self.persist_with_payload(&payload, record, submit.deadline),
-            None => self.persist(record, submit.deadline),
+            Some(payload) => self.persist_with_payload(&payload, record, submit.deadline, ctx),
+            None => self.persist(record, submit.deadline, ctx),
         };
         let started_at = clock::now();
         Box::pin(appending.map(move |answer, _: &mut Self, _| {
@@ -279,7 +292,7 @@
     type Result = ResponseActFuture<Self, Answer>;
 
     /// Records the cancellation also if no such job is known: its acceptance may be on the way to the log.
-    fn handle(&mut self, cancel: Cancel, _: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, cancel: Cancel, ctx: &mut Self::Context) -> Self::Result {
         let Cancel {
             job: id,
             caller,
@@ -307,7 +320,7 @@
         } else {
             Record::Barred(id.clone(), caller.clone())
         };
-        let recorded = self.record(record, deadline);
+        let recorded = self.record(record, deadline, ctx);
         Box::pin(recorded.map(move |recorded, act: &mut Self, _| {
             let answer = match recorded {
                 // Without all records before it, it is not known whether there was such a job.
