Foresee steady turns, keep hosts for the next one, and drain the last hosts of a wave first

Hosts of an ended turn went to the spare pool just as the next turn began. A new leader of the fleet knew no turns. Hosts with long-running tasks came last in a wave, one or two tasks of a step move at a time, and half of them moved to hosts that were drained next; tasks of 20 to 36 s kept other hosts.

- Jobs read after a second are no arrivals.
The height of a turn is what arrives, averaged over four seconds.
- In a turn a service has the hosts of its height; growth is extrapolated only from the start of a turn.
- Hosts of an ended turn stay up to four seconds for the next one, if that may begin within them.
- Room beside long-running tasks is part of the reserve once turns are foreseen.
- Each process that may lead the fleet remembers the turns.
- Hosts of a wave with long-running tasks are drained from the start, those of one pool at once.
- Tasks with saved progress that would outlast a drain by four seconds resume elsewhere.

--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -1,8 +1,8 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::event::{Action, Reason};
 use super::graph::{Graph, Placement};
-use super::run::Phase;
+use super::run::{Phase, Run};
 use super::scheduler::Scheduler;
 use super::worker::Worker;
 use crate::ids;
@@ -12,6 +12,10 @@
 /// Progress that a long-running task reports once it is ready, in percent.
 const READY_PERCENT: u32 = 100;
 
+/// Remaining time of a task from which on it moves from a worker that is drained, if its progress is saved: longer than
+/// a stop, a start elsewhere and the work since the latest save take together.
+const MIN_MOVED_TIME: Duration = Duration::from_secs(4);
+
 impl Scheduler {
     pub(super) fn handle_drain(
         &mut self,
@@ -61,6 +65,37 @@
         }
     }
 
+    /// Stops the tasks of a draining worker that would keep it for long, and whose progress is saved, so that they
+    /// resume elsewhere.
+    fn stop_resumable(&mut self, now: Instant, id: &ids::Worker, actions: &mut Vec<Action>) {
+        let Some(worker) = self.workers.get(id).filter(|worker| worker.is_draining) else {
+            return;
+        };
+        let is_resumable = |run: &Run| {
+            let is_single = run.is_assigned && !run.is_long_running && !run.is_best_effort;
+            is_single && run.state == Phase::Running && !run.checkpoint.is_empty()
+        };
+        let outlasts = |run: &Run| {
+            let elapsed = run.progressed_at.saturating_duration_since(run.created_at);
+            let done = run.percent.clamp(1, READY_PERCENT);
+            elapsed * (READY_PERCENT - done) / done > MIN_MOVED_TIME
+        };
+        let runs = worker.runs.iter();
+        let runs = runs
+            .filter(|(task, run)| is_resumable(run) && outlasts(run) && !self.is_gang_member(task));
+        let tasks: Vec<Task> = runs.map(|(task, _)| task.clone()).collect();
+        for task in tasks {
+            self.stop_run(now, id, &task, Reason::Drain, actions);
+        }
+    }
+
+    /// Checks if a task works only together with the others of its step. One whose job isn't known counts as such.
+    fn is_gang_member(&self, task: &Task) -> bool {
+        let graph = self.jobs.get(&task.job).filter(|graph| !graph.is_over());
+        let stage = graph.and_then(|graph| Some((graph, graph.find(task)?.0)));
+        stage.is_none_or(|(graph, stage)| graph.step_of(stage).is_gang)
+    }
+
     /// Checks if a long-running task may be stopped in view of the unavailable tasks of its step.
     pub(super) fn is_stop_allowed(&self, now: Instant, task: &Task) -> bool {
         self.unavailability(now, task)
@@ -130,6 +165,7 @@
         draining.sort();
         for (_, id) in draining {
             self.stop_long_running(now, &id, actions);
+            self.stop_resumable(now, &id, actions);
             let Some(worker) = self.workers.get_mut(&id) else {
                 continue;
             };
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -11,6 +11,8 @@
 
 /// Time for which an ended job is kept, so that the resources of its late runs are known.
 const ENDED_JOB_RETENTION: Duration = Duration::from_secs(20);
+/// Age up to which a job that is read counts as one that arrives: the window over which arrivals are averaged.
+const MAX_ARRIVAL_AGE: Duration = Duration::from_secs(1);
 /// Highest assumed age of a job when the leader learns of it, as the clocks of processes differ.
 const MAX_ACCEPTANCE_AGE: Duration = Duration::from_mins(1);
 
@@ -165,9 +167,11 @@
             // It may have been recorded after the cancellation.
             actions.push(Action::DropPayloads(vec![job.id.clone()]));
         }
-        if !graph.is_over() {
+        // A new leader reads all unfinished jobs at once, and one that was held up those of some seconds.
+        if !graph.is_over() && age <= MAX_ARRIVAL_AGE {
             let service = self.service_of(&graph).clone();
-            self.arrivals.record(now, service, job.occurrence_work());
+            self.arrivals
+                .record(accepted_at, service, job.occurrence_work());
         }
         if let Some(payload) = self.payloads.claim(&job.id) {
             graph.payload.get_or_insert(payload);
--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -7,22 +7,21 @@
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
-use super::demand::{Demand, short_running_demand};
 use super::event::{Action, Operation};
+use super::history::History;
 use super::host::{Host, State};
 use super::planner::Planner;
 use super::sizing::Sizing;
-use super::turns::Turns;
 use crate::ids;
 use crate::journal::Load;
 use crate::map::Map;
 
-/// Demand up to which growth is extrapolated, in percent of the highest peak of the other services: at the start
-/// of a turn demand rises in a step.
-const MAX_GROWN_PERCENT: u64 = 125;
 /// Time for which a pool has a surplus of hosts before one returns to the spare pool. A move costs about
 /// as much as a host that is idle for a second.
 const SURPLUS_DELAY: Duration = Duration::from_millis(1_200);
+/// Time for which the hosts of a turn that has ended stay, if the next turn is expected within it or at an unknown time:
+/// they are at the next service after one move rather than two.
+const HANDOVER_TIME: Duration = Duration::from_secs(4);
 
 /// Time after which a move that did not complete is ignored, and the host counts for the pool that the
 /// host list names.
@@ -36,29 +35,17 @@
     /// Hosts that are moving, with their new pool and the time of the command.
     pub(super) moving: Map<ids::Host, (ids::Service, Instant)>,
     /// Recent demand of the services.
-    demand: Demand,
-    /// Recent turns of the services.
-    pub(super) turns: Turns,
+    pub(super) history: History,
     /// Services whose turn is about to start, with the demand for which hosts are kept ready, in millicores.
     pub(super) upcoming: Map<ids::Service, u64>,
 }
 
 impl Balance {
-    /// Adds a sample from the load that a leader reported.
-    pub(super) fn add_sample(&mut self, now: Instant, load: &Load) {
-        self.demand.add_sample(now, load);
-        let demand = short_running_demand(load);
-        self.turns.add_sample(now, &load.service, demand);
-    }
-
-    /// Forecasts the growth of a service's demand until a host whose move begins now runs tasks, in millicores.
-    pub(super) fn growth(&self, service: &ids::Service, demand: u64) -> u64 {
-        let growth = self.demand.growth(service);
-        match self.turns.peak_of_others(service) {
-            0 => growth,
-            peak => {
-                growth.min((peak.saturating_mul(MAX_GROWN_PERCENT) / 100).saturating_sub(demand))
-            }
+    /// Creates the state of a new term.
+    pub(super) fn new(history: History) -> Self {
+        Self {
+            history,
+            ..Self::default()
         }
     }
 
@@ -90,7 +77,7 @@
         let services = self.config.services.iter();
         let services = services.filter(|service| !service.is_spare);
         let services: Vec<ids::Service> = services.map(|service| service.name.clone()).collect();
-        let upcoming = self.balance.turns.upcoming(now, &services);
+        let upcoming = self.balance.history.turns.upcoming(now, &services);
         self.balance.upcoming = upcoming.into_iter().collect();
     }
 
@@ -197,7 +184,13 @@
             .surplus_since
             .entry(sizing.service.clone())
             .or_insert(now);
-        if now.saturating_duration_since(since) < SURPLUS_DELAY {
+        let turns = &self.balance.history.turns;
+        let delay = if turns.awaits_successor(now, &sizing.service, HANDOVER_TIME) {
+            HANDOVER_TIME
+        } else {
+            SURPLUS_DELAY
+        };
+        if now.saturating_duration_since(since) < delay {
             return Vec::new();
         }
         let hosts = self
@@ -245,7 +238,14 @@
             .map(|host| host.name.clone())
             .collect();
         // The last one moves first.
-        hosts.sort_by_key(|host| (Reverse(self.setbacks.get(host)), host.clone()));
+        hosts.sort_by_key(|host| {
+            let is_due = self.awaits_maintenance(host);
+            (
+                Reverse(is_due),
+                Reverse(self.setbacks.get(host)),
+                host.clone(),
+            )
+        });
         hosts
     }
 
@@ -271,7 +271,7 @@
             .filter(|(_, used)| includes_busy || *used == 0);
         let hosts = movable.filter_map(|(worker, _)| host_by_worker.get(worker).copied());
         let mut hosts: Vec<ids::Host> = hosts.cloned().collect();
-        hosts.sort_by_key(|host| self.setbacks.get(host));
+        hosts.sort_by_key(|host| (self.awaits_maintenance(host), self.setbacks.get(host)));
         hosts
     }
 }
--- a/crates/core/src/upkeep/drain.rs
+++ b/crates/core/src/upkeep/drain.rs
@@ -13,6 +13,9 @@
 /// Time after which a drain for maintenance is canceled. It is longer than for a move, as long-running
 /// tasks are moved one by one.
 const MAINTENANCE_DRAIN_TIMEOUT: Duration = Duration::from_secs(20);
+/// The same for a host with long-running tasks: all such hosts of a pool are drained at once, and of a step one or two
+/// tasks move at a time.
+const MIGRATION_DRAIN_TIMEOUT: Duration = Duration::from_secs(40);
 /// Time after which a withdrawal that the log does not hold is repeated: longer than its append is retried.
 const WITHDRAWAL_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time for which the host list may still name the worker of a host that was maintained or moved, as the
@@ -31,6 +34,7 @@
                 .as_ref()
                 .is_some_and(|(known, _)| worker.as_ref() != Some(known));
             let timeout = match transition.operation {
+                Operation::Maintain(_) if transition.is_migration() => MIGRATION_DRAIN_TIMEOUT,
                 Operation::Maintain(_) => MAINTENANCE_DRAIN_TIMEOUT,
                 Operation::Move(_) => MOVE_DRAIN_TIMEOUT,
             };
--- a/crates/core/src/upkeep/maintain.rs
+++ b/crates/core/src/upkeep/maintain.rs
@@ -5,6 +5,7 @@
 use super::event::{Action, Operation};
 use super::host::{Host, State};
 use super::planner::Planner;
+use super::transition::Transition;
 use super::wave::Rollout;
 use crate::ids;
 use crate::map::{Map, Set};
@@ -13,7 +14,11 @@
 /// its processor time.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Cost {
-    /// The host is in the spare pool, or its worker has a drain already.
+    /// Its worker has a drain already, of an earlier leader.
+    Adopted,
+    /// The host runs long-running tasks, whose move would end too late if it began later.
+    Due,
+    /// The host is in the spare pool.
     None,
     /// The host runs no task.
     Idle(u64),
@@ -43,51 +48,45 @@
 
     /// Starts to drain the next hosts of each wave.
     ///
-    /// Hosts without cost go as soon as the wave's limit of hosts down at once permits, the others spread
-    /// over the part of its time limit within which it is planned to end.
+    /// Hosts with long-running tasks take longest, as their tasks move a few at a time, so some of each service are
+    /// drained from the start on. Of the others, hosts without cost go as soon as the wave's limit of hosts down at once
+    /// permits, the rest spread over the part of its time limit within which it is planned to end.
     pub(super) fn plan_waves(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mut planned: Vec<(ids::Host, Operation)> = Vec::new();
         let usage = self.usage();
         for rollout in &self.rollouts {
             let number = rollout.wave.number;
-            let in_progress = self
-                .transitions
-                .values()
-                .filter(|transition| transition.operation == Operation::Maintain(number))
-                .count();
-            let down = rollout
-                .wave
-                .hosts
-                .iter()
-                .filter(|host| self.down_since.contains_key(*host))
-                .count();
-            let mut candidates: Vec<(Cost, &Host)> = rollout
-                .wave
-                .hosts
-                .iter()
-                .filter(|host| {
-                    !rollout.maintained.contains(*host) && !self.transitions.contains_key(*host)
-                })
-                .filter_map(|host| self.hosts.get(host))
-                // The host list may still show a host where it was before its move.
-                .filter(|host| host.state == State::Up && !self.balance.is_moving(&host.name))
-                .map(|host| (self.cost(host, &usage), host))
-                .collect();
+            let own = Operation::Maintain(number);
+            let of_wave = |transition: &&Transition| transition.operation == own;
+            let in_progress: Vec<&Transition> = self.transitions.values().filter(of_wave).collect();
+            let down = rollout.wave.hosts.iter();
+            let down = down.filter(|host| self.down_since.contains_key(*host));
+            let mut candidates = self.wave_candidates(rollout, &usage);
+            let concurrency = rollout.concurrency(now, candidates.len() + in_progress.len());
+            // Drains of hosts with long-running tasks take long, so the others don't wait for them.
+            let mut migrating = in_progress.iter().filter(|t| t.is_migration()).count();
+            let mut others = in_progress.len() - migrating + down.count();
+            self.promote_migrations(now, rollout, &in_progress, &mut candidates);
             candidates.sort_by_key(|(cost, host)| {
                 let setback = self.setbacks.get(&host.name);
                 (setback.copied(), *cost, host.name.clone())
             });
-            let concurrency = rollout.concurrency(now, candidates.len() + in_progress);
-            for (taken, (cost, host)) in (in_progress + down..).zip(candidates) {
-                let limit = if cost == Cost::None {
-                    rollout.wave.max_down
-                } else {
-                    concurrency
+            for (cost, host) in candidates {
+                let (taken, limit) = match cost {
+                    Cost::Adopted | Cost::None => (others, rollout.wave.max_down),
+                    Cost::Idle(_) | Cost::ShortRunning(_) => (others, concurrency),
+                    Cost::Due | Cost::Migrating(_) => (migrating + others, concurrency),
                 };
                 if taken >= limit {
-                    break;
+                    continue;
                 }
-                planned.push((host.name.clone(), Operation::Maintain(number)));
+                match cost {
+                    Cost::Due | Cost::Migrating(_) => migrating += 1,
+                    Cost::Adopted | Cost::None | Cost::Idle(_) | Cost::ShortRunning(_) => {
+                        others += 1;
+                    }
+                }
+                planned.push((host.name.clone(), own.clone()));
             }
         }
         for (host, operation) in planned {
@@ -95,6 +94,55 @@
         }
     }
 
+    /// Marks some hosts with long-running tasks of each service as those that are drained first.
+    fn promote_migrations(
+        &self,
+        now: Instant,
+        rollout: &Rollout,
+        in_progress: &[&Transition],
+        candidates: &mut [(Cost, &Host)],
+    ) {
+        let mut started: Map<&ids::Service, usize> = Map::default();
+        for transition in in_progress.iter().filter(|other| other.is_migration()) {
+            if let Some((_, drain)) = &transition.drain {
+                *started.entry(&drain.service).or_default() += 1;
+            }
+        }
+        let mut remaining = started.clone();
+        let is_migration = |cost: &Cost| matches!(cost, Cost::Migrating(_));
+        for (_, host) in candidates.iter().filter(|(cost, _)| is_migration(cost)) {
+            *remaining.entry(&host.service).or_default() += 1;
+        }
+        let migrations = candidates.iter_mut();
+        for (cost, host) in migrations.filter(|(cost, _)| is_migration(cost)) {
+            let started = started.entry(&host.service).or_default();
+            let remaining = remaining.get(&host.service).copied().unwrap_or(0);
+            if !self.setbacks.contains_key(&host.name)
+                && *started < rollout.migrations(now, remaining)
+            {
+                *started += 1;
+                *cost = Cost::Due;
+            }
+        }
+    }
+
+    /// Returns the hosts of a wave that may be drained now, with what that costs.
+    fn wave_candidates(
+        &self,
+        rollout: &Rollout,
+        usage: &Map<&ids::Worker, u64>,
+    ) -> Vec<(Cost, &Host)> {
+        let hosts = rollout.wave.hosts.iter();
+        let open = hosts.filter(|host| {
+            !rollout.maintained.contains(*host) && !self.transitions.contains_key(*host)
+        });
+        open.filter_map(|host| self.hosts.get(host))
+            // The host list may still show a host where it was before its move.
+            .filter(|host| host.state == State::Up && !self.balance.is_moving(&host.name))
+            .map(|host| (self.cost(host, usage), host))
+            .collect()
+    }
+
     /// Returns the processor time in use of the workers without long-running tasks, in millicores.
     fn usage(&self) -> Map<&ids::Worker, u64> {
         let workers = self.loads.values();
@@ -105,9 +153,12 @@
     /// Returns the cost of taking a host out of service now.
     fn cost(&self, host: &Host, usage: &Map<&ids::Worker, u64>) -> Cost {
         let has_drain = |worker| self.drains.contains_key(worker);
-        if self.is_spare(&host.service) || host.worker.as_ref().is_some_and(has_drain) {
+        if self.is_spare(&host.service) {
             return Cost::None;
         }
+        if host.worker.as_ref().is_some_and(has_drain) {
+            return Cost::Adopted;
+        }
         let used = host.worker.as_ref().and_then(|worker| usage.get(worker));
         // There is no entry for a worker with long-running tasks or of a service without a load report.
         match used {
@@ -117,6 +168,12 @@
         }
     }
 
+    /// Checks if a host of a wave was not maintained yet.
+    pub(super) fn awaits_maintenance(&self, host: &ids::Host) -> bool {
+        let mut rollouts = self.rollouts.iter();
+        rollouts.any(|rollout| rollout.is_open(host))
+    }
+
     /// Returns the hosts of a wave that are down or have a command in flight.
     pub(super) fn down_hosts(&self, number: ids::WaveNumber) -> Set<ids::Host> {
         let has_command = |host: &ids::Host| {
--- a/crates/core/src/upkeep/mod.rs
+++ b/crates/core/src/upkeep/mod.rs
@@ -7,6 +7,7 @@
 mod demand;
 mod drain;
 mod event;
+mod history;
 mod host;
 mod maintain;
 mod planner;
@@ -16,6 +17,7 @@
 mod wave;
 
 pub use event::{Action, Answer, Command, Event, Operation};
+pub use history::History;
 pub use host::{Host, Listing, State};
 pub use planner::{Options, Planner};
 pub use wave::Wave;
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -3,6 +3,7 @@
 
 use super::balance::Balance;
 use super::event::{Action, Answer, Command, Event, Operation};
+use super::history::History;
 use super::host::{Host, Listing, State};
 use super::transition::Transition;
 use super::wave::Rollout;
@@ -85,7 +86,7 @@
 }
 
 impl Planner {
-    /// Creates a planner for a new term.
+    /// Creates a planner for a new term, with what its process remembers of the demand.
     ///
     /// `has_predecessor` is false when no command of an earlier leader can be in flight.
     #[must_use]
@@ -94,6 +95,7 @@
         node: ids::Instance,
         term: ids::Term,
         has_predecessor: bool,
+        history: History,
         now: Instant,
     ) -> Self {
         let wait = if has_predecessor {
@@ -110,7 +112,7 @@
             listed_at: Map::default(),
             loads: Map::default(),
             rollouts: Vec::new(),
-            balance: Balance::default(),
+            balance: Balance::new(history),
             transitions: Map::default(),
             setbacks: Map::default(),
             transition_count: 0,
@@ -167,7 +169,7 @@
             }
             Event::Loads(loads) => {
                 for load in loads {
-                    self.balance.add_sample(now, &load);
+                    self.balance.history.add_sample(now, &load);
                     self.loads.insert(load.service.clone(), load);
                 }
             }
--- a/crates/core/src/upkeep/sizing.rs
+++ b/crates/core/src/upkeep/sizing.rs
@@ -18,11 +18,12 @@
 const MAX_GROWTH_PERCENT: usize = 50;
 /// Hosts of a pool above those that its long-running tasks need, for the start of a peak.
 const PEAK_RESERVE_HOSTS: usize = 3;
-/// Share of the fleet that a pool has as such a reserve if this is more, as a divisor.
+/// Share of the fleet that a pool has as such a reserve if this is more, as a divisor. Once the turns are foreseen, room
+/// beside long-running tasks that are spread over many hosts is part of it.
 const PEAK_RESERVE_DIVISOR: usize = 16;
 /// Hosts above the minimum for its long-running tasks that a pool never lends.
 const MIN_RETAINED_HOSTS: usize = 2;
-/// Share of the fleet that a pool never lends if this is more, as a divisor.
+/// Share of the fleet that a pool never lends if this is more, as a divisor, with the same exception.
 const MIN_RETAINED_DIVISOR: usize = 24;
 /// Most hosts that waiting work requires, in percent of those that the highest demand seen required. More would
 /// arrive when the work is done.
@@ -99,26 +100,31 @@
         let with_headroom =
             |cpu: u64| cpu.saturating_add(cpu.saturating_mul(HEADROOM_PERCENT) / 100);
         let min_hosts = load.min_hosts as usize;
-        let retained = min_hosts + MIN_RETAINED_HOSTS.max(fleet_size / MIN_RETAINED_DIVISOR);
-        let reserve = PEAK_RESERVE_HOSTS.max(fleet_size / PEAK_RESERVE_DIVISOR);
-        let peak = self
-            .balance
-            .turns
-            .peak()
-            .saturating_mul(MAX_REQUIRED_PERCENT)
-            / 100;
+        let lasting_hosts = hosts_for(load.long_running);
+        let history = &self.balance.history;
+        // Until the turns are foreseen, their first seconds have nothing but the reserve.
+        let spread_hosts = if history.turns.are_foreseen() {
+            lasting_hosts
+        } else {
+            lasting_hosts.max(min_hosts)
+        };
+        let with_reserve = |hosts: usize, divisor: usize| {
+            let share = spread_hosts.saturating_add(fleet_size / divisor);
+            share.max(min_hosts + hosts)
+        };
+        let retained = with_reserve(MIN_RETAINED_HOSTS, MIN_RETAINED_DIVISOR);
+        let reserve = with_reserve(PEAK_RESERVE_HOSTS, PEAK_RESERVE_DIVISOR);
+        let peak = history.turns.peak().saturating_mul(MAX_REQUIRED_PERCENT) / 100;
         let most = load.long_running.saturating_add(peak.max(load.used));
         let required = hosts_for(current_demand(load).min(most));
         let required = required.max(retained).min(fleet_size);
-        let reserved = required.max(min_hosts + reserve).min(fleet_size);
-        let growth = hosts_for(self.balance.growth(service, short_running_demand(load)));
-        let growth = growth.min(fleet_size * MAX_GROWTH_PERCENT / 100);
-        let demand = with_headroom(short_running_demand(load));
-        let cpu = load.long_running.saturating_add(demand);
-        let desired = hosts_for(cpu).min(fleet_size) + growth;
+        let reserved = required.max(reserve).min(fleet_size);
+        let demand = history.forecast(load);
+        let most_grown = host_cpu.saturating_mul(max_growth(fleet_size));
+        let demand = demand.min(short_running_demand(load).saturating_add(most_grown));
         let upcoming = self.balance.upcoming.get(service).copied().unwrap_or(0);
-        let upcoming = load.long_running.saturating_add(with_headroom(upcoming));
-        let desired = desired.max(hosts_for(upcoming)).max(reserved);
+        let demand = with_headroom(demand.max(upcoming));
+        let desired = hosts_for(load.long_running.saturating_add(demand)).max(reserved);
         Sizing {
             service: service.clone(),
             host_count,
@@ -129,6 +135,11 @@
     }
 }
 
+/// Returns the number of hosts that a service gets at most for forecast growth.
+fn max_growth(fleet_size: usize) -> u64 {
+    u64::try_from(fleet_size * MAX_GROWTH_PERCENT / 100).unwrap_or(u64::MAX)
+}
+
 /// Returns the processor time that the current and the waiting work of a service requires, in millicores.
 fn current_demand(load: &Load) -> u64 {
     let backlog_target_ms = u64::try_from(BACKLOG_TARGET.as_millis()).unwrap_or(1);
--- a/crates/core/src/upkeep/transition.rs
+++ b/crates/core/src/upkeep/transition.rs
@@ -8,6 +8,15 @@
 use crate::journal::Drain;
 use crate::map::{Map, Set};
 
+/// `Occupancy` is what ran on a worker when its drain was planned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Occupancy {
+    /// Long-running tasks, which must move to other workers.
+    LongRunning,
+    /// Only tasks that end by themselves, or none.
+    ShortRunning,
+}
+
 /// `Transition` is a planned maintenance or move of a host.
 #[derive(Clone, Debug)]
 pub(super) struct Transition {
@@ -17,6 +26,7 @@
     /// Worker to drain, with its drain; `None` for a host without a worker.
     pub(super) drain: Option<(ids::Worker, Drain)>,
     pub(super) is_drained: bool,
+    pub(super) occupancy: Occupancy,
     pub(super) started_at: Instant,
     pub(super) has_command_in_flight: bool,
     /// Time before which no further command is sent.
@@ -25,6 +35,13 @@
     pub(super) is_outcome_unknown: bool,
 }
 
+impl Transition {
+    /// Checks if long-running tasks have to move to other workers.
+    pub(super) fn is_migration(&self) -> bool {
+        self.occupancy == Occupancy::LongRunning
+    }
+}
+
 impl Planner {
     pub(super) fn start_transition(
         &mut self,
@@ -37,6 +54,18 @@
             return;
         };
         let is_spare = self.is_spare(&entry.service);
+        let is_short_running = entry.worker.as_ref().is_none_or(|worker| {
+            let load = self.loads.get(&entry.service);
+            let mut workers = load
+                .map_or(&[][..], |load| &load.short_running_workers)
+                .iter();
+            is_spare || workers.any(|(other, _)| other == worker)
+        });
+        let occupancy = if is_short_running {
+            Occupancy::ShortRunning
+        } else {
+            Occupancy::LongRunning
+        };
         let worker = entry.worker.clone().filter(|_| !is_spare);
         let drain = worker.map(|worker| {
             let drain = Drain {
@@ -54,6 +83,7 @@
             operation,
             number: self.transition_count,
             is_drained: drain.is_none(),
+            occupancy,
             drain,
             started_at: now,
             has_command_in_flight: false,
--- a/crates/core/src/upkeep/wave.rs
+++ b/crates/core/src/upkeep/wave.rs
@@ -20,6 +20,10 @@
 const MAX_TIME_LIMIT: Duration = Duration::from_hours(365 * 24);
 /// Estimated time to drain and maintain one host.
 const HOST_CYCLE: Duration = Duration::from_secs(5);
+/// Estimated time to drain the hosts of a pool with long-running tasks: of a step one or two tasks at a time stop and
+/// work again elsewhere, about two seconds each. Hosts of the wave that drain meanwhile get none of these tasks, so
+/// that none moves twice.
+const MIGRATION_CYCLE: Duration = Duration::from_secs(20);
 /// Share of a wave's time limit, in percent, within which it is planned to end. The rest is headroom for
 /// hosts that fail meanwhile.
 const PLANNED_TIME_PERCENT: u32 = 50;
@@ -28,6 +32,8 @@
 #[derive(Debug)]
 pub(super) struct Rollout {
     pub(super) wave: Wave,
+    /// Hosts of the wave, for look-ups.
+    members: Set<ids::Host>,
     /// Hosts that were maintained.
     pub(super) maintained: Set<ids::Host>,
     /// Time at which this process read the request.
@@ -39,6 +45,7 @@
 impl Rollout {
     pub(super) fn new(wave: Wave, requested_at: Instant) -> Self {
         Self {
+            members: wave.hosts.iter().cloned().collect(),
             wave,
             maintained: Set::default(),
             requested_at,
@@ -46,16 +53,38 @@
         }
     }
 
+    /// Checks if a host belongs to the wave and was not maintained.
+    pub(super) fn is_open(&self, host: &ids::Host) -> bool {
+        self.members.contains(host) && !self.maintained.contains(host)
+    }
+
     /// Returns the number of hosts to drain or maintain at once so that the wave ends in time.
     ///
     /// `remaining` is the number of hosts that were not maintained yet.
     pub(super) fn concurrency(&self, now: Instant, remaining: usize) -> usize {
+        let max_down = self.wave.max_down;
+        let most = max_down.saturating_add(max_down.div_ceil(2));
+        match self.rounds(now, HOST_CYCLE) {
+            // Hosts that return from their maintenance keep none of the last ones waiting.
+            1 => most,
+            // One host more than the time requires is drained while the others are maintained.
+            rounds => (remaining.div_ceil(rounds) + 1).min(most),
+        }
+    }
+
+    /// Returns the number of hosts with long-running tasks to drain at once in the pool of one service.
+    ///
+    /// `remaining` is the number of such hosts that were not maintained yet.
+    pub(super) fn migrations(&self, now: Instant, remaining: usize) -> usize {
+        let needed = remaining.div_ceil(self.rounds(now, MIGRATION_CYCLE));
+        needed.min(self.wave.max_down)
+    }
+
+    /// Returns how often a time fits into what is left until the planned end; 1 at least.
+    fn rounds(&self, now: Instant, cycle: Duration) -> usize {
         let time_limit = self.wave.time_limit.min(MAX_TIME_LIMIT);
         let planned_end = self.requested_at + time_limit * PLANNED_TIME_PERCENT / 100;
-        let time_left = planned_end.saturating_duration_since(now).max(HOST_CYCLE);
-        let rounds = usize::try_from(time_left.as_millis() / HOST_CYCLE.as_millis()).unwrap_or(1);
-        // One host more than the time requires is drained while the others are maintained.
-        let max_down = self.wave.max_down;
-        (remaining.div_ceil(rounds) + 1).min(max_down.saturating_add(max_down.div_ceil(2)))
+        let time_left = planned_end.saturating_duration_since(now).max(cycle);
+        usize::try_from(time_left.as_millis() / cycle.as_millis()).unwrap_or(1)
     }
 }
--- a/crates/core/tests/sched/capacity.rs
+++ b/crates/core/tests/sched/capacity.rs
@@ -81,3 +81,19 @@
         );
     }
 }
+
+// A new leader read the unfinished jobs of some seconds at once, and hosts for five times the demand were fetched.
+#[test]
+fn verify_jobs_of_before_a_term_are_no_arrivals() {
+    let mut world = World::new(2, 1);
+    world.submit("old", vec![step(6, 8_000, &[])]);
+    world.run(seconds(3));
+    world.leaders[0].is_up = false;
+    let leader = world.elect_leader();
+    world.submit("new", vec![step(2, 1_000, &[])]);
+    world.run(Duration::from_millis(300));
+    let loads = world.leaders[leader].scheduler.loads(world.now);
+    let arrived: u64 = loads.iter().map(|load| load.arrival_rate).sum();
+    // Two tasks of a second on two cores each.
+    assert_eq!(arrived, 2 * 2_000);
+}
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -4,6 +4,7 @@
 mod availability;
 mod capacity;
 mod crash;
+mod drain;
 mod line;
 mod odd;
 mod overload;
--- a/crates/core/tests/sched/worker.rs
+++ b/crates/core/tests/sched/worker.rs
@@ -54,6 +54,8 @@
     last_sequence: u64,
     /// Response time that its tasks report.
     pub(crate) reported_latency_ms: u64,
+    /// Saved progress that its tasks report; empty if they save none.
+    pub(crate) reported_checkpoint: ByteString,
     /// Paces that it received, in percent.
     pub(crate) received_paces: Vec<u32>,
     /// Latest time at which its lease was expired.
@@ -79,6 +81,7 @@
             exit_times: BTreeMap::new(),
             last_sequence: 0,
             reported_latency_ms: 0,
+            reported_checkpoint: ByteString::new(),
             received_paces: Vec::new(),
             lease_expired_at: None,
         }
@@ -173,7 +176,7 @@
         let status_of = |(task, run): (&Task, &Active)| Status {
             task: task.clone(),
             run: run.run,
-            checkpoint: ByteString::new(),
+            checkpoint: self.reported_checkpoint.clone(),
             percent: match run.exit {
                 None if now - run.started_at < STARTUP_DURATION => 50,
                 None => 100,
--- a/crates/core/tests/upkeep/fixture.rs
+++ b/crates/core/tests/upkeep/fixture.rs
@@ -8,7 +8,8 @@
 use persimmongate_core::queue::{Config, Service};
 use persimmongate_core::sched::Resources;
 use persimmongate_core::upkeep::{
-    Action, Answer, Command, Event, Host, Listing, Operation, Options, Planner, State, Wave,
+    Action, Answer, Command, Event, History, Host, Listing, Operation, Options, Planner, State,
+    Wave,
 };
 
 /// Processor capacity of a host.
@@ -34,6 +35,9 @@
     pub(crate) loads: Vec<Load>,
     /// Highest number of hosts that were under maintenance at once.
     pub(crate) peak_down_count: usize,
+    config: Arc<Config>,
+    /// What another process remembers of the loads.
+    history: History,
     /// Time at which the next pass of planning is due.
     plan_due_at: Option<Instant>,
 }
@@ -53,7 +57,14 @@
 
     fn with_hosts(has_predecessor: bool, pools: &[(&str, usize)]) -> Self {
         let now = Instant::now();
-        let planner = Planner::new(Options::default(), "node".into(), 7, has_predecessor, now);
+        let planner = Planner::new(
+            Options::default(),
+            "node".into(),
+            7,
+            has_predecessor,
+            History::default(),
+            now,
+        );
         let service = |(name, _): &(&str, usize)| Service {
             name: (*name).into(),
             rejects_overload: false,
@@ -74,6 +85,8 @@
             wave_reports: Vec::new(),
             loads: Vec::new(),
             peak_down_count: 0,
+            config: Arc::new(config),
+            history: History::default(),
             plan_due_at: None,
         };
         for (service, count) in pools {
@@ -81,10 +94,20 @@
                 fixture.hosts.push(host(service, number));
             }
         }
-        fixture.step(Event::Config(Arc::new(config)));
+        fixture.step(Event::Config(fixture.config.clone()));
         fixture
     }
 
+    /// Puts a planner of the next term in place of the present one; its process has seen the same loads.
+    pub(crate) fn succeed(&mut self) {
+        let history = self.history.clone();
+        let options = Options::default();
+        self.planner = Planner::new(options, "next".into(), 8, false, history, self.now);
+        self.plan_due_at = None;
+        self.step(Event::Config(self.config.clone()));
+        self.refresh();
+    }
+
     /// Passes an event to the planner, and waits until it has planned.
     pub(crate) fn step(&mut self, event: Event) {
         self.step_once(event);
@@ -166,6 +189,9 @@
     pub(crate) fn refresh(&mut self) {
         self.step(Event::TermConfirmed(self.now));
         self.step(Event::Hosts(self.listing()));
+        for load in &self.loads {
+            self.history.add_sample(self.now, load);
+        }
         self.step(Event::Loads(self.loads.clone()));
     }
 
--- a/crates/core/tests/upkeep/turns.rs
+++ b/crates/core/tests/upkeep/turns.rs
@@ -25,8 +25,12 @@
 
 impl Rotation {
     fn new(turn: Duration) -> Self {
+        Self::with_hosts(turn, POOL_HOSTS)
+    }
+
+    fn with_hosts(turn: Duration, hosts: usize) -> Self {
         Self {
-            fixture: Fixture::with_pools(&ORDER, POOL_HOSTS),
+            fixture: Fixture::with_pools(&ORDER, hosts),
             turn,
         }
     }
@@ -177,6 +181,103 @@
     }
 }
 
+// Tasks of long-running steps are spread over many hosts and leave most of their room free, and the reserve came on top.
+#[test]
+fn verify_room_beside_long_running_tasks_is_part_of_the_reserve() {
+    let mut rotation = Rotation::with_hosts(Duration::from_secs(8), 100);
+    let with_long_running = |load: Load| {
+        let workers = load.short_running_workers.into_iter();
+        Load {
+            long_running: 5 * HOST_CPU_MILLICORES,
+            min_hosts: 24,
+            short_running_workers: workers.skip(24).collect(),
+            ..load
+        }
+    };
+    let play = |rotation: &mut Rotation, service: &str| {
+        let end = rotation.fixture.now + Duration::from_secs(8);
+        while rotation.fixture.now < end {
+            let loads = rotation.loads(&[service]).into_iter();
+            rotation.fixture.loads = loads.map(with_long_running).collect();
+            rotation.fixture.run_for(STEP);
+        }
+    };
+    // The first seconds of a turn that is not foreseen have nothing but the reserve.
+    play(&mut rotation, "none");
+    assert_eq!(rotation.serving(ORDER[3]), 24 + 500 / 16);
+    for service in &ORDER[..3] {
+        play(&mut rotation, service);
+    }
+    play(&mut rotation, "none");
+    assert_eq!(rotation.serving(ORDER[0]), 5 + 500 / 16);
+}
+
+// Few large jobs a second make a second's arrivals vary by a factor of four; hosts came and went with each.
+#[test]
+fn verify_uneven_arrivals_move_no_hosts_within_a_turn() {
+    let mut rotation = Rotation::new(Duration::from_secs(8));
+    rotation.play(&ORDER);
+    rotation.play_for(Duration::from_secs(2), ORDER[0]);
+    rotation.fixture.commands.clear();
+    for percent in [40, 160, 50, 120, 50, 140, 90, 100] {
+        let mut loads = rotation.loads(&ORDER[..1]);
+        let load = loads.iter_mut().find(|load| load.service == *ORDER[0]);
+        let load = load.unwrap();
+        load.arrival_rate = load.arrival_rate * percent / 100;
+        load.used = load.used * 3 / 4;
+        rotation.fixture.loads = loads;
+        rotation.fixture.run_for(2 * STEP);
+    }
+    let commands = rotation.fixture.commands.iter();
+    let of_turn = commands.filter(|sent| sent.operation == Operation::Move(ORDER[0].into()));
+    assert_eq!(of_turn.count(), 0);
+    assert!(rotation.serving(ORDER[0]) >= PEAK_HOSTS);
+}
+
+// After an outage its work and what arrives are done at once, with many more hosts than a turn needs.
+#[test]
+fn verify_work_of_an_outage_does_not_raise_the_next_turns() {
+    let mut rotation = Rotation::new(Duration::from_secs(8));
+    rotation.play(&ORDER[..3]);
+    let end = rotation.fixture.now + Duration::from_secs(8);
+    while rotation.fixture.now < end {
+        let mut loads = rotation.loads(&ORDER[3..]);
+        let load = loads.iter_mut().find(|load| load.service == *ORDER[3]);
+        load.unwrap().used = HOST_CPU_MILLICORES * PEAK_HOSTS * 9 / 5;
+        rotation.fixture.loads = loads;
+        rotation.fixture.run_for(STEP);
+    }
+    rotation.play(&ORDER[..3]);
+    assert!(rotation.serving(ORDER[3]) >= PEAK_HOSTS);
+    assert!(rotation.serving(ORDER[3]) <= PEAK_HOSTS * 13 / 10);
+}
+
+// The hosts of the first turn went to the spare pool as the second one began, and came two moves later.
+#[test]
+fn verify_hosts_of_an_ended_turn_stay_for_the_next_one() {
+    let mut rotation = Rotation::new(Duration::from_secs(8));
+    rotation.play(&ORDER[..1]);
+    let hosts = rotation.serving(ORDER[0]);
+    rotation.play_for(Duration::from_secs(2), "none");
+    assert_eq!(rotation.serving(ORDER[0]), hosts);
+    rotation.fixture.commands.clear();
+    rotation.play_for(Duration::from_secs(3), ORDER[1]);
+    let commands = rotation.fixture.commands.iter();
+    let to_next = commands.filter(|sent| sent.operation == Operation::Move(ORDER[1].into()));
+    assert!(rotation.serving(ORDER[1]) >= PEAK_HOSTS);
+    assert!(to_next.count() as u64 >= PEAK_HOSTS - POOL_HOSTS as u64);
+}
+
+#[test]
+fn verify_leader_of_a_new_term_foresees_the_next_turn() {
+    let mut rotation = Rotation::new(Duration::from_secs(8));
+    rotation.play(&ORDER);
+    rotation.play_for(Duration::from_secs(3), ORDER[0]);
+    rotation.fixture.succeed();
+    rotation.play_for(Duration::from_secs(5), ORDER[0]);
+    assert!(rotation.serving(ORDER[1]) >= PEAK_HOSTS);
+}
+
 // The work that waits when a turn begins would need the whole fleet to end within its target.
 #[test]
 fn verify_waiting_work_requires_no_more_hosts_than_its_turn() {
--- a/crates/jobs/src/fleet/leadership.rs
+++ b/crates/jobs/src/fleet/leadership.rs
@@ -83,7 +83,15 @@
     ) {
         info!(self.setup.logger, "became leader of fleet"; "term" => term, "succeeds" => has_active_predecessor);
         let (options, node) = (self.setup.options.clone(), self.setup.node.clone());
-        let planner = Planner::new(options, node, term, has_active_predecessor, clock::now());
+        let history = self.history.clone();
+        let planner = Planner::new(
+            options,
+            node,
+            term,
+            has_active_predecessor,
+            history,
+            clock::now(),
+        );
         self.leadership = Some(Leadership {
             term,
             planner,
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 use persimmongate_core::map::Map;
 use persimmongate_core::queue::Config;
 use persimmongate_core::term::{self, Election};
-use persimmongate_core::upkeep::{Event, Options, Wave};
+use persimmongate_core::upkeep::{Event, History, Options, Wave};
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
 use persimmongate_node::supervisor::Guard;
@@ -77,6 +77,8 @@
     maintained: Map<ids::WaveNumber, Vec<ids::Host>>,
     drains: Map<ids::Worker, Drain>,
     loads: Map<ids::Service, Load>,
+    /// What a new leader here knows of the demand before its term.
+    history: History,
     election: Election,
     leadership: Option<Leadership>,
     _guard: Guard<C>,
@@ -96,6 +98,7 @@
             maintained: Map::default(),
             drains: Map::default(),
             loads: Map::default(),
+            history: History::default(),
             election,
             leadership: None,
             _guard: guard,
@@ -193,7 +196,9 @@
                 self.step_planner(Event::DrainRecorded(worker, drain), ctx);
             }
             Observation::Loads(loads) => {
+                let now = clock::now();
                 for load in &loads {
+                    self.history.add_sample(now, load);
                     self.loads.insert(load.service.clone(), load.clone());
                 }
                 self.step_planner(Event::Loads(loads), ctx);
