--- a/crates/core/src/intake/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -44,7 +44,7 @@
     Refused(u16),
 }
 
-/// `Event` is an input of an intake.
+/// `Event` is an input of a batcher.
 #[derive(Clone, Debug)]
 pub enum Event<T> {
     /// A caller's record is to be stored.
@@ -55,7 +55,7 @@
     Due,
 }
 
-/// `Action` is an output of an intake.
+/// `Action` is an output of a batcher.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action<T> {
     /// Append records in one call.
@@ -88,9 +88,9 @@
     answered: Vec<ids::Request>,
 }
 
-/// `Intake` is the records of callers that the log does not hold yet, of one partition.
+/// `Batcher` is the records of callers that the log does not hold yet, of one partition.
 #[derive(Debug)]
-pub struct Intake<T> {
+pub struct Batcher<T> {
     /// Maximum size of an append, in bytes.
     append_bytes: usize,
     waiting: VecDeque<Waiting<T>>,
@@ -102,8 +102,8 @@
     latest_duration: Duration,
 }
 
-impl<T: Clone> Intake<T> {
-    /// Creates an intake without records; `append_bytes` is the maximum size of an append.
+impl<T: Clone> Batcher<T> {
+    /// Creates a batcher without records; `append_bytes` is the maximum size of an append.
     #[must_use]
     pub fn new(append_bytes: usize) -> Self {
         Self {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`fleet`]: claims, moves, drains and waves of one pool
 //! - [`gate`]: admission, routing and retries of one entry host
 //! - [`ids`]: type aliases of identifiers
-//! - [`intake`]: appends of callers' records
+//! - [`batch`]: appends of callers' records
 //! - [`invariant`]: checks of the guarantees given to users
 //! - [`job`]: jobs of callers, their tasks and their outcomes
 //! - [`journal`]: records about jobs and the state built from them
@@ -29,12 +29,12 @@
 //! - [`upkeep`]: planner of maintenance waves and host moves
 
 pub mod account;
+pub mod batch;
 pub mod errors;
 pub mod finding;
 pub mod fleet;
 pub mod gate;
 pub mod ids;
-pub mod intake;
 pub mod invariant;
 pub mod job;
 pub mod journal;
--- a/crates/core/tests/intake/main.rs
+++ b/crates/core/tests/batch/main.rs
@@ -2,17 +2,17 @@
 
 use std::time::{Duration, Instant};
 
-use persimmongate_core::intake::{Action, Entry, Event, Intake, Verdict};
+use persimmongate_core::batch::{Action, Batcher, Entry, Event, Verdict};
 
 const DEADLINE: Duration = Duration::from_millis(1_350);
 
 /// `Appends` is the numbers of appends with their records.
 type Appends = Vec<(u64, Vec<u64>)>;
 
-/// `Fixture` is an intake whose records are the numbers of their requests.
+/// `Fixture` is a batcher whose records are the numbers of their requests.
 struct Fixture {
     now: Instant,
-    intake: Intake<u64>,
+    batcher: Batcher<u64>,
     actions: Vec<Action<u64>>,
     abandoned: Vec<u64>,
 }
@@ -21,14 +21,14 @@
     fn new(append_bytes: usize) -> Self {
         Self {
             now: tokio::time::Instant::now().into_std(),
-            intake: Intake::new(append_bytes),
+            batcher: Batcher::new(append_bytes),
             actions: Vec::new(),
             abandoned: Vec::new(),
         }
     }
 
     fn step(&mut self, event: Event<u64>) {
-        self.intake.step(self.now, event, &mut self.actions);
+        self.batcher.step(self.now, event, &mut self.actions);
     }
 
     fn submit(&mut self, request: u64) {
@@ -74,11 +74,11 @@
     let (appends, answers) = fixture.take();
     assert_eq!(answers, [(0, Verdict::Stored(7))]);
     assert_eq!(appends, [(1, (1..50).collect())]);
-    assert!(fixture.intake.is_slow(fixture.now));
+    assert!(fixture.batcher.is_slow(fixture.now));
     fixture.step(Event::Answered(1, Verdict::Stored(20)));
     let (_, answers) = fixture.take();
     assert_eq!(answers[2], (3, Verdict::Stored(22)));
-    assert!(!fixture.intake.is_slow(fixture.now));
+    assert!(!fixture.batcher.is_slow(fixture.now));
 }
 
 #[test]
--- a/crates/jobs/src/shard/intake.rs
+++ b/crates/jobs/src/shard/batch.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use bytestring::ByteString;
 use futures_util::future::{FutureExt, LocalBoxFuture};
+use persimmongate_core::batch::{Action, Batcher, Entry, Event, Verdict};
 use persimmongate_core::ids;
-use persimmongate_core::intake::{Action, Entry, Event, Intake, Verdict};
 use persimmongate_core::journal::Limits;
 use persimmongate_core::map::Map;
 use persimmongate_node::clock;
@@ -31,21 +31,21 @@
     Payloads,
 }
 
-/// `Intakes` is the records of callers that the log does not hold yet.
-pub(super) struct Intakes {
-    jobs: Intake<Row>,
-    payloads: Intake<Row>,
+/// `Batchers` is the records of callers that the log does not hold yet.
+pub(super) struct Batchers {
+    jobs: Batcher<Row>,
+    payloads: Batcher<Row>,
     replies: Map<ids::Request, oneshot::Sender<Verdict>>,
     next_request: ids::Request,
     /// Appends in flight. One that is dropped closes its connection.
     in_flight: Map<(Target, ids::Sequence), SpawnHandle>,
 }
 
-impl Intakes {
+impl Batchers {
     pub(super) fn new(limits: &Limits) -> Self {
         Self {
-            jobs: Intake::new(limits.append_bytes),
-            payloads: Intake::new(limits.append_bytes),
+            jobs: Batcher::new(limits.append_bytes),
+            payloads: Batcher::new(limits.append_bytes),
             replies: Map::default(),
             next_request: 0,
             in_flight: Map::default(),
@@ -57,7 +57,7 @@
         self.payloads.is_slow(now) || self.jobs.is_slow(now)
     }
 
-    fn intake(&mut self, target: Target) -> &mut Intake<Row> {
+    fn batcher(&mut self, target: Target) -> &mut Batcher<Row> {
         match target {
             Target::Jobs => &mut self.jobs,
             Target::Payloads => &mut self.payloads,
@@ -68,17 +68,17 @@
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Shard<P, C> {
     /// Appends a record, together with those of other callers that wait. The outcome is known at the deadline at the
     /// latest.
-    pub(super) fn take_in(
+    pub(super) fn append_batched(
         &mut self,
         target: Target,
         row: Row,
         deadline: Instant,
         ctx: &mut Context<Self>,
     ) -> LocalBoxFuture<'static, Verdict> {
-        let request = self.intakes.next_request;
-        self.intakes.next_request += 1;
+        let request = self.batchers.next_request;
+        self.batchers.next_request += 1;
         let (reply, verdict) = oneshot::channel();
-        self.intakes.replies.insert(request, reply);
+        self.batchers.replies.insert(request, reply);
         let size = PREFIX_BYTES + row.0.len() + row.1.as_ref().map_or(0, Bytes::len);
         let entry = Entry {
             request,
@@ -86,35 +86,35 @@
             size,
             deadline,
         };
-        self.step_intake(target, Event::Submitted(entry), ctx);
+        self.step_batcher(target, Event::Submitted(entry), ctx);
         // The shard ends without an answer only together with the process or after a panic.
         verdict
             .map(|verdict| verdict.unwrap_or(Verdict::Unknown))
             .boxed_local()
     }
 
-    fn step_intake(&mut self, target: Target, event: Event<Row>, ctx: &mut Context<Self>) {
+    fn step_batcher(&mut self, target: Target, event: Event<Row>, ctx: &mut Context<Self>) {
         let mut actions = Vec::new();
-        let intake = self.intakes.intake(target);
-        intake.step(clock::now(), event, &mut actions);
+        let batcher = self.batchers.batcher(target);
+        batcher.step(clock::now(), event, &mut actions);
         for action in actions {
             match action {
                 Action::Append(number, rows) => self.append_rows(target, number, rows, ctx),
                 Action::Abandon(number) => {
-                    if let Some(append) = self.intakes.in_flight.remove(&(target, number)) {
+                    if let Some(append) = self.batchers.in_flight.remove(&(target, number)) {
                         ctx.cancel_future(append);
                         self.log_failed_at = Some(clock::now());
                     }
                 }
                 Action::Answer(request, verdict) => {
-                    if let Some(reply) = self.intakes.replies.remove(&request) {
+                    if let Some(reply) = self.batchers.replies.remove(&request) {
                         // The caller may have left.
                         let _ = reply.send(verdict);
                     }
                 }
                 Action::Wake(delay) => {
                     ctx.run_later(delay, move |act, ctx| {
-                        act.step_intake(target, Event::Due, ctx);
+                        act.step_batcher(target, Event::Due, ctx);
                     });
                 }
             }
@@ -140,7 +140,7 @@
         };
         let appending = self.setup.platform.append(append).into_actor(self);
         let handle = ctx.spawn(appending.map(move |outcome, act, ctx| {
-            act.intakes.in_flight.remove(&(target, number));
+            act.batchers.in_flight.remove(&(target, number));
             act.log_failed_at = match outcome {
                 Ok(_) | Err(Failure::Refused(_)) => None,
                 Err(_) => Some(clock::now()),
@@ -157,8 +157,8 @@
                     | Failure::Order,
                 ) => Verdict::Ineffective,
             };
-            act.step_intake(target, Event::Answered(number, verdict), ctx);
+            act.step_batcher(target, Event::Answered(number, verdict), ctx);
         }));
-        self.intakes.in_flight.insert((target, number), handle);
+        self.batchers.in_flight.insert((target, number), handle);
     }
 }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -1,9 +1,9 @@
 //! Jobs of one shard: their state replayed from the log, callers' requests, and leadership of the shard.
 
 mod append;
+mod batch;
 mod dump;
 mod gauge;
-mod intake;
 mod lag;
 mod leadership;
 mod line;
@@ -37,7 +37,7 @@
 use crate::platform::{Partition, Platform};
 use crate::reader::Reader;
 use crate::roster::{Roster, Subscribe};
-use intake::Intakes;
+use batch::Batchers;
 use leadership::Leadership;
 
 /// Pause of a leader between two reads, so that one read returns several records. It is short compared
@@ -143,7 +143,7 @@
     /// Time of the latest failed call to the log, if no call has succeeded since.
     log_failed_at: Option<Instant>,
     /// Records of callers that the log does not hold yet.
-    intakes: Intakes,
+    batchers: Batchers,
     /// Counts of the shards that this process leads.
     led_shards: Gauge<u64>,
     leadership: Option<Leadership>,
@@ -175,7 +175,7 @@
             setup.skipped_entries.clone(),
             setup.logger.clone(),
         );
-        let intakes = Intakes::new(&setup.log_limits);
+        let batchers = Batchers::new(&setup.log_limits);
         Self {
             setup,
             reader,
@@ -189,7 +189,7 @@
             last_complete_read: None,
             last_queried_at: None,
             log_failed_at: None,
-            intakes,
+            batchers,
             led_shards,
             leadership: None,
             _guard: guard,
--- a/crates/jobs/src/shard/payload.rs
+++ b/crates/jobs/src/shard/payload.rs
@@ -6,14 +6,14 @@
 use std::time::{Duration, Instant};
 
 use actix::{ActorFutureExt, AsyncContext, Context, ResponseActFuture, WrapFuture};
+use persimmongate_core::batch::Verdict;
 use persimmongate_core::ids;
-use persimmongate_core::intake::Verdict;
 use persimmongate_core::journal::{Entry, Key, Record};
 use persimmongate_core::sched::Event;
 use persimmongate_node::clock;
 use slog::warn;
 
-use super::intake::Target;
+use super::batch::Target;
 use super::request::{Answer, UNAVAILABLE_RETRY_DELAY};
 use super::{LEADER_READ_PAUSE, Shard};
 use crate::cursor::{Batch, Cursor};
@@ -108,7 +108,7 @@
                 return Box::pin(std::future::ready(answer).into_actor(self));
             }
         };
-        let stored = self.take_in(Target::Payloads, row, deadline, ctx);
+        let stored = self.append_batched(Target::Payloads, row, deadline, ctx);
         Box::pin(stored.into_actor(self).then(move |verdict, act, ctx| {
             // Whether the payload was recorded or not, the job was not accepted.
             let answer = match verdict {
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -4,8 +4,8 @@
     ActorFutureExt, Context, Handler, Message, MessageResult, ResponseActFuture, WrapFuture,
 };
 use persimmongate_core::account::Caller;
+use persimmongate_core::batch::Verdict;
 use persimmongate_core::ids;
-use persimmongate_core::intake::Verdict;
 use persimmongate_core::job::Job;
 use persimmongate_core::journal::{Phase, Record};
 use persimmongate_core::queue::Queue;
@@ -13,7 +13,7 @@
 use slog::{info, warn};
 
 use super::Shard;
-use super::intake::{Row, Target};
+use super::batch::{Row, Target};
 use crate::leadership::{encoded_or_logged, is_storable, unconditional_append};
 use crate::platform::Platform;
 
@@ -155,7 +155,7 @@
             Ok(row) => row,
             Err(answer) => return Box::pin(std::future::ready(Err(answer)).into_actor(self)),
         };
-        let stored = self.take_in(Target::Jobs, row, deadline, ctx);
+        let stored = self.append_batched(Target::Jobs, row, deadline, ctx);
         Box::pin(stored.into_actor(self).map(move |verdict, act, _| {
             match verdict {
                 Verdict::Stored(offset) => {
@@ -245,7 +245,7 @@
         }
         self.last_queried_at = Some(clock::now());
         // While the log is slow, an append less counts for more than what all processes have to read.
-        let is_slow = self.intakes.is_slow(clock::now());
+        let is_slow = self.batchers.is_slow(clock::now());
         let (job, payload) = if is_slow {
             (job, None)
         } else {
