--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,12 +4,12 @@
 //! event, and returns actions that the daemons execute.
 //!
 //! - [`account`]: client accounts with their keys, shares and limits
+//! - [`batch`]: appends of callers' records
 //! - [`errors`]: error type, result alias and constructors
 //! - [`finding`]: problems in operator input, with their locations
 //! - [`fleet`]: claims, moves, drains and waves of one pool
 //! - [`gate`]: admission, routing and retries of one entry host
 //! - [`ids`]: type aliases of identifiers
-//! - [`batch`]: appends of callers' records
 //! - [`invariant`]: checks of the guarantees given to users
 //! - [`job`]: jobs of callers, their tasks and their outcomes
 //! - [`journal`]: records about jobs and the state built from them
