Take no host down while the host list may lack those of a resigned leader

The leader of the fleet takes four hosts down at 8.77 s and resigns at 9.00 s; the next one leads from 9.10 s and takes down five more at 9.19 s, as the host list does not show the four yet. Change: after a resignation a planner waits for the lag of the host list before its first maintenance; moves and drains go on. Test: verify_new_leader_takes_no_host_down_while_the_host_list_lags, seen to fail.

--- a/crates/core/src/upkeep/mod.rs
+++ b/crates/core/src/upkeep/mod.rs
@@ -19,5 +19,5 @@
 pub use event::{Action, Answer, Command, Event, Operation};
 pub use history::History;
 pub use host::{Host, Listing, State};
-pub use planner::{Options, Planner};
+pub use planner::{Options, Planner, Predecessor};
 pub use wave::Wave;
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -31,6 +31,17 @@
 /// service that uses all of them.
 const UPCOMING_DEMAND_PERCENT: u64 = 100;
 
+/// `Predecessor` is what is known of the leader before, whose commands may be in flight or not show in the host list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Predecessor {
+    /// There was none.
+    Absent,
+    /// It sends no further commands.
+    Resigned,
+    /// It may still send commands.
+    Active,
+}
+
 /// `Options` holds the limits of a planner.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -79,6 +90,8 @@
     term_confirmed_at: Instant,
     /// Time from which this leader plans; until then a command of its predecessor may be in flight.
     active_from: Instant,
+    /// Time from which it takes hosts down; until then the host list may lack those that its predecessor took down.
+    pub(super) maintains_from: Instant,
     /// Time of the latest pass of planning.
     planned_at: Option<Instant>,
     /// Whether `Event::PlanDue` is to come.
@@ -88,20 +101,19 @@
 impl Planner {
     /// Creates a planner for a new term, with what its process remembers of the demand.
     ///
-    /// `has_predecessor` is false when no command of an earlier leader can be in flight.
     #[must_use]
     pub fn new(
         options: Options,
         node: ids::Instance,
         term: ids::Term,
-        has_predecessor: bool,
+        predecessor: Predecessor,
         history: History,
         now: Instant,
     ) -> Self {
-        let wait = if has_predecessor {
-            options.lease + MAX_TERM_CHECK_AGE
-        } else {
-            Duration::ZERO
+        let (wait, list_lag) = match predecessor {
+            Predecessor::Absent => (Duration::ZERO, Duration::ZERO),
+            Predecessor::Resigned => (Duration::ZERO, HOST_LIST_LAG),
+            Predecessor::Active => (options.lease + MAX_TERM_CHECK_AGE, Duration::ZERO),
         };
         Self {
             options,
@@ -122,6 +134,7 @@
             departed: Map::default(),
             term_confirmed_at: now,
             active_from: now + wait,
+            maintains_from: now + wait + list_lag,
             planned_at: None,
             is_plan_scheduled: false,
         }
--- a/crates/core/src/upkeep/transition.rs
+++ b/crates/core/src/upkeep/transition.rs
@@ -114,7 +114,7 @@
                 let down = down_hosts
                     .entry(number)
                     .or_insert_with(|| self.down_hosts(number));
-                if !self.may_go_down(number, &host, down) {
+                if now < self.maintains_from || !self.may_go_down(number, &host, down) {
                     continue;
                 }
                 down.insert(host.clone());
--- a/crates/core/tests/upkeep/fixture.rs
+++ b/crates/core/tests/upkeep/fixture.rs
@@ -8,8 +8,8 @@
 use persimmongate_core::queue::{Config, Service};
 use persimmongate_core::sched::Resources;
 use persimmongate_core::upkeep::{
-    Action, Answer, Command, Event, History, Host, Listing, Operation, Options, Planner, State,
-    Wave,
+    Action, Answer, Command, Event, History, Host, Listing, Operation, Options, Planner,
+    Predecessor, State, Wave,
 };
 
 /// Processor capacity of a host.
@@ -57,11 +57,16 @@
 
     fn with_hosts(has_predecessor: bool, pools: &[(&str, usize)]) -> Self {
         let now = Instant::now();
+        let predecessor = if has_predecessor {
+            Predecessor::Active
+        } else {
+            Predecessor::Absent
+        };
         let planner = Planner::new(
             Options::default(),
             "node".into(),
             7,
-            has_predecessor,
+            predecessor,
             History::default(),
             now,
         );
@@ -102,7 +107,14 @@
     pub(crate) fn succeed(&mut self) {
         let history = self.history.clone();
         let options = Options::default();
-        self.planner = Planner::new(options, "next".into(), 8, false, history, self.now);
+        self.planner = Planner::new(
+            options,
+            "next".into(),
+            8,
+            Predecessor::Resigned,
+            history,
+            self.now,
+        );
         self.plan_due_at = None;
         self.step(Event::Config(self.config.clone()));
         self.refresh();
--- a/crates/core/tests/upkeep/main.rs
+++ b/crates/core/tests/upkeep/main.rs
@@ -239,6 +239,34 @@
     assert!(!fixture.undrained.contains(&"w-one-2".into()));
 }
 
+// Guards against a wave that exceeds its limit at a hand-over: the predecessor took hosts down just before it resigned,
+// and the host list lags.
+#[test]
+fn verify_new_leader_takes_no_host_down_while_the_host_list_lags() {
+    let mut fixture = Fixture::new(false);
+    fixture.loads = vec![
+        load("one", 3 * HOST_CPU_MILLICORES, 0, &[]),
+        load("two", 3 * HOST_CPU_MILLICORES, 0, &[]),
+    ];
+    let drain = Drain {
+        host: "one-2".into(),
+        service: "one".into(),
+    };
+    fixture.succeed();
+    fixture.step(Event::DrainRecorded("w-one-2".into(), Some(drain)));
+    fixture.request_wave(wave(1));
+    fixture.run_for(Duration::from_millis(1_200));
+    let is_maintenance = |command: &&Command| command.operation == Operation::Maintain(1);
+    assert_eq!(fixture.commands.iter().filter(is_maintenance).count(), 0);
+    fixture.run(6);
+    assert!(
+        fixture
+            .commands
+            .iter()
+            .any(|command| is_maintenance(&command))
+    );
+}
+
 #[test]
 fn verify_drain_is_kept_until_the_stale_worker_entry_expires() {
     let mut fixture = Fixture::new(false);
--- a/crates/jobs/src/fleet/leadership.rs
+++ b/crates/jobs/src/fleet/leadership.rs
@@ -3,7 +3,7 @@
 use persimmongate_core::journal::{Heartbeat, Key, Record};
 use persimmongate_core::map::Map;
 use persimmongate_core::term::{self, Action as Elected, HEARTBEAT_INTERVAL};
-use persimmongate_core::upkeep::{Action, Event, Planner};
+use persimmongate_core::upkeep::{Action, Event, Planner, Predecessor};
 use persimmongate_node::clock;
 use slog::{info, warn};
 
@@ -50,7 +50,14 @@
                     term,
                     has_predecessor,
                     predecessor_resigned,
-                } => self.take_over(term, has_predecessor && !predecessor_resigned, ctx),
+                } => {
+                    let predecessor = match (has_predecessor, predecessor_resigned) {
+                        (false, _) => Predecessor::Absent,
+                        (true, true) => Predecessor::Resigned,
+                        (true, false) => Predecessor::Active,
+                    };
+                    self.take_over(term, predecessor, ctx);
+                }
                 Elected::StepDown => self.step_down(ctx),
             }
         }
@@ -75,23 +82,11 @@
         }));
     }
 
-    fn take_over(
-        &mut self,
-        term: ids::Term,
-        has_active_predecessor: bool,
-        ctx: &mut Context<Self>,
-    ) {
-        info!(self.setup.logger, "became leader of fleet"; "term" => term, "succeeds" => has_active_predecessor);
+    fn take_over(&mut self, term: ids::Term, predecessor: Predecessor, ctx: &mut Context<Self>) {
+        info!(self.setup.logger, "became leader of fleet"; "term" => term, "predecessor" => ?predecessor);
         let (options, node) = (self.setup.options.clone(), self.setup.node.clone());
         let history = self.history.clone();
-        let planner = Planner::new(
-            options,
-            node,
-            term,
-            has_active_predecessor,
-            history,
-            clock::now(),
-        );
+        let planner = Planner::new(options, node, term, predecessor, history, clock::now());
         self.leadership = Some(Leadership {
             term,
             planner,
