--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -146,6 +146,13 @@
         self.queues.iter().find(matches)
     }
 
+    /// Checks if a configuration with accounts can't be known to be in force, as the latest complete read of operators'
+    /// records was sent `age` ago. A key may have been taken away since, and a queue or a key added.
+    #[must_use]
+    pub fn is_outdated(&self, age: Option<Duration>, max_age: Duration) -> bool {
+        self.accounts.requires_keys() && age.is_none_or(|age| age >= max_age)
+    }
+
     /// Finds out who calls a queue.
     ///
     /// # Errors
--- a/crates/jobs/src/operator/mod.rs
+++ b/crates/jobs/src/operator/mod.rs
@@ -137,24 +137,32 @@
             }
         };
         ctx.spawn(read.into_actor(self).map(|(cursor, batch), act, ctx| {
-            act.has_failed = batch.is_err();
+            let had_failed = std::mem::replace(&mut act.has_failed, batch.is_err());
             match batch {
                 Ok(batch) => {
+                    if had_failed {
+                        info!(act.logger, "operator records read again"; "unread_ms" => act.age_ms());
+                    }
                     act.apply(&batch);
                     if cursor.has_reached(batch.end_offset) {
                         act.confirm(batch.sent_at);
                     }
                 }
                 Err(failure) => {
-                    let age = act.last_complete_read;
-                    let age = age.map(|at| clock::now().saturating_duration_since(at).as_millis());
-                    warn!(act.logger, "cannot read operator records"; "reason" => ?failure, "age_ms" => age);
+                    warn!(act.logger, "cannot read operator records"; "reason" => ?failure,
+                        "age_ms" => act.age_ms());
                 }
             }
             act.read_next(cursor, ctx);
         }));
     }
 
+    /// Returns the time since the send time of the latest complete read, in milliseconds.
+    fn age_ms(&self) -> Option<u128> {
+        let elapsed = |at| clock::now().saturating_duration_since(at).as_millis();
+        self.last_complete_read.map(elapsed)
+    }
+
     /// Tells the followers that all records from before a read are applied.
     fn confirm(&mut self, sent_at: Instant) {
         self.last_complete_read = Some(sent_at);
--- a/crates/jobs/src/router/mod.rs
+++ b/crates/jobs/src/router/mod.rs
@@ -1,17 +1,24 @@
 //! Routing of callers' requests to the shards.
 
+mod lookup;
+mod message;
 mod refusal;
 
+pub use message::{
+    Cancel, Count, Endpoint, Query, Readiness, Register, Resolve, Route, Submit, Unready,
+};
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use actix::{Actor, Addr, Context, Handler, Message, MessageResult, ResponseFuture};
+use actix::{
+    Actor, ActorFutureExt, Addr, Context, Handler, MessageResult, ResponseActFuture,
+    ResponseFuture, WrapFuture,
+};
 use bytestring::ByteString;
 use opentelemetry::metrics::Meter;
-use persimmongate_core::account::{Caller, Denial, Key};
+use persimmongate_core::account::Caller;
 use persimmongate_core::ids;
-use persimmongate_core::job::Job;
-use persimmongate_core::journal::Phase;
 use persimmongate_core::map::{Map, Set};
 use persimmongate_core::queue::{Config, Queue};
 use persimmongate_node::clock;
@@ -21,105 +28,9 @@
 use crate::operator::{Configured, Confirmed};
 use crate::platform::Platform;
 use crate::shard::{self, Answer, Shard, Status, shard_of};
+use lookup::{cancel_found, find};
 use refusal::{Basis, Reason, Refusals};
 
-/// `Endpoint` is the address that a caller's request names.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Endpoint {
-    /// Host name of the request.
-    pub host: ByteString,
-    /// Path of the request.
-    pub path: ByteString,
-}
-
-/// `Route` is the queue or the job that an endpoint stands for.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Route {
-    /// This process has no configuration yet, or can't know that the one it has is still in force.
-    Unconfigured,
-    /// No queue is configured at the endpoint.
-    Missing,
-    /// The queue needs a key that the call doesn't have.
-    Denied(Denial),
-    /// A queue and who calls it, with the id of a job in it unless the endpoint is the queue itself.
-    Queue(Box<Queue>, Caller, Option<ids::Job>),
-}
-
-/// `Resolve` looks up the queue or the job at an endpoint for a caller.
-#[derive(Clone, Debug, Message)]
-#[rtype(result = "Route")]
-pub struct Resolve {
-    /// Address that the request names.
-    pub endpoint: Endpoint,
-    /// Key of the request, if it has one that an account could have.
-    pub key: Option<Key>,
-}
-
-/// `Submit` submits a job to a queue.
-#[derive(Clone, Debug, Message)]
-#[rtype(result = "Answer")]
-pub struct Submit {
-    /// The job.
-    pub job: Job,
-    /// Its queue.
-    pub queue: Queue,
-    /// Who submits it.
-    pub caller: Caller,
-    /// Time until which the caller waits for the answer.
-    pub deadline: Instant,
-}
-
-/// `Query` asks for the state of a job.
-#[derive(Clone, Debug, Message)]
-#[rtype(result = "Status")]
-pub struct Query {
-    /// The job.
-    pub job: ids::Job,
-    /// Queue that the caller addressed.
-    pub queue: Queue,
-    /// Who asks.
-    pub caller: Caller,
-}
-
-/// `Cancel` cancels a job.
-#[derive(Clone, Debug, Message)]
-#[rtype(result = "Answer")]
-pub struct Cancel {
-    /// The job.
-    pub job: ids::Job,
-    /// Queue that the caller addressed.
-    pub queue: Queue,
-    /// Who asks.
-    pub caller: Caller,
-    /// Time until which the caller waits for the answer.
-    pub deadline: Instant,
-}
-
-/// `Count` queries how many jobs of a queue wait for their first start.
-#[derive(Clone, Debug, Message)]
-#[rtype(result = "Option<usize>")]
-pub struct Count(pub Queue);
-
-/// `Readiness` queries whether this process can serve callers.
-#[derive(Clone, Copy, Debug, Message)]
-#[rtype(result = "bool")]
-pub struct Readiness;
-
-/// `Unready` makes this process report that it is not ready, as it is going to shut down.
-#[derive(Clone, Copy, Debug, Message)]
-#[rtype(result = "()")]
-pub struct Unready;
-
-/// `Register` gives the router the address of a shard's actor.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Register<P: Platform, C: Copy + Send + Unpin + 'static> {
-    /// Number of the shard.
-    pub shard: ids::Shard,
-    /// Actor of the shard.
-    pub actor: Addr<Shard<P, C>>,
-}
-
 /// `Setup` holds the parameters of a router.
 pub struct Setup {
     /// Number of shards of the fleet.
@@ -173,12 +84,23 @@
         }
     }
 
-    /// Checks if the configuration has accounts and can't be known to be in force, as operators' records were not read
-    /// for too long.
+    /// Checks if the configuration can't be known to be in force.
     fn is_config_outdated(&self) -> bool {
-        let has_accounts = |config: &Arc<Config>| config.accounts.requires_keys();
-        let is_recent = |age: Duration| age < self.config_max_age;
-        self.config.as_ref().is_some_and(has_accounts) && !self.basis().age.is_some_and(is_recent)
+        let age = self.basis().age;
+        let config = self.config.as_ref();
+        config.is_some_and(|config| config.is_outdated(age, self.config_max_age))
+    }
+
+    /// Reports that a caller asked for the job of another account.
+    fn report_foreign_job(&mut self, queue: &Queue, job: &ids::Job, caller: &Caller) {
+        let endpoint = Endpoint {
+            host: queue.hostname.clone(),
+            path: format!("{}{job}", queue.path_prefix).into(),
+        };
+        let basis = self.basis();
+        let reason = Reason::ForeignJob;
+        self.refusals
+            .report(reason, &endpoint, caller.account(), basis);
     }
 
     fn shard(&self, queue: &Queue) -> Option<Addr<Shard<P, C>>> {
@@ -236,54 +158,6 @@
     }
 }
 
-/// Queries shards one after another until one knows the job.
-async fn find<P: Platform, C: Copy + Send + Unpin + 'static>(
-    shards: Vec<Addr<Shard<P, C>>>,
-    job: &ids::Job,
-    caller: &Caller,
-) -> (Status, Option<Addr<Shard<P, C>>>) {
-    let mut status = Status::Missing;
-    for shard in shards {
-        let query = shard::Query {
-            job: job.clone(),
-            caller: caller.clone(),
-        };
-        match shard.send(query).await {
-            Ok(Status::Phase(phase)) => return (Status::Phase(phase), Some(shard)),
-            Ok(Status::Foreign) => return (Status::Foreign, None),
-            Ok(Status::Missing) => {}
-            Ok(Status::Unavailable) | Err(_) => status = Status::Unavailable,
-        }
-    }
-    (status, None)
-}
-
-/// Cancels a job that no shard knows, as its acceptance may be on the way to the log.
-async fn cancel_unknown<P: Platform, C: Copy + Send + Unpin + 'static>(
-    shards: Vec<Addr<Shard<P, C>>>,
-    cancel: Cancel,
-    status: Status,
-) -> Answer {
-    let mut answer = Answer::Missing;
-    for shard in shards {
-        let message = shard::Cancel {
-            job: cancel.job.clone(),
-            caller: cancel.caller.clone(),
-            deadline: cancel.deadline,
-        };
-        match shard.send(message).await.unwrap_or(Answer::Unknown) {
-            Answer::Missing => {}
-            Answer::Done => answer = Answer::Done,
-            failed => return failed,
-        }
-    }
-    match status {
-        // A shard that could not tell may hold the job.
-        Status::Unavailable => Answer::Unknown,
-        Status::Missing | Status::Phase(_) | Status::Foreign => answer,
-    }
-}
-
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Actor for Router<P, C> {
     type Context = Context<Self>;
 }
@@ -324,7 +198,7 @@
         if self.is_config_outdated() {
             // Neither what it allows nor what it refuses need be so by a newer one.
             self.refusals
-                .report(Reason::OutdatedConfig, &endpoint, basis);
+                .report(Reason::OutdatedConfig, &endpoint, None, basis);
             return MessageResult(Route::Unconfigured);
         }
         let Some(config) = &self.config else {
@@ -337,7 +211,7 @@
             Ok(caller) => caller,
             Err(denial) => {
                 self.refusals
-                    .report(Reason::Denied(denial), &endpoint, basis);
+                    .report(Reason::Denied(denial), &endpoint, None, basis);
                 return MessageResult(Route::Denied(denial));
             }
         };
@@ -348,14 +222,16 @@
 }
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Submit> for Router<P, C> {
-    type Result = ResponseFuture<Answer>;
+    type Result = ResponseActFuture<Self, Answer>;
 
     fn handle(&mut self, submit: Submit, _: &mut Self::Context) -> Self::Result {
         let Some(owner) = self.shard(&submit.queue) else {
-            return Box::pin(std::future::ready(Answer::Unknown));
+            return Box::pin(std::future::ready(Answer::Unknown).into_actor(self));
         };
         let others = self.candidates(&submit.queue).into_iter().skip(1).collect();
-        Box::pin(async move {
+        let (queue, id) = (submit.queue.clone(), submit.job.id.clone());
+        let caller = submit.caller.clone();
+        let submitting = async move {
             // A job that the shard of another service accepted before is not accepted twice.
             match find(others, &submit.job.id, &submit.caller).await.0 {
                 Status::Phase(_) => return Answer::Done,
@@ -369,46 +245,51 @@
                 deadline: submit.deadline,
             };
             owner.send(message).await.unwrap_or(Answer::Unknown)
-        })
+        };
+        Box::pin(submitting.into_actor(self).map(move |answer, act, _| {
+            if answer == Answer::Taken {
+                act.report_foreign_job(&queue, &id, &caller);
+            }
+            answer
+        }))
     }
 }
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Query> for Router<P, C> {
-    type Result = ResponseFuture<Status>;
+    type Result = ResponseActFuture<Self, Status>;
 
     fn handle(&mut self, query: Query, _: &mut Self::Context) -> Self::Result {
         let shards = self.candidates(&query.queue);
-        Box::pin(async move { find(shards, &query.job, &query.caller).await.0 })
+        let finding = async move {
+            let status = find(shards, &query.job, &query.caller).await.0;
+            (status, query)
+        };
+        Box::pin(finding.into_actor(self).map(|(status, query), act, _| {
+            if status == Status::Foreign {
+                act.report_foreign_job(&query.queue, &query.job, &query.caller);
+            }
+            status
+        }))
     }
 }
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Handler<Cancel> for Router<P, C> {
-    type Result = ResponseFuture<Answer>;
+    type Result = ResponseActFuture<Self, Answer>;
 
     fn handle(&mut self, cancel: Cancel, _: &mut Self::Context) -> Self::Result {
         let shards = self.candidates(&cancel.queue);
         let accepting_shards = self.accepting_shards(&cancel.queue);
-        Box::pin(async move {
+        let finding = async move {
             let (status, shard) = find(shards, &cancel.job, &cancel.caller).await;
+            (status, shard, cancel)
+        };
+        let found = finding.into_actor(self);
+        Box::pin(found.then(move |(status, shard, cancel), act, _| {
             if status == Status::Foreign {
-                return Answer::Missing;
-            }
-            let Some(shard) = shard else {
-                return cancel_unknown(accepting_shards, cancel, status).await;
-            };
-            if matches!(
-                status,
-                Status::Phase(Phase::Completed | Phase::Failed | Phase::Canceled)
-            ) {
-                return Answer::Done;
+                act.report_foreign_job(&cancel.queue, &cancel.job, &cancel.caller);
             }
-            let message = shard::Cancel {
-                job: cancel.job,
-                caller: cancel.caller,
-                deadline: cancel.deadline,
-            };
-            shard.send(message).await.unwrap_or(Answer::Unknown)
-        })
+            cancel_found(accepting_shards, shard, cancel, status).into_actor(act)
+        }))
     }
 }
 
--- a/crates/jobs/src/router/refusal.rs
+++ b/crates/jobs/src/router/refusal.rs
@@ -3,6 +3,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 use persimmongate_core::account::Denial;
+use persimmongate_core::ids;
 use persimmongate_core::map::Map;
 use persimmongate_node::clock;
 use slog::{Logger, info};
@@ -14,11 +15,13 @@
 /// Maximum number of lines in a period for each reason, so that a flood of refused calls doesn't fill the log.
 const MAX_LINES: u32 = 10;
 
-/// `Reason` is the reason for which a call is refused before it reaches a shard.
+/// `Reason` is the reason for which a call is refused, or answered as if there were no such job.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(super) enum Reason {
     /// The call has no key, or one that no account of the configuration has.
     Denied(Denial),
+    /// The job belongs to another account.
+    ForeignJob,
     /// The configuration was not read for too long.
     OutdatedConfig,
 }
@@ -46,6 +49,7 @@
         match self {
             Self::Denied(Denial::NoKey) => "no_key",
             Self::Denied(Denial::UnknownKey) => "unknown_key",
+            Self::ForeignJob => "foreign_job",
             Self::OutdatedConfig => "outdated_config",
         }
     }
@@ -61,7 +65,13 @@
     }
 
     /// Counts a refusal, and logs it unless there were many of the reason in the period.
-    pub(super) fn report(&mut self, reason: Reason, endpoint: &Endpoint, basis: Basis) {
+    pub(super) fn report(
+        &mut self,
+        reason: Reason,
+        endpoint: &Endpoint,
+        account: Option<&ids::Account>,
+        basis: Basis,
+    ) {
         let name = reason.name();
         self.refused.add(1, &[KeyValue::new("reason", name)]);
         let now = clock::now();
@@ -75,6 +85,7 @@
         }
         *lines += 1;
         info!(self.logger, "call refused"; "reason" => name, "host" => %endpoint.host, "path" => %endpoint.path,
+            "account" => account.map(ToString::to_string),
             "config_version" => basis.version, "config_age_ms" => basis.age.map(|age| age.as_millis()),
             "unlogged" => std::mem::take(unlogged));
     }
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -259,10 +259,7 @@
     fn handle(&mut self, query: Query, _: &mut Self::Context) -> Self::Result {
         let Query { job, caller } = query;
         MessageResult(match self.job_index.get(&job) {
-            Some(entry) if !entry.is_owned_by(&caller) => {
-                info!(self.setup.logger, "job of another account requested"; "job" => %job, "caller" => ?caller);
-                Status::Foreign
-            }
+            Some(entry) if !entry.is_owned_by(&caller) => Status::Foreign,
             Some(entry) => {
                 if !entry.is_over() {
                     self.last_queried_at = Some(clock::now());
