Let the order of the log decide whose an id and a cancellation are

Change: the acceptance with the lower offset counts wherever it is read; where there are accounts each cancellation is recorded under its caller and counts for that caller's jobs; the leader records an acceptance again that a later one of another account has replaced in the log. A canceled job does not become completed in what the log keeps of it. Ruled out: an answer only after the acceptance was read back (0.15 s more each, seconds while the log is slow).

--- a/crates/core/src/journal/index.rs
+++ b/crates/core/src/journal/index.rs
@@ -32,7 +32,9 @@
     pub progress: Progress,
     /// Whether a caller canceled it before it ended.
     pub is_canceled: bool,
-    /// Callers that canceled it before its acceptance was known to them.
+    /// Whether it was canceled whoever it belongs to.
+    is_canceled_for_all: bool,
+    /// Callers that canceled it before it ended, if it is theirs.
     barred_by: Vec<Caller>,
 }
 
@@ -55,10 +57,10 @@
         self.job.as_ref().is_some_and(|job| caller.owns(job))
     }
 
-    /// Cancels the job if a caller that it belongs to did so before its acceptance was known.
-    fn apply_bars(&mut self) {
+    /// Finds out if the job was canceled, by whom it belongs to.
+    fn apply_cancellations(&mut self) {
         let is_barred = self.barred_by.iter().any(|caller| self.is_owned_by(caller));
-        self.is_canceled |= is_barred && self.progress.outcome.is_none();
+        self.is_canceled = self.is_canceled_for_all || is_barred;
     }
 
     /// Checks if the job has completed, failed or was canceled.
@@ -77,30 +79,33 @@
 impl Index {
     /// Applies a record and returns the job that changed.
     ///
-    /// Records may be read repeatedly; only the first acceptance of a job counts.
+    /// Records may be read repeatedly; only the first acceptance of a job counts, by its offset.
     pub fn apply(&mut self, offset: ids::Offset, record: &Record) -> Option<ids::Job> {
         match record {
             Record::Accepted(job) => {
                 let entry = self.entries.entry(job.id.clone()).or_default();
-                if entry.job.is_some() {
+                // A process applies its own record before it has read those of others from before it.
+                if entry.job.is_some() && entry.offset <= offset {
                     return None;
                 }
                 entry.job = Some(Arc::new((**job).clone()));
                 entry.offset = offset;
-                entry.apply_bars();
+                entry.apply_cancellations();
                 Some(job.id.clone())
             }
             Record::Canceled(job) => {
                 let entry = self.entries.entry(job.clone()).or_default();
-                entry.is_canceled |= entry.progress.outcome.is_none();
+                entry.is_canceled_for_all |= entry.progress.outcome.is_none();
+                entry.apply_cancellations();
                 Some(job.clone())
             }
             Record::Barred(job, caller) => {
                 let entry = self.entries.entry(job.clone()).or_default();
-                if !entry.barred_by.contains(caller) {
+                let has_ended = entry.progress.outcome.is_some();
+                if !has_ended && !entry.barred_by.contains(caller) {
                     entry.barred_by.push(caller.clone());
                 }
-                entry.apply_bars();
+                entry.apply_cancellations();
                 Some(job.clone())
             }
             Record::Progress(job, progress) => {
--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -16,7 +16,7 @@
     Heartbeat,
     /// The cancellation of a job by a caller.
     Canceled(ids::Job),
-    /// The cancellation of a job by a caller that did not know its acceptance.
+    /// The cancellation of a job by a caller, where there are accounts.
     Barred(ids::Job, Caller),
     /// The drain request for a worker.
     Drain(ids::Worker),
@@ -37,9 +37,9 @@
     Accepted(Box<Job>),
     /// A process claims a term, or the leader shows that it is alive.
     Heartbeat(Heartbeat),
-    /// A caller canceled a job.
+    /// A caller canceled a job, whoever it belongs to.
     Canceled(ids::Job),
-    /// A caller canceled a job whose acceptance was not known. It has effect if the job is the caller's.
+    /// A caller canceled a job. It has effect if the job is the caller's, as those who read its acceptance know.
     Barred(ids::Job, Caller),
     /// A worker is to be drained; `None` withdraws the request.
     Drain(ids::Worker, Option<Drain>),
--- a/crates/core/src/sched/payload.rs
+++ b/crates/core/src/sched/payload.rs
@@ -30,6 +30,12 @@
 }
 
 impl Scheduler {
+    /// Returns the payload of a job that this leader knows.
+    #[must_use]
+    pub fn payload(&self, job: &ids::Job) -> Option<ByteString> {
+        self.jobs.get(job)?.payload.clone()
+    }
+
     pub(super) fn handle_payload(&mut self, now: Instant, job: &ids::Job, payload: ByteString) {
         match self.jobs.get_mut(job) {
             Some(graph) => {
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -19,7 +19,8 @@
 const DEFAULT_MAX_DESCRIPTORS: usize = 4_096;
 /// Accepted numbers of descriptors.
 const DESCRIPTORS_RANGE: std::ops::RangeInclusive<usize> = 256..=1_048_576;
-/// Default age of the latest read of operators' records from which on a configuration with accounts is not used.
+/// Default age of the latest read of operators' records from which on a configuration with accounts is not used: the
+/// shortest time in which platforms ask for a change to be in force everywhere.
 const DEFAULT_CONFIG_MAX_AGE: Duration = Duration::from_secs(2);
 /// Accepted values of that age. It takes several reads, of which one may get no answer.
 const CONFIG_MAX_AGE_RANGE: std::ops::RangeInclusive<Duration> =
--- a/crates/core/tests/account/main.rs
+++ b/crates/core/tests/account/main.rs
@@ -1,5 +1,7 @@
 //! Tests of client accounts: who a key belongs to, which calls need one, and whose jobs a caller may see.
 
+mod records;
+
 use bytes::Bytes;
 use bytestring::ByteString;
 use persimmongate_core::account::{Account, Caller, Denial, Directory, Key, Limit};
--- a/crates/jobs/src/operator/mod.rs
+++ b/crates/jobs/src/operator/mod.rs
@@ -76,7 +76,7 @@
     config_max_age: Duration,
     /// Send time of the latest read that reached the end of the partition.
     last_complete_read: Option<Instant>,
-    /// Whether the latest read failed.
+    /// Whether the latest read failed, or was slow after one that failed.
     has_failed: bool,
     waves: Vec<Wave>,
     config_subscribers: Vec<Recipient<Configured>>,
@@ -137,10 +137,18 @@
             }
         };
         ctx.spawn(read.into_actor(self).map(|(cursor, batch), act, ctx| {
-            let had_failed = std::mem::replace(&mut act.has_failed, batch.is_err());
+            let had_failed = act.has_failed;
+            act.has_failed = match &batch {
+                // A log that answers slowly is read without waiting for records until it is quick again.
+                Ok(batch) => {
+                    let elapsed = clock::now().saturating_duration_since(batch.sent_at);
+                    had_failed && elapsed > act.config_max_age / READ_SHARE
+                }
+                Err(_) => true,
+            };
             match batch {
                 Ok(batch) => {
-                    if had_failed {
+                    if had_failed && !act.has_failed {
                         info!(act.logger, "operator records read again"; "unread_ms" => act.age_ms());
                     }
                     act.apply(&batch);
--- a/crates/jobs/src/router/lookup.rs
+++ b/crates/jobs/src/router/lookup.rs
@@ -21,9 +21,12 @@
         };
         match shard.send(query).await {
             Ok(Status::Phase(phase)) => return (Status::Phase(phase), Some(shard)),
-            Ok(Status::Foreign) => return (Status::Foreign, None),
-            Ok(Status::Missing) => {}
-            Ok(Status::Unavailable) | Err(_) => status = Status::Unavailable,
+            // A job of the caller under the same id in another shard comes first.
+            Ok(Status::Foreign) => status = Status::Foreign,
+            Ok(Status::Unavailable) | Err(_) if status == Status::Missing => {
+                status = Status::Unavailable;
+            }
+            Ok(Status::Missing | Status::Unavailable) | Err(_) => {}
         }
     }
     (status, None)
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -7,6 +7,7 @@
 mod lag;
 mod leadership;
 mod line;
+mod ownership;
 mod payload;
 mod request;
 mod resignation;
@@ -309,8 +310,8 @@
         self.job_index.apply(offset, record);
         match record {
             Record::Accepted(job) => {
-                let id = job.id.clone();
-                self.schedule_job(&id, ctx);
+                self.restore_acceptance(offset, job, ctx);
+                self.schedule_job(&job.id, ctx);
             }
             Record::Heartbeat(heartbeat) => {
                 if heartbeat.term > 0 {
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -145,7 +145,7 @@
     }
 
     /// Appends a record of a caller and applies it. Returns its offset, or what the caller is told.
-    fn record(
+    pub(super) fn record(
         &mut self,
         record: Record,
         deadline: Instant,
@@ -196,18 +196,6 @@
         )
     }
 
-    /// Checks if the configuration has accounts.
-    fn has_accounts(&self) -> bool {
-        let config = self.config.as_ref();
-        config.is_some_and(|config| config.accounts.requires_keys())
-    }
-
-    /// Checks if a job is known to belong to another account than the caller's.
-    fn is_foreign(&self, job: &ids::Job, caller: &Caller) -> bool {
-        let entry = self.job_index.get(job);
-        entry.is_some_and(|entry| !entry.is_owned_by(caller))
-    }
-
     /// Checks if no job with the id was accepted before an offset.
     fn is_unknown_before(&self, job: &ids::Job, offset: ids::Offset) -> bool {
         self.read_through >= offset && self.job_index.get(job).is_none()
@@ -258,7 +246,11 @@
             None => self.persist(record, submit.deadline, ctx),
         };
         let started_at = clock::now();
-        Box::pin(appending.map(move |answer, _: &mut Self, _| {
+        let caller = submit.caller;
+        Box::pin(appending.map(move |answer, act: &mut Self, _| {
+            // An acceptance from before this one may have been read meanwhile.
+            let is_taken = answer == Answer::Done && act.is_foreign(&id, &caller);
+            let answer = if is_taken { Answer::Taken } else { answer };
             info!(logger, "job submission"; "answer" => ?answer,
                 "took_ms" => clock::now().saturating_duration_since(started_at).as_millis());
             answer
@@ -311,11 +303,11 @@
             return Box::pin(std::future::ready(answer).into_actor(self));
         }
         let is_known = entry.is_some();
-        // A job that is not known may turn out to be another account's.
-        let record = if is_known || !self.has_accounts() {
-            Record::Canceled(id.clone())
-        } else {
+        // The job may turn out to be another account's.
+        let record = if self.has_accounts() {
             Record::Barred(id.clone(), caller.clone())
+        } else {
+            Record::Canceled(id.clone())
         };
         let recorded = self.record(record, deadline, ctx);
         Box::pin(recorded.map(move |recorded, act: &mut Self, _| {
