Refuse jobs only when their result would have no value, and count on hosts that are on their way

Cause: a job was refused when the start delay took up what its objective left, though up to three times the objective its result has some value. The estimate divided by the room of the moment, while the hosts of a turn were on their way, and by 1 while no worker was known.

Now a job is refused when it would end after three times its objective, behind the late work that comes before it. The delay counts hosts that the host list shows on their way, holds for the heartbeat's interval and shrinks with its age, and is not known without a worker. Client accounts: the room of a pool is divided by weight, jobs beyond the share of their account or its rate in jobs a second come after the others, and gateways refuse by what the leader reports of accounts that exceed theirs. Without accounts the ranking is as before.

--- a/crates/core/src/journal/mod.rs
+++ b/crates/core/src/journal/mod.rs
@@ -8,4 +8,4 @@
 mod record;
 
 pub use index::{Entry, Index, Phase};
-pub use record::{Drain, Drained, Heartbeat, Key, Limits, Load, Record};
+pub use record::{Drain, Drained, Excess, Heartbeat, Key, Limits, Load, MAX_EXCESSES, Record};
--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -50,6 +50,10 @@
     Dropped(Key),
 }
 
+/// Most accounts whose excess a load reports: the heartbeat of a leader is written several times a second and read by
+/// all processes.
+pub const MAX_EXCESSES: usize = 32;
+
 /// `Heartbeat` is the periodic record of a leader.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
@@ -90,6 +94,18 @@
     /// Estimated time until the first start of a job that is submitted now.
     #[serde(rename = "delay")]
     pub queue_delay: Duration,
+    /// Estimated time until the first start of a job that is submitted now and will be late: such jobs come after all
+    /// that can complete in time.
+    #[serde(
+        default,
+        rename = "late_delay",
+        skip_serializing_if = "Duration::is_zero"
+    )]
+    pub late_delay: Duration,
+    /// Client accounts that exceed their rate or their share, [`MAX_EXCESSES`] at most. The delays above are those of
+    /// all others.
+    #[serde(default, rename = "excess", skip_serializing_if = "Vec::is_empty")]
+    pub excesses: Vec<Excess>,
     /// Work of newly accepted jobs per second, in millicore-seconds.
     #[serde(rename = "offered")]
     pub arrival_rate: u64,
@@ -102,6 +118,25 @@
     pub short_running_workers: Vec<(ids::Worker, u64)>,
 }
 
+/// `Excess` is what the jobs of a client account face that exceeds its rate or its share.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Excess {
+    /// Account.
+    pub account: ids::Account,
+    /// Estimated time until the first start of a job that is submitted now and is within the rate.
+    pub delay: Duration,
+    /// Part of the account's jobs that is within its rate, in parts per thousand.
+    pub admitted: u32,
+    /// Estimated time until the first start of a job that is submitted now and is beyond the rate.
+    #[serde(rename = "beyond_delay")]
+    pub beyond_rate_delay: Duration,
+}
+
+impl Excess {
+    /// Parts per thousand that stand for all jobs of an account.
+    pub const ALL_ADMITTED: u32 = 1_000;
+}
+
 /// `Drain` is a request to the leader of a shard to drain a worker.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Drain {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`request`]: requests of callers
 //! - [`sched`]: scheduler that assigns the tasks of a shard to workers
 //! - [`settings`]: settings of the daemons
+//! - [`share`]: shares of client accounts when room is short, and refusals
 //! - [`sheet`]: sheet of the capacity planners
 //! - [`state`]: state built from the records of the log
 //! - [`term`]: leadership of a shard
@@ -45,6 +46,7 @@
 pub mod request;
 pub mod sched;
 pub mod settings;
+pub mod share;
 pub mod sheet;
 pub mod state;
 pub mod term;
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -207,6 +207,8 @@
     Hosts {
         /// Hosts, each with the worker of this shard that it runs.
         hosts: Vec<(ids::Host, Option<ids::Worker>)>,
+        /// Hosts on their way to the pool of a service of this shard, with their processor time in millicores.
+        arriving: Vec<(ids::Host, ids::Service, u64)>,
         /// Whether these are all hosts, so that one that is missing is gone.
         is_complete: bool,
     },
--- a/crates/core/src/sched/flush.rs
+++ b/crates/core/src/sched/flush.rs
@@ -45,10 +45,13 @@
         let age = now.saturating_duration_since(self.heartbeat_at);
         if age >= HEARTBEAT_INTERVAL || (age >= BUSY_HEARTBEAT_INTERVAL && !records.is_empty()) {
             self.heartbeat_at = now;
+            self.adjust_rates(now);
+            let loads = self.loads(now);
+            self.record_held_back(&loads);
             records.push(Record::Heartbeat(Heartbeat {
                 term: self.term,
                 node: self.options.node.clone(),
-                loads: self.loads(now),
+                loads,
                 ..Heartbeat::default()
             }));
         }
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -8,6 +8,7 @@
 use crate::ids;
 use crate::job::{Job, MAX_TASKS, Progress, Step, Task};
 use crate::map::Set;
+use crate::share::Standing;
 
 /// Range of run numbers that each term gets, so that the runs of a term are numbered higher than
 /// those of older terms.
@@ -95,6 +96,9 @@
     pub(super) idle_since: Option<Instant>,
     /// Time of the latest log line about them.
     pub(super) idle_logged_at: Option<Instant>,
+    /// Whether its account had sent more than its rate when it was accepted, or had its share of the pool without it
+    /// in the latest ranking.
+    pub(super) standing: Standing,
     /// Number of occurrences whose tasks were created.
     opened_occurrences: u32,
 }
@@ -131,6 +135,7 @@
             first_occurrence,
             idle_since: None,
             idle_logged_at: None,
+            standing: Standing::Within,
             opened_occurrences: first_occurrence,
         }
     }
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -8,6 +8,7 @@
 use super::worker::Worker;
 use crate::ids;
 use crate::job::{Job, Progress};
+use crate::share::Standing;
 
 /// Time for which an ended job is kept, so that the resources of its late runs are known.
 const ENDED_JOB_RETENTION: Duration = Duration::from_secs(20);
@@ -23,7 +24,12 @@
             }
             Event::Listed(report) => self.handle_listed(now, report, actions),
             Event::Unlisted(worker) => self.handle_unlisted(now, &worker, actions),
-            Event::Hosts { hosts, is_complete } => {
+            Event::Hosts {
+                hosts,
+                arriving,
+                is_complete,
+            } => {
+                self.sharing.set_arrivals(now, arriving, is_complete);
                 self.handle_hosts(now, &hosts, is_complete, actions);
             }
             Event::Job {
@@ -167,7 +173,13 @@
         }
         if !graph.is_over() {
             let service = self.service_of(&graph).clone();
-            self.arrivals.record(now, service, job.occurrence_work());
+            // What an older leader accepted says nothing of how fast it came.
+            if !graph.predates_term && self.exceeds_rate(now, job.account.as_ref()) {
+                graph.standing = Standing::BeyondRate;
+            } else {
+                // Hosts are fetched for what is within the rates; the rest gets the room that is left.
+                self.arrivals.record(now, service, job.occurrence_work());
+            }
         }
         if let Some(payload) = self.payloads.claim(&job.id) {
             graph.payload.get_or_insert(payload);
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -97,6 +97,7 @@
             }
         }
         ranked_jobs.sort();
+        self.apply_shares(&mut ranked_jobs);
         ranked_jobs
     }
 
--- a/crates/core/src/sched/rank.rs
+++ b/crates/core/src/sched/rank.rs
@@ -2,9 +2,8 @@
 use std::time::{Duration, Instant};
 
 use super::graph::Graph;
-
-/// Multiple of its time objective after which a late job has no value to its caller.
-const LATE_FACTOR: u32 = 3;
+use super::worker::Resources;
+use crate::share::{LATE_FACTOR, Standing};
 
 /// Share of its declared run time, in percent, that a task is expected to take. Declared run times
 /// are only rough estimates.
@@ -18,14 +17,18 @@
     /// False for jobs with long-running tasks, which come first: they are few, and each second
     /// without them counts.
     is_finite: bool,
+    /// Whether its account has sent more than its rate, so that it gets only room that is left.
+    exceeds_rate: bool,
     timeliness: Timeliness,
+    /// Whether its account has its share of the pool without it.
+    pub(super) exceeds_share: bool,
     priority: u32,
     deadline: Instant,
 }
 
 /// `Timeliness` is whether a job can still complete before its deadline.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Timeliness {
+pub(super) enum Timeliness {
     OnTime,
     /// It is expected to complete after its deadline.
     Late,
@@ -39,17 +42,19 @@
         let is_long_running = self.job.steps.iter().any(|step| step.is_long_running);
         Rank {
             is_finite: !is_long_running,
+            exceeds_rate: self.standing == Standing::BeyondRate,
             timeliness: if is_long_running {
                 Timeliness::OnTime
             } else {
                 self.timeliness(now)
             },
+            exceeds_share: false,
             priority,
             deadline: self.deadline,
         }
     }
 
-    fn timeliness(&self, now: Instant) -> Timeliness {
+    pub(super) fn timeliness(&self, now: Instant) -> Timeliness {
         if self.job.schedule.is_some() {
             return Timeliness::OnTime;
         }
@@ -89,12 +94,8 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns the declared work of the tasks that could start now, in millicore-seconds; 0 for
-    /// a job that can no longer complete in time.
-    pub(super) fn backlog(&self, now: Instant) -> u64 {
-        if self.timeliness(now) != Timeliness::OnTime {
-            return 0;
-        }
+    /// Returns the declared work of the tasks that could start now, in millicore-seconds.
+    pub(super) fn ready_work(&self) -> u64 {
         let work = |stage: usize| {
             let step = self.step_of(stage);
             if step.is_long_running || !self.is_ready(stage) {
@@ -105,4 +106,18 @@
         let stages = 0..self.stages.len();
         stages.map(work).fold(0, u64::saturating_add)
     }
+
+    /// Returns the processor time that the tasks that could start now want, in millicores.
+    pub(super) fn ready_cpu(&self) -> u64 {
+        let cpu = |stage: usize| {
+            let step = self.step_of(stage);
+            if step.is_long_running || !self.is_ready(stage) {
+                return 0;
+            }
+            let reserved = Resources::reserved_by(step).cpu_millicores;
+            reserved.saturating_mul(u64::from(self.stages[stage].idle_count))
+        };
+        let stages = 0..self.stages.len();
+        stages.map(cpu).fold(0, u64::saturating_add)
+    }
 }
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -9,6 +9,7 @@
 use super::payload::Payloads;
 use super::pool::{Position, Tally};
 use super::recovery::{CONFIRMATION_VALIDITY, Recovery, START_VALIDITY};
+use super::share::Sharing;
 use super::worker::Worker;
 use crate::ids;
 use crate::job::Task;
@@ -95,6 +96,8 @@
     pub(super) appended_at: Instant,
     /// Work of recently accepted jobs.
     pub(super) arrivals: Arrivals,
+    /// Rates of client accounts, and hosts on their way.
+    pub(super) sharing: Sharing,
     /// Whether a worker has reported a newer term.
     pub(super) is_fenced: bool,
 }
@@ -144,6 +147,7 @@
             heartbeat_at: now,
             appended_at: now,
             arrivals: Arrivals::default(),
+            sharing: Sharing::default(),
             is_fenced: false,
         }
     }
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -256,6 +256,11 @@
         self.report.capacity.minus(self.used_resources())
     }
 
+    /// Checks if it stays in its pool, so that its capacity is room for tasks.
+    pub(super) fn is_staying(&self) -> bool {
+        self.is_listed && !self.has_terminated && !self.report.is_shutting_down && !self.is_draining
+    }
+
     /// Checks if new tasks may be placed on it.
     pub(super) fn accepts_tasks(&self, now: Instant) -> bool {
         self.is_listed
--- a/crates/core/tests/sched/line.rs
+++ b/crates/core/tests/sched/line.rs
@@ -148,6 +148,7 @@
             0,
             Event::Hosts {
                 hosts: vec![("h0".into(), None)],
+                arriving: Vec::new(),
                 is_complete: true,
             },
         );
--- a/crates/core/tests/sched/restart.rs
+++ b/crates/core/tests/sched/restart.rs
@@ -15,6 +15,7 @@
         leader,
         Event::Hosts {
             hosts,
+            arriving: Vec::new(),
             is_complete: true,
         },
     );
--- a/crates/core/tests/sched/world/mod.rs
+++ b/crates/core/tests/sched/world/mod.rs
@@ -117,6 +117,8 @@
     task_starts: Vec<(String, Vec<TaskExit>)>,
     /// Completed jobs of which the log keeps only a stub.
     pub(crate) stub_count: usize,
+    /// Hosts on their way to the pool, with their processor time in millicores.
+    pub(crate) arriving: Vec<(ids::Host, ids::Service, u64)>,
     /// Workers that the policy service permits; `None` if the queue uses no policy service.
     pub(crate) permitted_workers: Option<Vec<ids::Worker>>,
     /// Jobs about which the policy service does not answer in time.
@@ -176,6 +178,7 @@
             exits: BTreeSet::new(),
             task_starts: Vec::new(),
             stub_count: 0,
+            arriving: Vec::new(),
             permitted_workers: None,
             unanswered_jobs: BTreeSet::new(),
             lines: Vec::new(),
@@ -267,7 +270,11 @@
         });
         let hosts = hosts.collect();
         let is_complete = self.has_complete_hosts;
-        let event = Event::Hosts { hosts, is_complete };
+        let event = Event::Hosts {
+            hosts,
+            arriving: self.arriving.clone(),
+            is_complete,
+        };
         self.deliver(self.leaders.len() - 1, event);
     }
 
--- /dev/null
+++ b/crates/core/tests/share/main.rs
@@ -0,0 +1,6 @@
+//! Tests of shares, rates, start delays and refusals.
+
+mod admission;
+mod division;
+mod outlook;
+mod rate;
--- a/crates/core/tests/upkeep/odd.rs
+++ b/crates/core/tests/upkeep/odd.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use persimmongate_core::journal::Load;
+use persimmongate_core::journal::{Excess, Load};
 use persimmongate_core::upkeep::{Operation, Wave};
 use test_case::test_case;
 
@@ -54,6 +54,13 @@
         capacity: u64::MAX,
         backlog: u64::MAX,
         queue_delay: Duration::MAX,
+        late_delay: Duration::MAX,
+        excesses: vec![Excess {
+            account: "account".into(),
+            delay: Duration::MAX,
+            admitted: u32::MAX,
+            beyond_rate_delay: Duration::MAX,
+        }],
         arrival_rate: u64::MAX,
         min_hosts: u32::MAX,
         short_running_workers: vec![("w-one-0".into(), u64::MAX), ("nobody".into(), 0)],
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -5,6 +5,7 @@
 use persimmongate_core::journal::Record;
 use persimmongate_core::sched::{Action, Event, Report, Scheduler};
 use persimmongate_core::term::{self, Action as Elected};
+use persimmongate_core::upkeep::State;
 use persimmongate_node::clock;
 use slog::{info, warn};
 
@@ -354,6 +355,15 @@
                 }
             }
             Update::Hosts(listing) => {
+                let arriving = listing
+                    .hosts
+                    .iter()
+                    .filter(|host| host.state == State::Moving && self.owns(&host.service));
+                let arriving = arriving.map(|host| {
+                    let cpu_millicores = host.resources.cpu_millicores;
+                    (host.name.clone(), host.service.clone(), cpu_millicores)
+                });
+                let arriving = arriving.collect();
                 // A host that moves is listed in another pool while its worker may still be known to this shard.
                 let hosts = listing.hosts.into_iter().map(|host| {
                     let is_own = self.owns(&host.service);
@@ -361,6 +371,7 @@
                 });
                 let event = Event::Hosts {
                     hosts: hosts.collect(),
+                    arriving,
                     is_complete: listing.is_complete,
                 };
                 self.step_scheduler(event, ctx);
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -7,6 +7,7 @@
 mod leadership;
 mod line;
 mod payload;
+mod refusal;
 mod request;
 mod resignation;
 
@@ -131,6 +132,8 @@
     job_index: Index,
     drains: Map<ids::Worker, Drain>,
     loads: Vec<Load>,
+    /// Time at which they were read.
+    loads_read_at: Option<Instant>,
     election: Election,
     /// Offset up to which all records were read.
     read_through: ids::Offset,
@@ -179,6 +182,7 @@
             job_index: Index::default(),
             drains: Map::default(),
             loads: Vec::new(),
+            loads_read_at: None,
             election,
             read_through: 0,
             last_complete_read: None,
@@ -309,6 +313,7 @@
             Record::Heartbeat(heartbeat) => {
                 if heartbeat.term > 0 {
                     self.loads.clone_from(&heartbeat.loads);
+                    self.loads_read_at = Some(clock::now());
                     self.setup
                         .observer
                         .do_send(Observation::Loads(heartbeat.loads.clone()));
--- a/crates/jobs/src/shard/request.rs
+++ b/crates/jobs/src/shard/request.rs
@@ -15,8 +15,6 @@
 /// Delay after which a caller should retry while the log is unavailable. The length of an outage is not
 /// known, so callers retry soon and at another process.
 pub(super) const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Longest retry delay that a caller is given.
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// `Answer` is the outcome of a submission or a cancellation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -93,39 +91,12 @@
 }
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Shard<P, C> {
-    /// Returns the time that a job submitted now waits for its first start, as last reported by the leader.
-    fn start_delay(&self, queue: &Queue) -> Option<Duration> {
-        let load = self
-            .loads
-            .iter()
-            .find(|load| load.service == queue.service)?;
-        Some(load.queue_delay)
-    }
-
     fn read_age(&self) -> Duration {
         let now = clock::now();
         self.last_complete_read
             .map_or(Duration::MAX, |at| now.saturating_duration_since(at))
     }
 
-    /// Returns the delay after which the caller may retry if the job can't be served in time now.
-    fn refusal_delay(&self, job: &Job, queue: &Queue) -> Option<Duration> {
-        if job.schedule.is_some() || job.steps.iter().any(|step| step.is_long_running) {
-            return None;
-        }
-        let delay = self.start_delay(queue)?;
-        let critical_path = job.critical_path();
-        let slack = queue.objective(critical_path).saturating_sub(critical_path);
-        let late = delay.checked_sub(slack).filter(|late| !late.is_zero())?;
-        // Callers that all retry at the same time would meet the same backlog; the jitter spreads them.
-        let jitter = rand::random_range(1.0..1.5);
-        Some(
-            late.min(MAX_RETRY_DELAY)
-                .mul_f64(jitter)
-                .min(MAX_RETRY_DELAY),
-        )
-    }
-
     /// Appends a record of a caller and applies it. Returns its offset, or what the caller is told.
     fn record(
         &self,
@@ -188,18 +159,18 @@
         let job = submit.job;
         let id = job.id.clone();
         let is_known = self.job_index.get(&id).is_some();
-        let refusal = self.refusal_delay(&job, &submit.queue);
+        let refusal = self.refusal(&job, &submit.queue);
         let values = slog::o!("job" => id.to_string(), "queue" => job.queue.to_string(),
             "work" => job.occurrence_work(), "chain_ms" => job.critical_path().as_millis(),
             "delay_ms" => self.start_delay(&submit.queue).map(|delay| delay.as_millis()),
-            "read_age_ms" => self.read_age().as_millis());
+            "read_age_ms" => self.read_age().as_millis(), "refusal" => refusal.as_ref().map(ToString::to_string));
         let logger = self.setup.logger.new(values);
         let answer = if is_known {
             Some(Answer::Done)
         } else if !self.is_fresh() || self.is_log_failing() {
             Some(Answer::Unavailable(UNAVAILABLE_RETRY_DELAY))
         } else {
-            refusal.map(Answer::Refused)
+            refusal.map(|refusal| Answer::Refused(refusal.retry_after))
         };
         if let Some(answer) = answer {
             info!(logger, "job submission"; "known" => is_known, "answer" => ?answer);
