--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -2,6 +2,7 @@
 
 mod append;
 mod dump;
+mod excess;
 mod gauge;
 mod lag;
 mod leadership;
@@ -37,6 +38,7 @@
 use crate::platform::{Partition, Platform};
 use crate::reader::Reader;
 use crate::roster::{Roster, Subscribe};
+use excess::Excesses;
 use leadership::Leadership;
 
 /// Pause of a leader between two reads, so that one read returns several records. It is short compared
@@ -145,6 +147,8 @@
     log_failed_at: Option<Instant>,
     /// Counts of the shards that this process leads.
     led_shards: Gauge<u64>,
+    /// Accounts that exceed their rate or share.
+    excesses: Excesses,
     leadership: Option<Leadership>,
     _guard: Guard<C>,
 }
@@ -169,6 +173,8 @@
         let election_timeout = term::election_timeout(setup.cpu_millicores, 0, rand::random());
         let election = Election::new(setup.node.clone(), rand::random(), election_timeout);
         let led_shards = setup.meter.u64_gauge("led_shard").build();
+        let account_excess = setup.meter.u64_gauge("account_excess").build();
+        let excesses = Excesses::new(account_excess, setup.shard);
         let reader = Reader::new(
             setup.shard,
             setup.skipped_entries.clone(),
@@ -189,6 +195,7 @@
             last_queried_at: None,
             log_failed_at: None,
             led_shards,
+            excesses,
             leadership: None,
             _guard: guard,
         }
@@ -314,6 +321,9 @@
                 if heartbeat.term > 0 {
                     self.loads.clone_from(&heartbeat.loads);
                     self.loads_read_at = Some(clock::now());
+                    let is_own = self.leadership.is_some();
+                    self.excesses
+                        .publish(if is_own { &heartbeat.loads } else { &[] });
                     self.setup
                         .observer
                         .do_send(Observation::Loads(heartbeat.loads.clone()));
