--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -2,13 +2,14 @@
 
 mod append;
 mod dump;
-mod excess;
 mod gauge;
+mod intake;
 mod lag;
 mod leadership;
 mod line;
 mod payload;
 mod refusal;
+mod report;
 mod request;
 mod resignation;
 
@@ -35,11 +36,12 @@
 use crate::cursor::{Batch, Cursor};
 use crate::leadership::{MAX_READ_WAIT, read_pause, read_wait};
 use crate::operator::Configured;
-use crate::platform::{Partition, Platform};
+use crate::platform::Platform;
 use crate::reader::Reader;
 use crate::roster::{Roster, Subscribe};
-use excess::Excesses;
+use intake::Intakes;
 use leadership::Leadership;
+use report::Report;
 
 /// Pause of a leader between two reads, so that one read returns several records. It is short compared
 /// with the run time of a task.
@@ -133,9 +135,8 @@
     is_active: bool,
     job_index: Index,
     drains: Map<ids::Worker, Drain>,
-    loads: Vec<Load>,
-    /// Time at which they were read.
-    loads_read_at: Option<Instant>,
+    /// Latest report of the leader.
+    report: Report,
     election: Election,
     /// Offset up to which all records were read.
     read_through: ids::Offset,
@@ -145,10 +146,10 @@
     last_queried_at: Option<Instant>,
     /// Time of the latest failed call to the log, if no call has succeeded since.
     log_failed_at: Option<Instant>,
+    /// Records of callers that the log does not hold yet.
+    intakes: Intakes,
     /// Counts of the shards that this process leads.
     led_shards: Gauge<u64>,
-    /// Accounts that exceed their rate or share.
-    excesses: Excesses,
     leadership: Option<Leadership>,
     _guard: Guard<C>,
 }
@@ -173,13 +174,13 @@
         let election_timeout = term::election_timeout(setup.cpu_millicores, 0, rand::random());
         let election = Election::new(setup.node.clone(), rand::random(), election_timeout);
         let led_shards = setup.meter.u64_gauge("led_shard").build();
-        let account_excess = setup.meter.u64_gauge("account_excess").build();
-        let excesses = Excesses::new(account_excess, setup.shard);
+        let report = Report::new(&setup.meter, setup.shard);
         let reader = Reader::new(
             setup.shard,
             setup.skipped_entries.clone(),
             setup.logger.clone(),
         );
+        let intakes = Intakes::new(&setup.log_limits);
         Self {
             setup,
             reader,
@@ -187,24 +188,19 @@
             is_active: false,
             job_index: Index::default(),
             drains: Map::default(),
-            loads: Vec::new(),
-            loads_read_at: None,
+            report,
             election,
             read_through: 0,
             last_complete_read: None,
             last_queried_at: None,
             log_failed_at: None,
+            intakes,
             led_shards,
-            excesses,
             leadership: None,
             _guard: guard,
         }
     }
 
-    fn partition(&self) -> Partition {
-        Partition::Jobs(self.setup.shard)
-    }
-
     fn owns(&self, service: &ids::Service) -> bool {
         shard_of(service, self.setup.shard_count) == self.setup.shard
     }
@@ -319,11 +315,8 @@
             }
             Record::Heartbeat(heartbeat) => {
                 if heartbeat.term > 0 {
-                    self.loads.clone_from(&heartbeat.loads);
-                    self.loads_read_at = Some(clock::now());
-                    let is_own = self.leadership.is_some();
-                    self.excesses
-                        .publish(if is_own { &heartbeat.loads } else { &[] });
+                    self.report
+                        .update(&heartbeat.loads, self.leadership.is_some());
                     self.setup
                         .observer
                         .do_send(Observation::Loads(heartbeat.loads.clone()));
@@ -332,6 +325,9 @@
                 self.step_election(term::Event::Heartbeat { offset, heartbeat }, ctx);
             }
             Record::Canceled(job) => self.step_scheduler(Event::Canceled(job.clone()), ctx),
+            Record::Barred(job, _) if self.job_index.is_canceled(job) => {
+                self.step_scheduler(Event::Canceled(job.clone()), ctx);
+            }
             Record::Drain(worker, drain) => {
                 match drain {
                     Some(drain) => self.drains.insert(worker.clone(), drain.clone()),
@@ -348,7 +344,11 @@
                     .observer
                     .do_send(Observation::Drained(worker.clone()));
             }
-            Record::Dropped(_) | Record::Drained(..) | Record::Payload(..) | Record::Wave(..) => {}
+            Record::Barred(..)
+            | Record::Dropped(_)
+            | Record::Drained(..)
+            | Record::Payload(..)
+            | Record::Wave(..) => {}
         }
     }
 }
--- a/crates/jobs/src/shard/refusal.rs
+++ b/crates/jobs/src/shard/refusal.rs
@@ -4,10 +4,8 @@
 use std::time::Duration;
 
 use persimmongate_core::job::Job;
-use persimmongate_core::journal::Load;
 use persimmongate_core::queue::Queue;
 use persimmongate_core::share::{Refusal, Request, retry_delay, review};
-use persimmongate_node::clock;
 
 use super::Shard;
 use crate::platform::Platform;
@@ -39,14 +37,10 @@
 }
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Shard<P, C> {
-    fn load(&self, queue: &Queue) -> Option<&Load> {
-        let mut loads = self.loads.iter();
-        loads.find(|load| load.service == queue.service)
-    }
-
     /// Returns the time that a job submitted now waits for its first start, as last reported by the leader.
     pub(super) fn start_delay(&self, queue: &Queue) -> Option<Duration> {
-        self.load(queue).map(|load| load.queue_delay)
+        let load = self.report.load(&queue.service);
+        load.map(|load| load.queue_delay)
     }
 
     /// Returns the refusal of a job, if the leader's report leaves no room for it. Long-running and scheduled jobs
@@ -55,7 +49,7 @@
         if job.schedule.is_some() || job.steps.iter().any(|step| step.is_long_running) {
             return None;
         }
-        let load = self.load(queue)?;
+        let load = self.report.load(&queue.service)?;
         let critical_path = job.critical_path();
         let request = Request {
             account: job.account.as_ref(),
@@ -63,10 +57,7 @@
             objective: queue.objective(critical_path),
             draw: rand::random(),
         };
-        let now = clock::now();
-        let age = self
-            .loads_read_at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let age = self.report.age();
         let refusal = review(load, age, &request).err()?;
         Some(Refused {
             refusal,
