--- a/crates/core/examples/measure/placement.rs
+++ b/crates/core/examples/measure/placement.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use persimmongate_core::account::{Account, Directory, Limit};
+use persimmongate_core::ids;
 use persimmongate_core::job::{Job, Progress, Step};
 use persimmongate_core::queue::{Config, Policy, Queue, Service};
 use persimmongate_core::sched::{
@@ -39,15 +41,21 @@
     Unlabelled,
     /// The policy service permits no worker.
     Forbidden,
+    /// All jobs are alike, of many client accounts, and no worker has room.
+    Accounts,
 }
 
+/// Client accounts among which a room is divided.
+const ACCOUNTS: usize = 1_200;
+
 impl Pattern {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Alike,
         Self::Mixed,
         Self::Shrinking,
         Self::Unlabelled,
         Self::Forbidden,
+        Self::Accounts,
     ];
 
     fn name(self) -> &'static str {
@@ -57,6 +65,7 @@
             Self::Shrinking => "no room, each job smaller",
             Self::Unlabelled => "label that no worker has",
             Self::Forbidden => "no worker permitted",
+            Self::Accounts => "no room, 1,200 accounts",
         }
     }
 
@@ -71,7 +80,7 @@
         };
         let too_large = WORKER_CPU_MILLICORES + 1;
         match self {
-            Self::Alike => Step {
+            Self::Alike | Self::Accounts => Step {
                 cpu_millicores: too_large,
                 ..base
             },
@@ -159,7 +168,7 @@
             id: format!("job-{number:06}").into(),
             queue: QUEUE.into(),
             service: SERVICE.into(),
-            account: None,
+            account: Some(account_name(number % ACCOUNTS)),
             payload: "text".into(),
             steps: vec![step],
             schedule: None,
@@ -231,6 +240,10 @@
     tokio::time::Instant::now().into_std()
 }
 
+fn account_name(number: usize) -> ids::Account {
+    format!("account-{number}").into()
+}
+
 fn report(number: usize) -> Report {
     Report {
         worker: format!("w{number:05}").into(),
@@ -272,5 +285,17 @@
         rejects_overload: false,
         is_spare: false,
     };
-    Config::new(1, vec![queue], vec![service])
+    let account = |number| Account {
+        name: account_name(number),
+        keys: Vec::new(),
+        weight: 10.0,
+        limit: Limit::default(),
+    };
+    let count = if pattern == Pattern::Accounts {
+        ACCOUNTS
+    } else {
+        0
+    };
+    let accounts = Directory::new((0..count).map(account).collect());
+    Config::new(1, vec![queue], vec![service]).with_accounts(accounts)
 }
