--- a/crates/core/tests/sched/share.rs
+++ b/crates/core/tests/sched/share.rs
@@ -6,7 +6,7 @@
 use persimmongate_core::journal::{Load, MAX_EXCESSES};
 use test_case::test_case;
 
-use crate::world::{World, step};
+use crate::world::{LOW_PRIORITY_QUEUE, World, step};
 use crate::{assert_no_violations, seconds};
 
 /// Workers of the pool. Each has room for four tasks.
@@ -164,6 +164,43 @@
     assert_eq!(unfinished.count(), 0);
 }
 
+/// Returns how many jobs whose ids start so are not completed.
+fn unfinished(world: &World, prefix: &str) -> usize {
+    let ids = world.jobs.keys().filter(|id| id.starts_with(prefix));
+    ids.filter(|id| world.outcome(id) != Some(Outcome::Completed))
+        .count()
+}
+
+// Load: a flood of the lowest priority of one account. What the same account sends with the highest is not held up.
+#[test]
+fn verify_flood_of_the_lowest_priority_comes_after_the_highest_of_its_account() {
+    let mut world = world(&[("account", LARGE)]);
+    for number in 0..100 {
+        let id = format!("low-{number}");
+        world.submit_to(LOW_PRIORITY_QUEUE, "account", &id, vec![step(4, 500, &[])]);
+    }
+    world.run(millis(200));
+    submit(&mut world, "account", 5);
+    world.run(millis(1_600));
+    assert_eq!(unfinished(&world, "account"), 0);
+    assert!(unfinished(&world, "low") > 50);
+}
+
+// Load: a flood of the highest priority of one account. The lowest of another has its share all the same.
+#[test]
+fn verify_flood_of_the_highest_priority_leaves_other_accounts_their_share() {
+    let mut world = world(&[("hot", LARGE), ("other", LARGE)]);
+    submit(&mut world, "hot", 100);
+    world.run(millis(200));
+    for number in 0..4 {
+        let id = format!("other-{number}");
+        world.submit_to(LOW_PRIORITY_QUEUE, "other", &id, vec![step(4, 500, &[])]);
+    }
+    world.run(millis(1_900));
+    assert_eq!(unfinished(&world, "other"), 0);
+    assert!(unfinished(&world, "hot") > 30);
+}
+
 // Guards against accounts that play a part where the configuration has none.
 #[test]
 fn verify_configuration_without_accounts_divides_nothing() {
--- a/crates/core/tests/sched/world/mod.rs
+++ b/crates/core/tests/sched/world/mod.rs
@@ -25,7 +25,7 @@
 use fixture::config;
 use transport::addressee;
 
-pub(crate) use fixture::{long_running, report, step};
+pub(crate) use fixture::{LOW_PRIORITY_QUEUE, long_running, report, step};
 
 /// Time for which a ticket is valid.
 const TICKET_VALIDITY: Duration = Duration::from_secs(3);
@@ -318,9 +318,14 @@
 
     /// Submits a job of a client account.
     pub(crate) fn submit_for(&mut self, account: &str, id: &str, steps: Vec<Step>) {
+        self.submit_to("queue", account, id, steps);
+    }
+
+    /// Submits a job of a client account to a queue.
+    pub(crate) fn submit_to(&mut self, queue: &str, account: &str, id: &str, steps: Vec<Step>) {
         self.accept(Job {
             id: id.into(),
-            queue: "queue".into(),
+            queue: queue.into(),
             service: SERVICE.into(),
             account: Some(account.into()),
             payload: "text".into(),
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -7,6 +7,7 @@
 mod lag;
 mod leadership;
 mod line;
+mod ownership;
 mod payload;
 mod refusal;
 mod report;
@@ -135,7 +136,6 @@
     is_active: bool,
     job_index: Index,
     drains: Map<ids::Worker, Drain>,
-    /// Latest report of the leader.
     report: Report,
     election: Election,
     /// Offset up to which all records were read.
@@ -310,8 +310,8 @@
         self.job_index.apply(offset, record);
         match record {
             Record::Accepted(job) => {
-                let id = job.id.clone();
-                self.schedule_job(&id, ctx);
+                self.restore_acceptance(offset, job, ctx);
+                self.schedule_job(&job.id, ctx);
             }
             Record::Heartbeat(heartbeat) => {
                 if heartbeat.term > 0 {
