Refuse long jobs behind a long backlog, and throttle no small account for its unevenness

Cause: a review of the shares, by reading. Start delays ended at 10 s, so a job with a chain of 2.2 s or more was never refused; the rate ran on the time of reading; two jobs of an account with a weight of 1 throttled it; expired work within the rates came before work in time beyond them; all refusals of 5 s or more returned after just 5 s. Change: delays up to a minute; the time of acceptance; tokens are refilled before they are judged, windows have their true length, eight jobs may come at once; expired work comes last; the spread stays below the longest delay.

--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -177,7 +177,7 @@
         if !graph.is_over() && age <= MAX_ARRIVAL_AGE {
             let service = self.service_of(&graph).clone();
             // What an older leader accepted says nothing of how fast it came.
-            if !graph.predates_term && self.exceeds_rate(now, job.account.as_ref()) {
+            if !graph.predates_term && self.exceeds_rate(accepted_at, job.account.as_ref()) {
                 graph.standing = Standing::BeyondRate;
             } else {
                 // Hosts are fetched for what is within the rates; the rest gets the room that is left.
--- a/crates/core/src/sched/rank.rs
+++ b/crates/core/src/sched/rank.rs
@@ -17,6 +17,8 @@
     /// False for jobs with long-running tasks, which come first: they are few, and each second
     /// without them counts.
     is_finite: bool,
+    /// Whether its result will have no value, so that all others come before it.
+    is_expired: bool,
     /// Whether its account has sent more than its rate, so that it gets only room that is left.
     exceeds_rate: bool,
     timeliness: Timeliness,
@@ -40,14 +42,16 @@
     /// Returns the rank of the job.
     pub(super) fn rank(&self, now: Instant, priority: u32) -> Rank {
         let is_long_running = self.job.steps.iter().any(|step| step.is_long_running);
+        let timeliness = if is_long_running {
+            Timeliness::OnTime
+        } else {
+            self.timeliness(now)
+        };
         Rank {
             is_finite: !is_long_running,
+            is_expired: timeliness == Timeliness::Expired,
             exceeds_rate: self.standing == Standing::BeyondRate,
-            timeliness: if is_long_running {
-                Timeliness::OnTime
-            } else {
-                self.timeliness(now)
-            },
+            timeliness,
             exceeds_share: false,
             priority,
             deadline: self.deadline,
--- a/crates/core/src/share/admission.rs
+++ b/crates/core/src/share/admission.rs
@@ -119,7 +119,8 @@
             delay.max(MIN_RETRY_DELAY.mul_f64(sent))
         }
     };
-    let delay = delay.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
-    let spread = delay.mul_f64(1.0 + RETRY_SPREAD * draw.clamp(0.0, 1.0));
-    spread.min(MAX_RETRY_DELAY)
+    // The spread stays within the longest delay, so that those who are refused at a long delay don't return together.
+    let longest = MAX_RETRY_DELAY.div_f64(1.0 + RETRY_SPREAD);
+    let delay = delay.clamp(MIN_RETRY_DELAY, longest);
+    delay.mul_f64(1.0 + RETRY_SPREAD * draw.clamp(0.0, 1.0))
 }
--- a/crates/core/src/share/outlook.rs
+++ b/crates/core/src/share/outlook.rs
@@ -1,8 +1,7 @@
 use std::time::{Duration, Instant};
 
-/// Longest start delay that is estimated. Demand and pools change within a few seconds, so that a longer
-/// estimate says no more.
-pub const START_DELAY_MAX: Duration = Duration::from_secs(10);
+/// Longest start delay that is estimated: longer than callers accept for any job that runs for some seconds.
+pub const START_DELAY_MAX: Duration = Duration::from_mins(1);
 /// Time from when the host list first shows that a host moves to a pool until its worker gets tasks: what a move
 /// takes, and the first answer of the new worker.
 const ARRIVAL_TIME: Duration = Duration::from_millis(1_800);
--- a/crates/core/src/share/rate.rs
+++ b/crates/core/src/share/rate.rs
@@ -6,8 +6,11 @@
 
 /// Time whose jobs, at the rate of the account, may come at once: arrivals within a second are uneven.
 const BURST_TIME: Duration = Duration::from_secs(1);
-/// Fewest jobs that may come at once, so that an account with a low rate may send one while another is counted.
-const MIN_BURST: f64 = 2.0;
+/// Fewest jobs that may come at once: those of an account with a low rate are uneven over several seconds.
+const MIN_BURST: f64 = 8.0;
+/// Part of what may come at once below which an account counts as sending all that it may: a job of a flood has just been
+/// counted.
+const SPENT_PART: f64 = 0.125;
 /// Half of the time over which the rate of arrivals is measured: the window before the current one counts too.
 const WINDOW: Duration = Duration::from_millis(500);
 /// Time from when the admitted part is set until what arrives has been admitted by it: the append of a heartbeat, its
@@ -25,13 +28,17 @@
 struct Meter {
     /// Jobs that it may send now within its rate.
     tokens: f64,
-    /// Time of the latest job.
+    /// Time up to which `tokens` counts.
     refilled_at: Instant,
+    /// Time of the latest job.
+    counted_at: Instant,
     window_start: Instant,
     /// Jobs sent in the current window: each one that arrived stands for those that were refused.
     current: f64,
     /// Jobs sent in the window before it.
     previous: f64,
+    /// Length of the window before it, which ends with the first job or adjustment after its time.
+    previous_length: Duration,
     /// Part of its jobs that is admitted as within its rate, from 0 to 1.
     admitted: f64,
     /// Part of its jobs that now arrives, from 0 to 1.
@@ -60,9 +67,11 @@
         Self {
             tokens: burst(rate),
             refilled_at: now,
+            counted_at: now,
             window_start: now,
             current: 0.0,
             previous: 0.0,
+            previous_length: WINDOW,
             admitted: 1.0,
             arriving: 1.0,
             arriving_next: None,
@@ -72,9 +81,8 @@
     /// Counts a job, and returns whether it is within the rate.
     fn count(&mut self, now: Instant, rate: f64) -> bool {
         self.advance(now);
-        let elapsed = now.saturating_duration_since(self.refilled_at);
-        self.tokens = (self.tokens + rate * elapsed.as_secs_f64()).min(burst(rate));
-        self.refilled_at = now;
+        self.refill(now, rate);
+        self.counted_at = self.counted_at.max(now);
         self.current += 1.0 / self.arriving;
         let is_within = self.tokens >= 1.0;
         if is_within {
@@ -83,11 +91,20 @@
         is_within
     }
 
+    /// Adds the jobs that the account may send since the latest call.
+    fn refill(&mut self, now: Instant, rate: f64) {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        self.tokens = (self.tokens + rate * elapsed.as_secs_f64()).min(burst(rate));
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
     /// Starts the window and the admitted part that are due.
     fn advance(&mut self, now: Instant) {
         let age = now.saturating_duration_since(self.window_start);
         if age >= WINDOW {
-            self.previous = if age < WINDOW * 2 { self.current } else { 0.0 };
+            let is_recent = age < BURST_TIME;
+            self.previous = if is_recent { self.current } else { 0.0 };
+            self.previous_length = if is_recent { age } else { WINDOW };
             self.current = 0.0;
             self.window_start = now;
         }
@@ -98,15 +115,16 @@
 
     /// Returns the jobs sent per second over the current and the previous window.
     fn sent_rate(&self, now: Instant) -> f64 {
-        let time = WINDOW + now.saturating_duration_since(self.window_start);
+        let time = self.previous_length + now.saturating_duration_since(self.window_start);
         (self.current + self.previous) / time.as_secs_f64()
     }
 
     /// Adjusts the part that is admitted to the rate.
     fn adjust(&mut self, now: Instant, rate: f64, is_held_back: bool) {
         self.advance(now);
+        self.refill(now, rate);
         let sent = self.sent_rate(now);
-        let is_exceeding = self.admitted < 1.0 || self.tokens < 1.0;
+        let is_exceeding = self.admitted < 1.0 || self.tokens < burst(rate) * SPENT_PART;
         let target = if is_exceeding && sent > rate {
             rate / sent
         } else {
@@ -123,7 +141,7 @@
 
     /// Checks if nothing would change if the account were forgotten.
     fn is_idle(&self, now: Instant) -> bool {
-        self.admitted >= 1.0 && now.saturating_duration_since(self.refilled_at) > BURST_TIME
+        self.admitted >= 1.0 && now.saturating_duration_since(self.counted_at) > BURST_TIME
     }
 }
 
--- a/crates/core/tests/share/rate.rs
+++ b/crates/core/tests/share/rate.rs
@@ -4,6 +4,7 @@
 
 use persimmongate_core::ids;
 use persimmongate_core::share::Rates;
+use test_case::test_case;
 
 /// Jobs per second that the account may send.
 const RATE: f64 = 100.0;
@@ -122,3 +123,29 @@
     flood.send(60, Duration::from_secs(2));
     assert_eq!(flood.admitted(), 1_000);
 }
+
+// Guards against a small account that is throttled for the unevenness of its own arrivals.
+#[test_case(1.0; "of one job a second")]
+#[test_case(2.0; "of two jobs a second")]
+fn verify_small_account_at_half_its_rate_is_not_throttled(rate: f64) {
+    let (mut now, account) = (Instant::now(), "small".into());
+    let mut rates = Rates::default();
+    let mut random: u64 = 7;
+    let (mut sent, mut within, mut throttled) = (0_u32, 0_u32, 0_u32);
+    for _ in 0..4_000 {
+        // Arrivals in each 50 ms, from a linear congruential sequence.
+        random = random.wrapping_mul(6_364_136_223_846_793_005) ^ 1_442_695_040_888_963_407;
+        let drawn = f64::from(u32::try_from(random >> 32).unwrap()) / f64::from(u32::MAX);
+        if drawn < rate / 2.0 * 0.05 {
+            sent += 1;
+            within += u32::from(rates.count(now, &account, rate));
+        }
+        if sent % 4 == 0 {
+            throttled += u32::try_from(rates.adjust(now, |_| rate, |_| true).len()).unwrap();
+        }
+        now += Duration::from_millis(50);
+    }
+    assert!(sent > 50, "{sent} sent");
+    assert!((sent - within) * 100 <= sent, "{within} of {sent}");
+    assert_eq!(throttled, 0);
+}
