--- a/crates/core/tests/sched/world/fixture.rs
+++ b/crates/core/tests/sched/world/fixture.rs
@@ -8,6 +8,9 @@
 
 use super::{ATTEMPTS, SERVICE};
 
+/// Queue whose priority is below that of the other one.
+pub(crate) const LOW_PRIORITY_QUEUE: &str = "low";
+
 pub(crate) fn report(number: usize) -> Report {
     Report {
         worker: format!("w{number}").into(),
@@ -44,7 +47,13 @@
         rejects_overload: false,
         is_spare: false,
     };
-    Config::new(1, vec![queue], vec![service])
+    let low = Queue {
+        name: LOW_PRIORITY_QUEUE.into(),
+        path_prefix: "/low/".into(),
+        priority: 5,
+        ..queue.clone()
+    };
+    Config::new(1, vec![queue, low], vec![service])
 }
 
 /// Creates a step of tasks that each reserve 2 cores and take a number of milliseconds.
--- a/crates/core/tests/sched/world/mod.rs
+++ b/crates/core/tests/sched/world/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use persimmongate_core::account::{Account, Directory, Limit};
 use persimmongate_core::ids;
 use persimmongate_core::job::{Job, Outcome, Progress, Schedule, Step, Task};
 use persimmongate_core::journal::{Index, Record};
@@ -24,7 +25,7 @@
 use fixture::config;
 use transport::addressee;
 
-pub(crate) use fixture::{long_running, report, step};
+pub(crate) use fixture::{LOW_PRIORITY_QUEUE, long_running, report, step};
 
 /// Time for which a ticket is valid.
 const TICKET_VALIDITY: Duration = Duration::from_secs(3);
@@ -117,6 +118,8 @@
     task_starts: Vec<(String, Vec<TaskExit>)>,
     /// Completed jobs of which the log keeps only a stub.
     pub(crate) stub_count: usize,
+    /// Hosts on their way to the pool, with their processor time in millicores.
+    pub(crate) arriving: Vec<(ids::Host, ids::Service, u64)>,
     /// Workers that the policy service permits; `None` if the queue uses no policy service.
     pub(crate) permitted_workers: Option<Vec<ids::Worker>>,
     /// Jobs about which the policy service does not answer in time.
@@ -176,6 +179,7 @@
             exits: BTreeSet::new(),
             task_starts: Vec::new(),
             stub_count: 0,
+            arriving: Vec::new(),
             permitted_workers: None,
             unanswered_jobs: BTreeSet::new(),
             lines: Vec::new(),
@@ -267,7 +271,11 @@
         });
         let hosts = hosts.collect();
         let is_complete = self.has_complete_hosts;
-        let event = Event::Hosts { hosts, is_complete };
+        let event = Event::Hosts {
+            hosts,
+            arriving: self.arriving.clone(),
+            is_complete,
+        };
         self.deliver(self.leaders.len() - 1, event);
     }
 
@@ -308,6 +316,48 @@
         });
     }
 
+    /// Submits a job of a client account.
+    pub(crate) fn submit_for(&mut self, account: &str, id: &str, steps: Vec<Step>) {
+        self.submit_to("queue", account, id, steps);
+    }
+
+    /// Submits a job of a client account to a queue.
+    pub(crate) fn submit_to(&mut self, queue: &str, account: &str, id: &str, steps: Vec<Step>) {
+        self.accept(Job {
+            id: id.into(),
+            queue: queue.into(),
+            service: SERVICE.into(),
+            account: Some(account.into()),
+            payload: "text".into(),
+            steps,
+            schedule: None,
+            accepted_at_ms: self.unix_ms(),
+            has_detached_payload: false,
+        });
+    }
+
+    /// Puts a configuration with client accounts, each with its weight, in force.
+    pub(crate) fn set_accounts(&mut self, accounts: &[(&str, f64)]) {
+        let account = |(name, weight): &(&str, f64)| Account {
+            name: (*name).into(),
+            keys: Vec::new(),
+            weight: *weight,
+            limit: Limit::default(),
+        };
+        let accounts = Directory::new(accounts.iter().map(account).collect());
+        let config = config(None).with_accounts(accounts);
+        let leader = self.leaders.len() - 1;
+        self.deliver(leader, Event::Config(Arc::new(config)));
+    }
+
+    /// Returns the processor time that the tasks of jobs have whose ids start so, in millicores.
+    pub(crate) fn running_cpu(&self, prefix: &str) -> u64 {
+        let runs = self.workers.values().flat_map(|worker| worker.runs.keys());
+        let runs = runs.filter(|task| task.job.starts_with(prefix));
+        let cpu = |task: &Task| self.jobs[&task.job].steps[task.step as usize].cpu_millicores;
+        runs.map(cpu).sum()
+    }
+
     /// Submits a job whose payload is a record of its own.
     pub(crate) fn submit_detached(&mut self, id: &str, steps: Vec<Step>) {
         self.accept(Job {
