--- a/crates/core/src/sched/rank.rs
+++ b/crates/core/src/sched/rank.rs
@@ -14,13 +14,7 @@
 /// `Rank` is the position of a job in the order in which tasks are started, the least first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct Rank {
-    /// False for jobs with long-running tasks, which come first: they are few, and each second
-    /// without them counts.
-    is_finite: bool,
-    /// Whether its result will have no value, so that all others come before it.
-    is_expired: bool,
-    /// Whether its account has sent more than its rate, so that it gets only room that is left.
-    exceeds_rate: bool,
+    tier: Tier,
     timeliness: Timeliness,
     /// Whether its account has its share of the pool without it.
     pub(super) exceeds_share: bool,
@@ -28,6 +22,19 @@
     deadline: Instant,
 }
 
+/// `Tier` is the most important part of the rank of a job.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Tier {
+    /// It has long-running tasks: they are few, and each second without them counts.
+    LongRunning,
+    /// Its account is within its rate.
+    WithinRate,
+    /// Its account has sent more than its rate, so that it gets only room that is left.
+    BeyondRate,
+    /// Its result will have no value to its caller.
+    Expired,
+}
+
 /// `Timeliness` is whether a job can still complete before its deadline.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Timeliness {
@@ -47,10 +54,14 @@
         } else {
             self.timeliness(now)
         };
+        let tier = match timeliness {
+            _ if is_long_running => Tier::LongRunning,
+            Timeliness::Expired => Tier::Expired,
+            _ if self.standing == Standing::BeyondRate => Tier::BeyondRate,
+            Timeliness::OnTime | Timeliness::Late => Tier::WithinRate,
+        };
         Rank {
-            is_finite: !is_long_running,
-            is_expired: timeliness == Timeliness::Expired,
-            exceeds_rate: self.standing == Standing::BeyondRate,
+            tier,
             timeliness,
             exceeds_share: false,
             priority,
