--- a/crates/core/tests/share/rate.rs
+++ b/crates/core/tests/share/rate.rs
@@ -134,7 +134,9 @@
     let (mut sent, mut within, mut throttled) = (0_u32, 0_u32, 0_u32);
     for _ in 0..4_000 {
         // Arrivals in each 50 ms, from a linear congruential sequence.
-        random = random.wrapping_mul(6_364_136_223_846_793_005) ^ 1_442_695_040_888_963_407;
+        random = random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
         let drawn = f64::from(u32::try_from(random >> 32).unwrap()) / f64::from(u32::MAX);
         if drawn < rate / 2.0 * 0.05 {
             sent += 1;
