Keep the hosts of a turn that is held up, and give hosts in turn to services of equal demand

Their old load showed 155 idle hosts, which left; the rest of the turn counted as another one, so the interval of turns was wrong; work that had waited for the log raised the height of the turn (292 where 100 arrive); of two services that may have the next turn the first got all hosts; the wave drained 1.5 times its limit of hosts as the second turn began.

- A surplus counts only by loads of the latest second.
- Work that arrives again within three seconds belongs to the same turn.
- Services of equal demand get spare hosts in turn.
- The full concurrency of a wave begins after its planned end.

--- a/crates/core/src/upkeep/balance.rs
+++ b/crates/core/src/upkeep/balance.rs
@@ -23,6 +23,8 @@
 /// they are at the next service after one move rather than two.
 const HANDOVER_TIME: Duration = Duration::from_secs(4);
 
+/// Age of a load up to which a surplus counts by it: leaders report each 400 ms.
+const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
 /// Time after which a move that did not complete is ignored, and the host counts for the pool that the
 /// host list names.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -32,6 +34,8 @@
 pub(super) struct Balance {
     /// Time since which each service with a surplus of hosts has had it.
     surplus_since: Map<ids::Service, Instant>,
+    /// Time of the latest load of each service.
+    pub(super) reported_at: Map<ids::Service, Instant>,
     /// Hosts that are moving, with their new pool and the time of the command.
     pub(super) moving: Map<ids::Host, (ids::Service, Instant)>,
     /// Recent demand of the services.
@@ -103,11 +107,18 @@
                 moves.extend(spare_hosts.pop().map(|host| (host, sizing.service.clone())));
             }
         }
+        // Services of the same demand, such as those of which one may have the next turn, get hosts in turn.
+        let mut growth: Vec<(Reverse<u64>, usize, ids::Service)> = Vec::new();
         for sizing in &sizings {
-            for _ in sizing.host_count.max(sizing.reserved)..sizing.desired {
-                moves.extend(spare_hosts.pop().map(|host| (host, sizing.service.clone())));
+            let demand = self.demand_percent(&sizing.service);
+            for host in sizing.host_count.max(sizing.reserved)..sizing.desired {
+                growth.push((Reverse(demand), host, sizing.service.clone()));
             }
         }
+        growth.sort();
+        for (_, _, service) in growth {
+            moves.extend(spare_hosts.pop().map(|host| (host, service)));
+        }
         // To services with waiting work, a service lends idle and busy hosts above its required ones; to
         // services with growing demand, only idle hosts above its desired ones.
         let mut lent = Loans::default();
@@ -175,7 +186,10 @@
         let surplus = sizing
             .host_count
             .saturating_sub(sizing.desired + lent_count);
-        if surplus == 0 {
+        // Idle hosts in an old load say nothing: the work of a turn may wait for a leader that is held up.
+        let reported_at = self.balance.reported_at.get(&sizing.service);
+        let is_old = reported_at.is_none_or(|at| *at + MAX_LOAD_AGE < now);
+        if surplus == 0 || is_old {
             self.balance.surplus_since.remove(&sizing.service);
             return Vec::new();
         }
--- a/crates/core/src/upkeep/planner.rs
+++ b/crates/core/src/upkeep/planner.rs
@@ -183,6 +183,7 @@
             Event::Loads(loads) => {
                 for load in loads {
                     self.balance.history.add_sample(now, &load);
+                    self.balance.reported_at.insert(load.service.clone(), now);
                     self.loads.insert(load.service.clone(), load);
                 }
             }
--- a/crates/core/src/upkeep/turns.rs
+++ b/crates/core/src/upkeep/turns.rs
@@ -103,8 +103,9 @@
     fn start(&mut self, now: Instant, service: &ids::Service, sample: &Sample) {
         if let Some(last) = self.recent.back_mut()
             && last.service == *service
-            && now.saturating_duration_since(last.started_at) < MAX_DELAY
+            && now < (last.started_at + MAX_DELAY).max(last.arrived_at + SUCCESSION_TIME)
         {
+            // Callers, or the leader that reports their work, were held up for a moment.
             last.add_sample(now, sample);
             return;
         }
--- a/crates/core/src/upkeep/wave.rs
+++ b/crates/core/src/upkeep/wave.rs
@@ -64,12 +64,12 @@
     pub(super) fn concurrency(&self, now: Instant, remaining: usize) -> usize {
         let max_down = self.wave.max_down;
         let most = max_down.saturating_add(max_down.div_ceil(2));
-        match self.rounds(now, HOST_CYCLE) {
+        if now >= self.planned_end() {
             // Hosts that return from their maintenance keep none of the last ones waiting.
-            1 => most,
-            // One host more than the time requires is drained while the others are maintained.
-            rounds => (remaining.div_ceil(rounds) + 1).min(most),
+            return most;
         }
+        // One host more than the time requires is drained while the others are maintained.
+        (remaining.div_ceil(self.rounds(now, HOST_CYCLE)) + 1).min(most)
     }
 
     /// Returns the number of hosts with long-running tasks to drain at once in the pool of one service.
@@ -80,11 +80,14 @@
         needed.min(self.wave.max_down)
     }
 
+    fn planned_end(&self) -> Instant {
+        let time_limit = self.wave.time_limit.min(MAX_TIME_LIMIT);
+        self.requested_at + time_limit * PLANNED_TIME_PERCENT / 100
+    }
+
     /// Returns how often a time fits into what is left until the planned end; 1 at least.
     fn rounds(&self, now: Instant, cycle: Duration) -> usize {
-        let time_limit = self.wave.time_limit.min(MAX_TIME_LIMIT);
-        let planned_end = self.requested_at + time_limit * PLANNED_TIME_PERCENT / 100;
-        let time_left = planned_end.saturating_duration_since(now).max(cycle);
+        let time_left = self.planned_end().saturating_duration_since(now).max(cycle);
         usize::try_from(time_left.as_millis() / cycle.as_millis()).unwrap_or(1)
     }
 }
--- a/crates/core/tests/upkeep/turns.rs
+++ b/crates/core/tests/upkeep/turns.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use persimmongate_core::journal::Load;
-use persimmongate_core::upkeep::Operation;
+use persimmongate_core::upkeep::{Event, Operation};
 use test_case::test_case;
 
 use crate::fixture::{Fixture, HOST_CPU_MILLICORES};
@@ -278,6 +278,31 @@
     assert!(rotation.serving(ORDER[1]) >= PEAK_HOSTS);
 }
 
+// The leaders of a pool and of the fleet were held up for three seconds within a turn. Hosts left as they went on, and the
+// rest of the turn counted as another one.
+#[test]
+fn verify_turn_goes_on_after_its_loads_were_held_up() {
+    let mut rotation = Rotation::new(Duration::from_secs(8));
+    rotation.play(&ORDER[..1]);
+    rotation.play_for(Duration::from_secs(4), ORDER[1]);
+    let hosts = rotation.serving(ORDER[1]);
+    // Nothing is started, and the host list goes on.
+    for _ in 0..15 {
+        rotation.fixture.now += STEP;
+        rotation
+            .fixture
+            .step(Event::TermConfirmed(rotation.fixture.now));
+        let listing = rotation.fixture.listing();
+        rotation.fixture.step(Event::Hosts(listing));
+    }
+    rotation.play_for(STEP * 3, "none");
+    assert_eq!(rotation.serving(ORDER[1]), hosts);
+    rotation.play_for(STEP * 2, ORDER[1]);
+    // The third turn is foreseen eight seconds after the start of the second one.
+    rotation.play(&ORDER[2..]);
+    assert!(rotation.serving(ORDER[0]) >= PEAK_HOSTS);
+}
+
 // The work that waits when a turn begins would need the whole fleet to end within its target.
 #[test]
 fn verify_waiting_work_requires_no_more_hosts_than_its_turn() {
