--- a/crates/core/src/journal/index.rs
+++ b/crates/core/src/journal/index.rs
@@ -93,7 +93,11 @@
             | Record::Payload(..)
             | Record::Dropped(_)
             | Record::Drained(..)
-            | Record::Wave(..) => None,
+            | Record::Wave(..)
+            | Record::Lent(..)
+            | Record::Returned(..)
+            | Record::Demand(..)
+            | Record::Recall(..) => None,
         }
     }
 
--- a/crates/core/src/journal/mod.rs
+++ b/crates/core/src/journal/mod.rs
@@ -6,6 +6,8 @@
 
 mod index;
 mod record;
+mod units;
 
 pub use index::{Entry, Index, Phase};
 pub use record::{Drain, Drained, Heartbeat, Key, Limits, Load, Record};
+pub use units::{Demand, Recall, Units};
--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -3,6 +3,7 @@
 use bytestring::ByteString;
 use serde::{Deserialize, Serialize};
 
+use super::units::{Demand, Recall, Units};
 use crate::ids;
 use crate::job::{Job, Progress};
 
@@ -25,6 +26,14 @@
     Drained(ids::Worker),
     /// The maintained hosts of a wave.
     Wave(ids::WaveNumber),
+    /// The units of an account that the lender has lent to a shard.
+    Lent(ids::Shard, ids::Account),
+    /// The units of an account that a shard has returned to the lender.
+    Returned(ids::Shard, ids::Account),
+    /// The units that a shard asks for.
+    Demand(ids::Shard),
+    /// The units that a shard is asked to return.
+    Recall(ids::Shard),
 }
 
 /// `Record` is a record of the log.
@@ -46,6 +55,16 @@
     Drained(ids::Worker, Drained),
     /// Hosts of a wave were maintained.
     Wave(ids::WaveNumber, Vec<ids::Host>),
+    /// Count of the units of an account that were lent to a shard. The leader of the fleet records it in its own
+    /// partition, and then copies it to that of the shard.
+    Lent(ids::Shard, ids::Account, Units),
+    /// Count of the units of an account that a shard has returned. Its leader records it in its own partition, and
+    /// then copies it to that of the fleet.
+    Returned(ids::Shard, ids::Account, Units),
+    /// Units that a shard asks for; in the partition of the fleet.
+    Demand(ids::Shard, Vec<Demand>),
+    /// Units that a shard is asked to return; in its partition.
+    Recall(ids::Shard, Vec<Recall>),
     /// The key was deleted.
     Dropped(Key),
 }
@@ -159,6 +178,10 @@
             Self::Progress(job, _) => Key::Progress(job.clone()),
             Self::Drained(worker, _) => Key::Drained(worker.clone()),
             Self::Wave(wave, _) => Key::Wave(*wave),
+            Self::Lent(shard, account, _) => Key::Lent(*shard, account.clone()),
+            Self::Returned(shard, account, _) => Key::Returned(*shard, account.clone()),
+            Self::Demand(shard, _) => Key::Demand(*shard),
+            Self::Recall(shard, _) => Key::Recall(*shard),
             Self::Dropped(key) => key.clone(),
         }
     }
@@ -182,6 +205,10 @@
             | Self::Payload(..)
             | Self::Drained(..)
             | Self::Wave(..)
+            | Self::Lent(..)
+            | Self::Returned(..)
+            | Self::Demand(..)
+            | Self::Recall(..)
             | Self::Dropped(_) => return None,
         };
         (reduced != *self).then_some(reduced)
--- /dev/null
+++ b/crates/core/src/journal/units.rs
@@ -0,0 +1,30 @@
+use serde::{Deserialize, Serialize};
+
+use crate::ids;
+
+/// `Units` is a number of parts of the right to an account's limit.
+pub type Units = u64;
+
+/// `Demand` is the units of an account that a shard asks for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Demand {
+    /// Account.
+    pub account: ids::Account,
+    /// Units that the shard would like to have, those that it has among them.
+    pub units: Units,
+    /// Count of lent units that the shard knows of.
+    pub lent: Units,
+}
+
+/// `Recall` asks a shard to return units of an account.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Recall {
+    /// Account.
+    pub account: ids::Account,
+    /// Units that the shard may have at most once its runs allow it, as others lack units; `None` if it is only to
+    /// return what it has no use for.
+    #[serde(default, rename = "max", skip_serializing_if = "Option::is_none")]
+    pub max_units: Option<Units>,
+    /// Count of returned units that the lender knows of.
+    pub returned: Units,
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`invariant`]: checks of the guarantees given to users
 //! - [`job`]: jobs of callers, their tasks and their outcomes
 //! - [`journal`]: records about jobs and the state built from them
+//! - [`limit`]: limits of client accounts that hold over all shards
 //! - [`map`]: hash maps with a fast hasher
 //! - [`name`]: syntax of names
 //! - [`outcome`]: outcomes of requests
@@ -36,6 +37,7 @@
 pub mod invariant;
 pub mod job;
 pub mod journal;
+pub mod limit;
 pub mod map;
 pub mod name;
 pub mod outcome;
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -12,6 +12,7 @@
 use crate::ids;
 use crate::job::{Job, Progress, Task};
 use crate::journal::Record;
+use crate::limit::{self, Notice};
 use crate::queue::Config;
 
 /// `Report` is the entry of a worker in the worker list, as the worker published it.
@@ -271,6 +272,8 @@
     PollDue(ids::Worker),
     /// The delay of `Action::SchedulePlacement` has passed.
     PlacementDue,
+    /// The log says something about the units of the accounts' limits.
+    Limit(Notice),
     /// Periodic tick for time-outs and placement.
     Tick,
 }
@@ -296,6 +299,7 @@
             Self::TermConfirmed(_) => "term confirmed",
             Self::PollDue(_) => "poll due",
             Self::PlacementDue => "placement due",
+            Self::Limit(_) => "limit",
             Self::Tick => "tick",
         }
     }
@@ -348,6 +352,9 @@
     DropPayloads(Vec<ids::Job>),
     /// Append records to the log. No other append follows before `Event::Appended`.
     Append(Vec<Record>),
+    /// Append records to the partition of the lender of the accounts' limits, and report the outcome as
+    /// `Notice::Delivered`.
+    NotifyLender(Vec<Record>),
     /// Deliver `Event::PollDue` for a worker after a delay.
     SchedulePoll(ids::Worker, Duration),
     /// Deliver `Event::PlacementDue` after a delay.
@@ -384,6 +391,8 @@
     LogIdle(Box<Idle>),
     /// Write a log line about the waiting jobs of a service.
     LogWaiting(ids::Service, Box<Tally>),
+    /// Write log lines about accounts whose tasks wait because of their limits.
+    LogLimited(Vec<limit::Report>),
     /// Write a log line, as the wait for runs of older terms has ended or begun again.
     LogRecovery(Wait),
 }
--- a/crates/core/src/sched/flush.rs
+++ b/crates/core/src/sched/flush.rs
@@ -42,6 +42,7 @@
         for worker in std::mem::take(&mut self.newly_drained) {
             records.push(Record::Drained(worker, Drained { term: self.term }));
         }
+        records.extend(self.borrower.take_records());
         let age = now.saturating_duration_since(self.heartbeat_at);
         if age >= HEARTBEAT_INTERVAL || (age >= BUSY_HEARTBEAT_INTERVAL && !records.is_empty()) {
             self.heartbeat_at = now;
@@ -79,6 +80,7 @@
     pub(super) fn handle_appended(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if let Some(acknowledgements) = self.pending_acknowledgements.take() {
             self.release_recorded_crashes();
+            self.borrower.handle_recorded();
             let unneeded = std::mem::take(&mut self.unneeded_payloads);
             if !unneeded.is_empty() {
                 actions.push(Action::DropPayloads(unneeded));
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -18,6 +18,7 @@
     pub(super) fn handle_event(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Config(config) => {
+                self.borrower.set_accounts(&config.accounts);
                 self.config = config;
                 self.needs_placement = true;
             }
@@ -69,6 +70,10 @@
                 self.poll_worker(now, &worker, actions);
             }
             Event::PlacementDue => self.is_placement_scheduled = false,
+            Event::Limit(notice) => {
+                self.borrower.handle(now, notice);
+                self.needs_placement = true;
+            }
             Event::Tick => self.tick(now, actions),
         }
     }
@@ -223,5 +228,9 @@
         self.advance_drains(now, actions);
         self.log_idle(now, actions);
         self.log_waiting(now, actions);
+        let limited = self.borrower.due_reports(now);
+        if !limited.is_empty() {
+            actions.push(Action::LogLimited(limited));
+        }
     }
 }
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -29,6 +29,7 @@
 mod recovery;
 mod run;
 mod scheduler;
+mod usage;
 mod worker;
 
 pub use belief::{Belief, Census, Change};
--- a/crates/core/src/sched/pick.rs
+++ b/crates/core/src/sched/pick.rs
@@ -59,13 +59,14 @@
 }
 
 impl Scheduler {
-    /// Chooses workers for as many idle tasks as can be placed.
+    /// Chooses workers for as many idle tasks as can be placed, at most `max_picks`.
     pub(super) fn pick_each(
         &self,
         job: &ids::Job,
         stage: usize,
         step: &Step,
         pool: &mut [Candidate],
+        max_picks: u64,
     ) -> Vec<Pick> {
         let Some(graph) = self.jobs.get(job) else {
             return Vec::new();
@@ -73,6 +74,9 @@
         let mut counts = self.count_tasks(job, stage, step);
         let mut picks = Vec::new();
         for (index, task_state) in graph.stages[stage].tasks.iter().enumerate() {
+            if picks.len() as u64 >= max_picks {
+                break;
+            }
             if task_state.placement != Placement::Idle || task_state.has_unrecorded_crash {
                 continue;
             }
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -5,11 +5,12 @@
 use super::graph::{Graph, Placement};
 use super::pick::{Candidate, Pick};
 use super::pool::{Outcome, Pool, Position};
-use super::run::Run;
+use super::run::{Run, charge};
 use super::scheduler::Scheduler;
 use super::worker::Resources;
 use crate::ids;
 use crate::job::Step;
+use crate::limit::Budget;
 use crate::map::Map;
 
 /// Shortest time between two passes, per worker and job that a pass looks at: 20 ms for 300 workers and 100
@@ -65,8 +66,15 @@
             let pool = pools.entry(worker.report.service.clone()).or_default();
             pool.add(entry);
         }
-        ranked_jobs.retain(|position| self.place_job(now, position, &mut pools, actions));
+        let usage = (!self.borrower.is_idle()).then(|| self.usage());
+        let budget = usage.as_ref().map(|usage| self.borrower.budget(now, usage));
+        let mut budget = budget.unwrap_or_default();
+        ranked_jobs
+            .retain(|position| self.place_job(now, position, &mut pools, &mut budget, actions));
         self.ranked_jobs = ranked_jobs;
+        if let Some(usage) = usage {
+            self.borrower.review(now, &usage, &budget);
+        }
         self.tallies.clear();
         for (service, pool) in pools {
             let (cursor, tally) = pool.finish();
@@ -106,6 +114,7 @@
         now: Instant,
         position: &Position,
         pools: &mut Map<ids::Service, Pool>,
+        budget: &mut Budget,
         actions: &mut Vec<Action>,
     ) -> bool {
         let (_, job) = position;
@@ -122,7 +131,7 @@
         let mut outcome = Outcome::NotReady;
         let mut first_stage = 0;
         while first_stage < stage_count && outcome != Outcome::Unplaced {
-            outcome = outcome.max(self.prospect(now, graph, first_stage, service, pool));
+            outcome = outcome.max(self.prospect(now, graph, first_stage, service, pool, budget));
             first_stage += 1;
         }
         if outcome != Outcome::Unplaced {
@@ -141,7 +150,7 @@
             let Some(graph) = self.jobs.get(job) else {
                 return false;
             };
-            if self.prospect(now, graph, stage, &service, pool) != Outcome::Unplaced {
+            if self.prospect(now, graph, stage, &service, pool, budget) != Outcome::Unplaced {
                 continue;
             }
             let step = &job_spec.steps[graph.stages[stage].step as usize];
@@ -152,11 +161,22 @@
             if !self.ensure_advice(now, job, stage, actions) {
                 continue;
             }
+            let account = job_spec.account.as_ref();
+            let max_starts = budget.max_starts(account, charge(step));
             let picks = if step.is_gang {
                 self.pick_gang(job, stage, step, &mut pool.members)
             } else {
-                self.pick_each(job, stage, step, &mut pool.members)
+                self.pick_each(job, stage, step, &mut pool.members, max_starts)
             };
+            let started = picks.len() as u64;
+            budget.take(account, charge(step).times(started));
+            if let Some(graph) = self.jobs.get(job)
+                && !step.is_gang
+                && started == max_starts
+                && started < u64::from(graph.stages[stage].idle_count)
+            {
+                Self::hold_back(graph, stage, started, pool, budget);
+            }
             if !picks.is_empty() {
                 outcome = Outcome::Started;
             }
@@ -178,6 +198,7 @@
         stage: usize,
         service: &ids::Service,
         pool: &Pool,
+        budget: &mut Budget,
     ) -> Outcome {
         if graph.stages[stage].idle_count == 0 || !graph.is_ready(stage) {
             Outcome::NotReady
@@ -185,6 +206,8 @@
             || self.is_at_limit(now, graph, stage, service, pool)
         {
             Outcome::NoRoom
+        } else if Self::is_held_back(graph, stage, pool, budget) {
+            Outcome::Limited
         } else if self.awaits_advice(now, graph, stage) {
             Outcome::Unadvised
         } else {
@@ -260,6 +283,7 @@
             graph.set_placement(stage, pick.index, Placement::On(pick.worker.clone()));
             let mut new_run = Run::new(run, Resources::reserved_by(step), now);
             new_run.apply_step(step);
+            new_run.set_account(graph.job.account.as_ref());
             new_run.crashes = graph.progress.crash_count(&graph.counted(&task));
             let start = Command::Start {
                 payload: payload.clone(),
--- a/crates/core/src/sched/poll.rs
+++ b/crates/core/src/sched/poll.rs
@@ -226,6 +226,9 @@
         // The worker refuses later commands of older leaders.
         run.may_stop_until = Some(now + self.options.stop_timeout * 2);
         run.is_assigned = false;
+        if let Some(graph) = self.jobs.get(&task.job) {
+            run.set_account(graph.job.account.as_ref());
+        }
         if let Some(graph) = self.jobs.get_mut(&task.job)
             && let Some((stage, index)) = graph.find(task)
         {
--- a/crates/core/src/sched/pool.rs
+++ b/crates/core/src/sched/pool.rs
@@ -27,6 +27,8 @@
     pub not_ready: usize,
     /// Those for which no worker with the required label has room.
     pub without_room: usize,
+    /// Those whose account may not start more, as its limit is reached or the shard has too small a part of it.
+    pub limited: usize,
     /// Those whose idle tasks wait for an answer of the policy service, or were permitted on no worker.
     pub unadvised: usize,
     /// Those that had room and of which no task could be placed for another reason.
@@ -48,6 +50,8 @@
     NotReady,
     /// No worker with the required label has room.
     NoRoom,
+    /// Its account may not start more.
+    Limited,
     /// The policy service has not permitted a worker.
     Unadvised,
     /// Workers had room, but no task could be placed for another reason.
@@ -138,6 +142,7 @@
         match outcome {
             Outcome::NotReady => tally.not_ready += 1,
             Outcome::NoRoom => tally.without_room += 1,
+            Outcome::Limited => tally.limited += 1,
             Outcome::Unadvised => tally.unadvised += 1,
             Outcome::Unplaced => tally.unplaced += 1,
             Outcome::Started => {
--- a/crates/core/src/sched/run.rs
+++ b/crates/core/src/sched/run.rs
@@ -6,6 +6,7 @@
 use super::worker::Resources;
 use crate::ids;
 use crate::job::Step;
+use crate::limit::Amount;
 
 /// `Phase` is the state of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -18,6 +19,27 @@
     Stopping,
 }
 
+/// `Owner` is the client account that a run counts for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Owner {
+    /// The job is not known, so that it may belong to any account.
+    Unknown,
+    /// The job belongs to no account.
+    Nobody,
+    /// The job belongs to an account.
+    Account(ids::Account),
+}
+
+/// Returns what a task of a step counts for the limit of its account. Unlike on its worker, the processor time of a
+/// best-effort task counts.
+pub(super) fn charge(step: &Step) -> Amount {
+    Amount {
+        cpu_millicores: step.cpu_millicores,
+        memory_mb: step.memory_mb,
+        gpus: step.gpus,
+    }
+}
+
 /// `Run` is the leader's state of one start of a task on a worker.
 #[derive(Clone, Debug)]
 #[expect(clippy::struct_excessive_bools, reason = "each flag is independent")]
@@ -25,6 +47,9 @@
     pub(super) number: ids::Run,
     pub(super) state: Phase,
     pub(super) resources: Resources,
+    pub(super) owner: Owner,
+    /// What it counts for the limit of its account.
+    pub(super) charge: Amount,
     /// Whether its task is placed on it; a run without an assigned task is stopped.
     pub(super) is_assigned: bool,
     /// Time at which the start was sent, or at which the run was found on the worker.
@@ -69,6 +94,8 @@
             number,
             state: Phase::Starting,
             resources,
+            owner: Owner::Unknown,
+            charge: resources.into(),
             is_assigned: true,
             created_at: now,
             may_stop_until: None,
@@ -92,8 +119,14 @@
         }
     }
 
+    /// Records the account of its job, if it has one.
+    pub(super) fn set_account(&mut self, account: Option<&ids::Account>) {
+        self.owner = account.map_or(Owner::Nobody, |account| Owner::Account(account.clone()));
+    }
+
     /// Copies the properties that the step declares for its tasks.
     pub(super) fn apply_step(&mut self, step: &Step) {
+        self.charge = charge(step);
         self.is_long_running = step.is_long_running;
         self.is_best_effort = step.is_best_effort;
         let millis = |target: Duration| u64::try_from(target.as_millis()).unwrap_or(u64::MAX);
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -12,12 +12,15 @@
 use super::worker::Worker;
 use crate::ids;
 use crate::job::Task;
+use crate::limit::{Borrower, Report};
 use crate::map::{Map, Set};
 use crate::queue::Config;
 
 /// `Options` holds the identity of the leader and the limits of its workers.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// Number of the shard.
+    pub shard: ids::Shard,
     /// Process that leads the shard.
     pub node: ids::Instance,
     /// Longest lease that a worker accepts.
@@ -29,6 +32,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
+            shard: 0,
             node: ids::Instance::new(),
             max_lease: Duration::from_secs(10),
             stop_timeout: Duration::from_millis(900),
@@ -95,6 +99,8 @@
     pub(super) appended_at: Instant,
     /// Work of recently accepted jobs.
     pub(super) arrivals: Arrivals,
+    /// Units of the accounts' limits that the shard has.
+    pub(super) borrower: Borrower,
     /// Whether a worker has reported a newer term.
     pub(super) is_fenced: bool,
 }
@@ -114,6 +120,7 @@
         now: Instant,
     ) -> Self {
         Self {
+            borrower: Borrower::new(options.shard),
             options,
             term,
             config: Arc::default(),
@@ -162,6 +169,9 @@
             self.place_if_due(now, actions);
         }
         self.flush(now, actions);
+        if let Some(records) = self.borrower.next_delivery(now) {
+            actions.push(Action::NotifyLender(records));
+        }
     }
 
     /// Checks if the term was confirmed recently enough to renew leases and to stop runs.
@@ -184,6 +194,12 @@
         queue.map_or(&graph.job.service, |queue| &queue.service)
     }
 
+    /// Returns what the latest pass found of each account with a limit that has units or work in the shard.
+    #[must_use]
+    pub fn limits(&self) -> &[Report] {
+        self.borrower.reports()
+    }
+
     /// Returns counts for operators: workers, those that are listed and those that may get tasks,
     /// runs, open jobs, idle long-running tasks, workers that have not yet answered under this
     /// term, passes of placement over all workers and waiting jobs in this term, and jobs that the
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -103,6 +103,8 @@
                 cpu_millicores: cpu_millicores?,
                 max_descriptors: max_descriptors?,
                 sched: sched::Options {
+                    // Each shard sets its own number.
+                    shard: 0,
                     node: instance,
                     max_lease: max_lease?,
                     stop_timeout: stop_timeout?,
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -4,6 +4,8 @@
 mod availability;
 mod capacity;
 mod crash;
+mod federation;
+mod limit;
 mod line;
 mod odd;
 mod overload;
--- a/crates/core/tests/sched/world/mod.rs
+++ b/crates/core/tests/sched/world/mod.rs
@@ -4,14 +4,17 @@
 mod disturbance;
 mod fixture;
 mod transport;
+mod units;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use persimmongate_core::account::Directory;
 use persimmongate_core::ids;
 use persimmongate_core::job::{Job, Outcome, Progress, Schedule, Step, Task};
 use persimmongate_core::journal::{Index, Record};
+use persimmongate_core::limit;
 use persimmongate_core::queue::Policy;
 use persimmongate_core::sched::{
     Action, Cause, Event, Options, Query, Report, Resources, Scheduler, Ticket,
@@ -25,6 +28,7 @@
 use transport::addressee;
 
 pub(crate) use fixture::{long_running, report, step};
+pub(crate) use units::accounts;
 
 /// Time for which a ticket is valid.
 const TICKET_VALIDITY: Duration = Duration::from_secs(3);
@@ -148,6 +152,16 @@
     availability: Ledger,
     /// Workers whose capacity has shrunk, with the time and the capacity before.
     shrunk: BTreeMap<String, (Instant, Resources)>,
+    /// Number of the shard.
+    pub(crate) shard: ids::Shard,
+    /// Client accounts of the configuration.
+    pub(crate) accounts: Directory,
+    /// Units of the accounts' limits, replayed from the log.
+    pub(crate) ledger: limit::Ledger,
+    /// Records for the lender of the limits, each with the leader that sends them.
+    pub(crate) outbox: Vec<(usize, Vec<Record>)>,
+    /// Whether workers refuse the commands of older leaders.
+    pub(crate) has_fencing: bool,
     /// Jobs whose first task crashes each worker that starts it.
     pub(crate) crashing_jobs: BTreeSet<ids::Job>,
     /// Starts of such tasks.
@@ -156,6 +170,16 @@
 
 impl World {
     pub(crate) fn new(workers: usize, seed: u64) -> Self {
+        Self::with_accounts(0, workers, seed, Directory::default())
+    }
+
+    /// Creates the world of a shard with client accounts.
+    pub(crate) fn with_accounts(
+        shard: ids::Shard,
+        workers: usize,
+        seed: u64,
+        accounts: Directory,
+    ) -> Self {
         let now = Instant::now();
         let mut world = Self {
             now,
@@ -193,6 +217,11 @@
             violations: Vec::new(),
             availability: Ledger::default(),
             shrunk: BTreeMap::new(),
+            shard,
+            accounts,
+            ledger: limit::Ledger::default(),
+            outbox: Vec::new(),
+            has_fencing: true,
             crashing_jobs: BTreeSet::new(),
             crashing_starts: BTreeMap::new(),
         };
@@ -212,7 +241,10 @@
         let term = self.offset + 1;
         self.offset += 1;
         let has_predecessor = !self.leaders.is_empty();
-        let options = Options::default();
+        let options = Options {
+            shard: self.shard,
+            ..Options::default()
+        };
         let scheduler = Scheduler::new(options, term, has_predecessor, false, self.now);
         self.leaders.push(Leader {
             scheduler,
@@ -227,7 +259,9 @@
             latency_per_worker: Duration::ZERO,
             validity: TICKET_VALIDITY,
         });
-        self.deliver(leader, Event::Config(Arc::new(config(policy_service))));
+        let config = config(policy_service).with_accounts(self.accounts.clone());
+        self.deliver(leader, Event::Config(Arc::new(config)));
+        self.deliver_loans(leader);
         let jobs: Vec<_> = self
             .index
             .jobs()
@@ -323,7 +357,7 @@
         });
     }
 
-    fn accept(&mut self, job: Job) {
+    pub(crate) fn accept(&mut self, job: Job) {
         let job = Arc::new(job);
         let offset = self.offset;
         self.offset += 1;
@@ -357,12 +391,12 @@
         }
     }
 
-    fn is_current(&self, leader: usize) -> bool {
+    pub(crate) fn is_current(&self, leader: usize) -> bool {
         let is_newest = leader + 1 == self.leaders.len();
         is_newest && self.leaders[leader].is_log_reachable && self.leaders[leader].is_up
     }
 
-    fn unix_ms(&self) -> u64 {
+    pub(crate) fn unix_ms(&self) -> u64 {
         1_000_000 + u64::try_from((self.now - self.started_at).as_millis()).unwrap()
     }
 
@@ -402,6 +436,7 @@
                     self.poll_count += u64::from(matches!(action, Action::Poll(_)));
                     self.schedule(self.now + LATENCY, Activity::Arrive(leader, action));
                 }
+                Action::NotifyLender(records) => self.outbox.push((leader, records)),
                 Action::Fenced => self.leaders[leader].is_up = false,
                 Action::RequestAdvice(Query {
                     job,
@@ -442,6 +477,7 @@
                 Action::LogWorker(..)
                 | Action::LogIdle(_)
                 | Action::LogWaiting(..)
+                | Action::LogLimited(_)
                 | Action::LogRecovery(_) => {
                     self.lines.push(action);
                 }
--- a/crates/core/tests/sched/world/transport.rs
+++ b/crates/core/tests/sched/world/transport.rs
@@ -28,6 +28,7 @@
             }
             self.offset += 1;
             self.index.apply(self.offset, record);
+            self.ledger.apply(record);
         }
         self.schedule(
             self.now + LATENCY,
@@ -229,6 +230,9 @@
             self.check_stop(name, &call);
         }
         let worker = self.workers.get_mut(name).unwrap();
+        if !self.has_fencing {
+            worker.token = 0;
+        }
         let (answer, has_started) = worker.call(now, &call, || active);
         if has_started {
             self.start_count += 1;
--- a/crates/jobs/src/fleet/leadership.rs
+++ b/crates/jobs/src/fleet/leadership.rs
@@ -1,12 +1,14 @@
 use actix::{ActorFutureExt, AsyncContext, Context, SpawnHandle, WrapFuture};
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Heartbeat, Key, Record};
-use persimmongate_core::map::Map;
+use persimmongate_core::limit::{self, Lender};
+use persimmongate_core::map::{Map, Set};
 use persimmongate_core::term::{self, Action as Elected, HEARTBEAT_INTERVAL};
 use persimmongate_core::upkeep::{Action, Event, Planner};
 use persimmongate_node::clock;
 use slog::{info, warn};
 
+use super::lending::lent_counts;
 use super::{APPEND_TIMEOUT, DEMAND_LOG_INTERVAL, Fleet, SHARD, TICK_INTERVAL};
 use crate::leadership::{
     Sequencer, append_with_retry, claim, encoded_or_logged, remove_unstorable, resignation,
@@ -24,8 +26,9 @@
 
 /// `Leadership` is the state that this process keeps while it leads the fleet, in one term.
 pub(super) struct Leadership {
-    term: ids::Term,
+    pub(super) term: ids::Term,
     pub(super) planner: Planner,
+    pub(super) lender: Lender,
     sequencer: Sequencer,
     /// Records for the next append. Appends are made one after another, as the log checks their order.
     pending: Vec<Record>,
@@ -87,11 +90,14 @@
         self.leadership = Some(Leadership {
             term,
             planner,
+            lender: Lender::new(&self.ledger),
             sequencer: Sequencer::new(Partition::Jobs(SHARD), term),
             pending: Vec::new(),
             is_appending: false,
-            tick_timer: ctx
-                .run_interval(TICK_INTERVAL, |act, ctx| act.step_planner(Event::Tick, ctx)),
+            tick_timer: ctx.run_interval(TICK_INTERVAL, |act, ctx| {
+                act.step_planner(Event::Tick, ctx);
+                act.step_lender(limit::Event::Tick, ctx);
+            }),
             heartbeat_timer: ctx.run_interval(HEARTBEAT_INTERVAL, Self::append_heartbeat),
             report_timer: ctx.run_interval(DEMAND_LOG_INTERVAL, |act, _| act.log_demand()),
         });
@@ -176,12 +182,18 @@
 
     /// Appends a record of the leader after those in flight.
     fn record(&mut self, record: Record, ctx: &mut Context<Self>) {
+        self.record_all(vec![record], ctx);
+    }
+
+    /// Appends records of the leader, each with a key of its own, after those in flight.
+    pub(super) fn record_all(&mut self, records: Vec<Record>, ctx: &mut Context<Self>) {
         if let Some(leadership) = &mut self.leadership {
             // The newest record of a key replaces the earlier ones.
+            let keys: Set<Key> = records.iter().map(Record::key).collect();
             leadership
                 .pending
-                .retain(|pending| pending.key() != record.key());
-            leadership.pending.push(record);
+                .retain(|pending| !keys.contains(&pending.key()));
+            leadership.pending.extend(records);
         }
         self.flush(ctx);
     }
@@ -195,9 +207,9 @@
             return;
         }
         let term = leadership.term;
-        let append = leadership
-            .sequencer
-            .append(&std::mem::take(&mut leadership.pending));
+        let records = std::mem::take(&mut leadership.pending);
+        let lent = lent_counts(&records);
+        let append = leadership.sequencer.append(&records);
         let Some(mut append) = encoded_or_logged(append, &self.setup.logger) else {
             return;
         };
@@ -218,7 +230,12 @@
             };
             leadership.is_appending = false;
             match appended {
-                Ok(_) => act.flush(ctx),
+                Ok(_) => {
+                    if !lent.is_empty() {
+                        act.step_lender(limit::Event::Recorded(lent), ctx);
+                    }
+                    act.flush(ctx);
+                }
                 Err(failure) => {
                     warn!(act.setup.logger, "append of leader failed"; "reason" => ?failure);
                     act.step_election(term::Event::Fenced, ctx);
@@ -309,7 +326,12 @@
     }
 
     /// Appends records to the partition of a shard, for the leader there.
-    fn append_requests(&self, shard: ids::Shard, records: &[Record], ctx: &mut Context<Self>) {
+    pub(super) fn append_requests(
+        &self,
+        shard: ids::Shard,
+        records: &[Record],
+        ctx: &mut Context<Self>,
+    ) {
         for batch in records.chunks(MAX_REQUESTS_PER_APPEND) {
             let append = unconditional_append(Partition::Jobs(shard), batch);
             if let Some(append) = encoded_or_logged(append, &self.setup.logger) {
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! The actor performs what [`persimmongate_core::upkeep`] plans.
 
 mod leadership;
+mod lending;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,6 +15,7 @@
 use opentelemetry::metrics::Counter;
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Drain, Limits, Load, Record};
+use persimmongate_core::limit::Ledger;
 use persimmongate_core::map::Map;
 use persimmongate_core::queue::Config;
 use persimmongate_core::term::{self, Election};
@@ -26,7 +28,7 @@
 use slog::{Logger, warn};
 
 use crate::cursor::{Batch, Cursor};
-use crate::leadership::{MAX_READ_WAIT, read_wait, resign};
+use crate::leadership::{MAX_READ_WAIT, read_pause, read_wait, resign};
 use crate::operator::{Configured, Requested};
 use crate::platform::{Partition, Platform};
 use crate::reader::Reader;
@@ -35,7 +37,10 @@
 use leadership::Leadership;
 
 /// Number of the shard whose partition holds the records about hosts.
-const SHARD: ids::Shard = 0;
+pub(crate) const SHARD: ids::Shard = 0;
+/// Pause of a follower between two reads once units of limits are lent, as many records are for the leader alone. It is
+/// shorter than the time between two heartbeats.
+const FOLLOWER_READ_PAUSE: Duration = Duration::from_millis(300);
 /// Interval of the planner's time-driven work.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of the log lines about the demand.
@@ -77,6 +82,8 @@
     maintained: Map<ids::WaveNumber, Vec<ids::Host>>,
     drains: Map<ids::Worker, Drain>,
     loads: Map<ids::Service, Load>,
+    /// Units of the accounts' limits that were lent and returned.
+    ledger: Ledger,
     election: Election,
     leadership: Option<Leadership>,
     _guard: Guard<C>,
@@ -96,6 +103,7 @@
             maintained: Map::default(),
             drains: Map::default(),
             loads: Map::default(),
+            ledger: Ledger::default(),
             election,
             leadership: None,
             _guard: guard,
@@ -113,10 +121,21 @@
                     warn!(act.setup.logger, "cannot read partition of fleet"; "reason" => ?failure);
                 }
             }
-            act.read_next(cursor, ctx);
+            let pause = act.read_pause();
+            ctx.run_later(pause, move |act, ctx| act.read_next(cursor, ctx));
         }));
     }
 
+    /// Returns the pause after a read.
+    fn read_pause(&self) -> Duration {
+        let is_watched = self.leadership.is_some() || self.election.is_leader_resigning();
+        if is_watched || self.ledger.is_empty() {
+            Duration::ZERO
+        } else {
+            read_pause(&self.election, FOLLOWER_READ_PAUSE)
+        }
+    }
+
     fn apply(&mut self, cursor: &Cursor, batch: &Batch, ctx: &mut Context<Self>) {
         for entry in &batch.records {
             match self.reader.read(entry) {
@@ -128,6 +147,9 @@
                     self.maintained.insert(wave, hosts.clone());
                     self.step_planner(Event::MaintainedHosts(wave, hosts), ctx);
                 }
+                Some(record @ (Record::Lent(..) | Record::Returned(..) | Record::Demand(..))) => {
+                    self.apply_units(record, ctx);
+                }
                 Some(_) | None => {}
             }
         }
@@ -223,6 +245,8 @@
             "leads": self.leadership.is_some(),
             "waves": self.waves.len(),
             "drains": self.drains.len(),
+            "accounts_with_units": self.ledger.account_count(),
+            "accounts_short_of_units": self.leadership.as_ref().map(|led| led.lender.short_count()),
         }))
     }
 }
--- a/crates/jobs/src/shard/append.rs
+++ b/crates/jobs/src/shard/append.rs
@@ -1,16 +1,23 @@
 //! Appends of the shard's leader, one after another.
 
+use std::time::Duration;
+
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use persimmongate_core::ids;
 use persimmongate_core::journal::{Key, Record};
+use persimmongate_core::limit::Notice;
 use persimmongate_core::sched::Event;
 use persimmongate_core::term;
 use persimmongate_node::clock;
 use slog::{error, warn};
 
 use super::Shard;
-use crate::leadership::{Overflow, append_with_retry};
-use crate::platform::{Failure, Platform};
+use crate::fleet::SHARD as FLEET_SHARD;
+use crate::leadership::{Overflow, append_with_retry, encoded_or_logged, unconditional_append};
+use crate::platform::{Failure, Partition, Platform};
+
+/// Time limit of an append for the lender of the limits, after which it is made anew with what holds then.
+const NOTIFY_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Shard<P, C> {
     /// Appends the records of an action of the scheduler, which gets an event once all are stored.
@@ -53,6 +60,29 @@
         );
     }
 
+    /// Appends records to the partition of the fleet, whose leader lends the units of the accounts' limits.
+    pub(super) fn notify_lender(
+        &self,
+        term: ids::Term,
+        records: &[Record],
+        ctx: &mut Context<Self>,
+    ) {
+        let append = unconditional_append(Partition::Jobs(FLEET_SHARD), records);
+        let Some(append) = encoded_or_logged(append, &self.setup.logger) else {
+            return;
+        };
+        let deadline = clock::now() + NOTIFY_TIMEOUT;
+        let appending = append_with_retry(self.setup.platform.clone(), append, Some(deadline));
+        ctx.spawn(appending.into_actor(self).map(move |appended, act, ctx| {
+            if let Err(failure) = &appended {
+                warn!(act.setup.logger, "record for the lender of limits not appended"; "shard" => act.setup.shard,
+                    "term" => term, "reason" => ?failure);
+            }
+            let notice = Notice::Delivered(appended.is_ok());
+            act.step_scheduler_in_term(term, Event::Limit(notice), ctx);
+        }));
+    }
+
     /// Goes on without the records that the log refuses, as each further leader would meet the same refusal. After any
     /// other failure this process no longer leads.
     fn handle_append_failure(
--- a/crates/jobs/src/shard/gauge.rs
+++ b/crates/jobs/src/shard/gauge.rs
@@ -1,6 +1,12 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Gauge;
 use persimmongate_core::ids;
+use persimmongate_core::limit::Report;
+
+use super::line::limited;
+
+/// Maximum number of accounts that are published, so that their number does not set that of the time series.
+pub(super) const MAX_ACCOUNTS: usize = 10;
 
 /// `Counts` publishes counts of a shard while this process leads it, and 0 afterwards.
 pub(super) struct Counts {
@@ -43,3 +49,65 @@
         }
     }
 }
+
+/// `Limits` publishes the accounts of a shard with the most tasks that wait for their limits and the most in use,
+/// while this process leads the shard, and 0 afterwards.
+pub(super) struct Limits {
+    gauge: Gauge<u64>,
+    shard: ids::Shard,
+    /// Accounts that were published.
+    accounts: Vec<ids::Account>,
+}
+
+impl Limits {
+    /// Amounts of an account that are published.
+    const AMOUNTS: [&'static str; 4] = ["used", "held_back", "allowance", "limit"];
+
+    pub(super) fn new(gauge: Gauge<u64>, shard: ids::Shard) -> Self {
+        Self {
+            gauge,
+            shard,
+            accounts: Vec::new(),
+        }
+    }
+
+    /// Publishes the processor time of the accounts, in millicores.
+    pub(super) fn publish(&mut self, reports: &[Report]) {
+        let reports = Report::top(reports, MAX_ACCOUNTS);
+        let previous = std::mem::take(&mut self.accounts);
+        for account in previous {
+            if !reports.iter().any(|report| report.account == account) {
+                self.record(&account, [0; 4]);
+            }
+        }
+        for report in reports {
+            let amounts = [
+                report.used.cpu_millicores,
+                report.held_back.cpu_millicores,
+                limited(report.allowance.cpu_millicores).unwrap_or(0),
+                limited(report.limit.cpu_millicores).unwrap_or(0),
+            ];
+            self.record(&report.account, amounts);
+            self.accounts.push(report.account);
+        }
+    }
+
+    fn record(&self, account: &ids::Account, amounts: [u64; 4]) {
+        for (name, amount) in Self::AMOUNTS.into_iter().zip(amounts) {
+            let labels = [
+                KeyValue::new("shard", i64::from(self.shard)),
+                KeyValue::new("account", account.to_string()),
+                KeyValue::new("amount", name),
+            ];
+            self.gauge.record(amount, &labels);
+        }
+    }
+}
+
+impl Drop for Limits {
+    fn drop(&mut self) {
+        for account in &self.accounts {
+            self.record(account, [0; 4]);
+        }
+    }
+}
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -3,12 +3,13 @@
 use actix::{ActorFutureExt, AsyncContext, Context, Handler, Message, SpawnHandle, WrapFuture};
 use persimmongate_core::ids;
 use persimmongate_core::journal::Record;
-use persimmongate_core::sched::{Action, Event, Report, Scheduler};
+use persimmongate_core::limit;
+use persimmongate_core::sched::{Action, Event, Options, Report, Scheduler};
 use persimmongate_core::term::{self, Action as Elected};
 use persimmongate_node::clock;
 use slog::{info, warn};
 
-use super::gauge::Counts;
+use super::gauge::{Counts, Limits};
 use super::lag::Lag;
 use super::line;
 use super::{Shard, Transition};
@@ -35,6 +36,7 @@
     pub(super) outbox: Outbox,
     tick_timer: SpawnHandle,
     counts: Counts,
+    limits: Limits,
     lag: Lag,
 }
 
@@ -89,7 +91,10 @@
     ) {
         info!(self.setup.logger, "became leader of shard"; "shard" => self.setup.shard, "term" => term,
             "succeeds" => has_predecessor, "resigned" => predecessor_resigned);
-        let options = self.setup.options.clone();
+        let options = Options {
+            shard: self.setup.shard,
+            ..self.setup.options.clone()
+        };
         let scheduler = Scheduler::new(
             options,
             term,
@@ -102,6 +107,7 @@
             act.step_scheduler(Event::Tick, ctx);
             if let Some(led) = &mut act.leadership {
                 led.counts.publish(led.scheduler.counts(clock::now()));
+                led.limits.publish(led.scheduler.limits());
             }
         });
         self.leadership = Some(Leadership {
@@ -111,11 +117,17 @@
             outbox: Outbox::new(self.setup.log_limits),
             tick_timer,
             counts: Counts::new(self.led_shards.clone(), self.setup.shard),
+            limits: Limits::new(self.account_limits.clone(), self.setup.shard),
             lag: Lag::new(clock::now()),
         });
         if let Some(config) = self.config.clone() {
             self.step_scheduler(Event::Config(config), ctx);
         }
+        let loans = self.ledger.loans();
+        let loans = loans.map(|(_, account, loan)| limit::Notice::Loan(account.clone(), loan));
+        for loan in loans.collect::<Vec<_>>() {
+            self.step_scheduler(Event::Limit(loan), ctx);
+        }
         let drains: Vec<_> = self.drains.keys().cloned().collect();
         for worker in drains {
             self.step_scheduler(Event::Drain(worker, true), ctx);
@@ -291,6 +303,7 @@
             }
             Action::DropPayloads(jobs) => self.drop_payloads(jobs, ctx),
             Action::Append(records) => self.append(term, records, ctx),
+            Action::NotifyLender(records) => self.notify_lender(term, &records, ctx),
             Action::Fenced => self.step_election(term::Event::Fenced, ctx),
             Action::LogStarts {
                 job,
@@ -316,6 +329,7 @@
             Action::LogWaiting(service, tally) => {
                 line::log_waiting(logger, term, &service, &tally);
             }
+            Action::LogLimited(reports) => line::log_limited(logger, shard, term, &reports),
             Action::LogRecovery(wait) => line::log_recovery(logger, shard, term, wait),
         }
     }
--- a/crates/jobs/src/shard/line.rs
+++ b/crates/jobs/src/shard/line.rs
@@ -1,6 +1,7 @@
 use std::fmt::Write;
 
 use persimmongate_core::ids;
+use persimmongate_core::limit;
 use persimmongate_core::sched::{Answer, Belief, Change, Idle, Stop, Tally, Wait};
 use slog::{Logger, info, warn};
 
@@ -94,11 +95,36 @@
     let first_unexamined = tally.first_unexamined.as_ref().map(ToString::to_string);
     info!(logger, "jobs wait for workers"; "service" => %service, "term" => term,
         "waiting" => tally.waiting, "started" => tally.started, "not_ready" => tally.not_ready,
-        "without_room" => tally.without_room, "unadvised" => tally.unadvised, "unplaced" => tally.unplaced,
+        "without_room" => tally.without_room, "limited" => tally.limited, "unadvised" => tally.unadvised, "unplaced" => tally.unplaced,
         "unexamined" => tally.unexamined, "first_unexamined" => first_unexamined,
         "eligible" => tally.eligible, "free_millicores" => tally.free_millicores);
 }
 
+/// Writes log lines about accounts whose tasks wait because of their limits.
+pub(super) fn log_limited(
+    logger: &Logger,
+    shard: ids::Shard,
+    term: ids::Term,
+    reports: &[limit::Report],
+) {
+    for report in reports {
+        let (used, held_back) = (&report.used, &report.held_back);
+        info!(logger, "tasks wait for the limit of their account"; "account" => %report.account,
+            "shard" => shard, "term" => term, "held_back_millicores" => held_back.cpu_millicores,
+            "held_back_mb" => held_back.memory_mb, "held_back_gpus" => held_back.gpus,
+            "used_millicores" => used.cpu_millicores, "used_mb" => used.memory_mb, "used_gpus" => used.gpus,
+            "allowance_millicores" => limited(report.allowance.cpu_millicores),
+            "allowance_mb" => limited(report.allowance.memory_mb),
+            "limit_millicores" => limited(report.limit.cpu_millicores),
+            "limit_mb" => limited(report.limit.memory_mb));
+    }
+}
+
+/// Returns an amount, or `None` if it stands for a resource without a limit.
+pub(super) fn limited(amount: u64) -> Option<u64> {
+    (amount != u64::MAX).then_some(amount)
+}
+
 /// Writes a log line about a leader that is behind its events.
 pub(super) fn log_lag(
     logger: &Logger,
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -7,6 +7,7 @@
 mod leadership;
 mod line;
 mod payload;
+mod replay;
 mod request;
 mod resignation;
 
@@ -21,7 +22,8 @@
 };
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 use persimmongate_core::ids;
-use persimmongate_core::journal::{Drain, Index, Limits, Load, Record};
+use persimmongate_core::journal::{Drain, Index, Limits, Load};
+use persimmongate_core::limit::Ledger;
 use persimmongate_core::map::Map;
 use persimmongate_core::queue::Config;
 use persimmongate_core::sched::{Event, Options};
@@ -30,7 +32,7 @@
 use persimmongate_node::supervisor::Guard;
 use slog::{Logger, info, warn};
 
-use crate::cursor::{Batch, Cursor};
+use crate::cursor::Cursor;
 use crate::leadership::{MAX_READ_WAIT, read_pause, read_wait};
 use crate::operator::Configured;
 use crate::platform::{Partition, Platform};
@@ -131,6 +133,8 @@
     job_index: Index,
     drains: Map<ids::Worker, Drain>,
     loads: Vec<Load>,
+    /// Units of the accounts' limits that the shard got and returned.
+    ledger: Ledger,
     election: Election,
     /// Offset up to which all records were read.
     read_through: ids::Offset,
@@ -142,6 +146,8 @@
     log_failed_at: Option<Instant>,
     /// Counts of the shards that this process leads.
     led_shards: Gauge<u64>,
+    /// Processor time of accounts with limits, in millicores.
+    account_limits: Gauge<u64>,
     leadership: Option<Leadership>,
     _guard: Guard<C>,
 }
@@ -166,6 +172,7 @@
         let election_timeout = term::election_timeout(setup.cpu_millicores, 0, rand::random());
         let election = Election::new(setup.node.clone(), rand::random(), election_timeout);
         let led_shards = setup.meter.u64_gauge("led_shard").build();
+        let account_limits = setup.meter.u64_gauge("account_limit_millicores").build();
         let reader = Reader::new(
             setup.shard,
             setup.skipped_entries.clone(),
@@ -179,12 +186,14 @@
             job_index: Index::default(),
             drains: Map::default(),
             loads: Vec::new(),
+            ledger: Ledger::default(),
             election,
             read_through: 0,
             last_complete_read: None,
             last_queried_at: None,
             log_failed_at: None,
             led_shards,
+            account_limits,
             leadership: None,
             _guard: guard,
         }
@@ -268,74 +277,6 @@
             ctx.run_later(pause, move |act, ctx| act.read_next(cursor, ctx));
         }));
     }
-
-    fn apply(&mut self, cursor: &Cursor, batch: &Batch, ctx: &mut Context<Self>) {
-        let mut earlier_drains = Map::default();
-        if batch.is_snapshot {
-            self.job_index.clear();
-            earlier_drains = std::mem::take(&mut self.drains);
-        }
-        for entry in &batch.records {
-            if let Some(record) = self.reader.read(entry) {
-                self.apply_record(entry.offset, &record, ctx);
-            }
-        }
-        // The withdrawal of a drain may be among the records that the log no longer keeps.
-        earlier_drains.retain(|worker, _| !self.drains.contains_key(worker));
-        for worker in earlier_drains.into_keys() {
-            self.apply_record(batch.end_offset, &Record::Drain(worker, None), ctx);
-        }
-        if !cursor.has_reached(batch.end_offset) {
-            return;
-        }
-        self.read_through = batch.end_offset;
-        self.last_complete_read = Some(batch.sent_at);
-        let read = term::Event::Read {
-            sent_at: batch.sent_at,
-            end: batch.end_offset,
-        };
-        self.step_election(read, ctx);
-        self.step_scheduler(Event::TermConfirmed(batch.sent_at), ctx);
-    }
-
-    /// Applies a record of the log to the state and passes it to the election and the leader.
-    fn apply_record(&mut self, offset: ids::Offset, record: &Record, ctx: &mut Context<Self>) {
-        self.job_index.apply(offset, record);
-        match record {
-            Record::Accepted(job) => {
-                let id = job.id.clone();
-                self.schedule_job(&id, ctx);
-            }
-            Record::Heartbeat(heartbeat) => {
-                if heartbeat.term > 0 {
-                    self.loads.clone_from(&heartbeat.loads);
-                    self.setup
-                        .observer
-                        .do_send(Observation::Loads(heartbeat.loads.clone()));
-                }
-                let heartbeat = heartbeat.clone();
-                self.step_election(term::Event::Heartbeat { offset, heartbeat }, ctx);
-            }
-            Record::Canceled(job) => self.step_scheduler(Event::Canceled(job.clone()), ctx),
-            Record::Drain(worker, drain) => {
-                match drain {
-                    Some(drain) => self.drains.insert(worker.clone(), drain.clone()),
-                    None => self.drains.remove(worker),
-                };
-                self.step_scheduler(Event::Drain(worker.clone(), drain.is_some()), ctx);
-                let observation = Observation::Drain(worker.clone(), drain.clone());
-                self.setup.observer.do_send(observation);
-            }
-            Record::Progress(..) => self.step_election(term::Event::LeaderActive, ctx),
-            // A record from before the drain does not show that the worker is drained now.
-            Record::Drained(worker, _) if self.drains.contains_key(worker) => {
-                self.setup
-                    .observer
-                    .do_send(Observation::Drained(worker.clone()));
-            }
-            Record::Dropped(_) | Record::Drained(..) | Record::Payload(..) | Record::Wave(..) => {}
-        }
-    }
 }
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Actor for Shard<P, C> {
--- a/crates/wire/src/journal/mod.rs
+++ b/crates/wire/src/journal/mod.rs
@@ -1,6 +1,7 @@
 //! Encoding of the keys and values of the records about jobs.
 
 use std::fmt::Display;
+use std::str::FromStr;
 
 use bytes::Bytes;
 use bytestring::ByteString;
@@ -32,6 +33,10 @@
         Key::Progress(job) => join_key("p", job),
         Key::Drained(worker) => join_key("v", worker),
         Key::Wave(wave) => join_key("w", wave),
+        Key::Lent(shard, account) => join_key("l", &format_args!("{shard}/{account}")),
+        Key::Returned(shard, account) => join_key("r", &format_args!("{shard}/{account}")),
+        Key::Demand(shard) => join_key("q", shard),
+        Key::Recall(shard) => join_key("k", shard),
     }
 }
 
@@ -58,14 +63,36 @@
         "p" => Key::Progress(id),
         "t" => Key::Payload(id),
         "v" => Key::Drained(id),
-        "w" => Key::Wave(
-            name.parse()
-                .map_err(|error| malformed_error("journal key", &error))?,
-        ),
+        "w" => Key::Wave(parse(name)?),
+        "l" => {
+            let (shard, account) = split_account(name)?;
+            Key::Lent(shard, account)
+        }
+        "r" => {
+            let (shard, account) = split_account(name)?;
+            Key::Returned(shard, account)
+        }
+        "q" => Key::Demand(parse(name)?),
+        "k" => Key::Recall(parse(name)?),
         _ => return Err(malformed_error("journal key", &"unknown kind")),
     })
 }
 
+/// Parses a number in a key.
+fn parse<T: FromStr<Err: Display>>(name: &str) -> Result<T> {
+    name.parse()
+        .map_err(|error| malformed_error("journal key", &error))
+}
+
+/// Splits the name of a key into the number of a shard and an account.
+fn split_account(name: &str) -> Result<(ids::Shard, ids::Account)> {
+    let (shard, account) = name
+        .split_once('/')
+        .filter(|(_, account)| !account.is_empty())
+        .ok_or_else(|| malformed_error("journal key", &"no account"))?;
+    Ok((parse(shard)?, account.into()))
+}
+
 /// Encodes the value of a record; `None` deletes the key from the log.
 ///
 /// # Errors
@@ -81,6 +108,9 @@
         Record::Progress(_, progress) => Some(encode_value(progress)?),
         Record::Drained(_, drained) => Some(encode_value(drained)?),
         Record::Wave(_, hosts) => Some(encode_value(hosts)?),
+        Record::Lent(_, _, units) | Record::Returned(_, _, units) => Some(encode_value(units)?),
+        Record::Demand(_, demands) => Some(encode_value(demands)?),
+        Record::Recall(_, recalls) => Some(encode_value(recalls)?),
         Record::Dropped(_) => None,
     })
 }
@@ -108,6 +138,10 @@
         Key::Progress(job) => Record::Progress(job, decode_value(value)?),
         Key::Drained(worker) => Record::Drained(worker, decode_value(value)?),
         Key::Wave(wave) => Record::Wave(wave, decode_value(value)?),
+        Key::Lent(shard, account) => Record::Lent(shard, account, decode_value(value)?),
+        Key::Returned(shard, account) => Record::Returned(shard, account, decode_value(value)?),
+        Key::Demand(shard) => Record::Demand(shard, decode_value(value)?),
+        Key::Recall(shard) => Record::Recall(shard, decode_value(value)?),
     })
 }
 
--- a/crates/wire/tests/journal/main.rs
+++ b/crates/wire/tests/journal/main.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use persimmongate_core::job::{Job, Outcome, Progress, Step, Task};
-use persimmongate_core::journal::{Drain, Drained, Heartbeat, Key, Load, Record};
+use persimmongate_core::journal::{Demand, Drain, Drained, Heartbeat, Key, Load, Recall, Record};
 use persimmongate_wire::journal::{decode, decode_key, encode, encode_key};
 use proptest::prelude::*;
 use test_case::test_case;
@@ -72,6 +72,11 @@
 #[test_case(Record::Progress("job".into(), progress()))]
 #[test_case(Record::Drained("worker".into(), Drained { term: 3 }))]
 #[test_case(Record::Wave(4, vec!["host".into()]))]
+#[test_case(Record::Lent(3, "account/a".into(), 1 << 20))]
+#[test_case(Record::Returned(3, "account".into(), u64::MAX))]
+#[test_case(Record::Demand(3, vec![Demand { account: "account".into(), units: 4, lent: 2 }]))]
+#[test_case(Record::Recall(3, vec![Recall { account: "account".into(), max_units: None, returned: 2 }]))]
+#[test_case(Record::Recall(3, vec![Recall { account: "account".into(), max_units: Some(9), returned: 2 }]))]
 #[test_case(Record::Dropped(Key::Accepted("job".into())))]
 fn verify_record_survives_encoding(record: Record) {
     let key = encode_key(&record.key());
@@ -83,6 +88,9 @@
 #[test_case("a"; "no name")]
 #[test_case("z/name"; "unknown kind")]
 #[test_case("w/name"; "a wave without a number")]
+#[test_case("l/3"; "units without an account")]
+#[test_case("l/3/"; "units with an empty account")]
+#[test_case("r/x/account"; "units without a shard")]
 fn verify_unknown_key_is_rejected(key: &str) {
     assert!(decode_key(key).is_err());
 }
@@ -92,7 +100,9 @@
     fn verify_arbitrary_bytes_cause_no_panic(key in ".{0,12}", value: Vec<u8>) {
         let value = Bytes::from(value);
         let _ = decode(&key, Some(&value));
-        for kind in ["a/job", "beat", "d/worker", "p/job", "v/worker", "w/1"] {
+        for kind in [
+            "a/job", "beat", "d/worker", "p/job", "v/worker", "w/1", "l/1/a", "r/1/a", "q/1", "k/1",
+        ] {
             let _ = decode(kind, Some(&value));
         }
     }
