--- a/crates/core/src/limit/borrower.rs
+++ b/crates/core/src/limit/borrower.rs
@@ -28,6 +28,8 @@
 /// Maximum number of records that are sent to the lender in one append.
 const MAX_DELIVERY: usize = 500;
 
+/// Time after an append for the lender that failed until the next one.
+const FAILURE_BACKOFF: Duration = Duration::from_millis(250);
 /// Time between two log lines about the accounts whose tasks wait.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of accounts that they name.
@@ -49,6 +51,8 @@
     /// Those of which it is being told.
     delivering: Vec<ids::Account>,
     is_delivering: bool,
+    /// Time of the latest append for the lender that failed.
+    failed_at: Option<Instant>,
     /// Demands that the shard has now.
     demands: Vec<Demand>,
     /// Demands that were sent last, and when; `None` in a new term, as those of an older leader may be in force.
@@ -161,12 +165,15 @@
                     self.handle_recall(now, recall);
                 }
             }
+            // The units stay here, unused in this term: the next leader does not know that they were to go.
+            Notice::Unrecorded(account) => self.recording.retain(|(known, _)| *known != account),
             Notice::Delivered(is_stored) => {
                 self.is_delivering = false;
                 let delivered = std::mem::take(&mut self.delivering);
                 if !is_stored {
                     self.undelivered.extend(delivered);
                     self.sent_demands = None;
+                    self.failed_at = Some(now);
                 }
             }
         }
@@ -299,7 +306,8 @@
 
     /// Returns records to append to the partition of the lender, at most one append at a time.
     pub fn next_delivery(&mut self, now: Instant) -> Option<Vec<Record>> {
-        if self.is_delivering {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < FAILURE_BACKOFF;
+        if self.is_delivering || self.failed_at.is_some_and(is_recent) {
             return None;
         }
         let mut records = Vec::new();
--- a/crates/core/src/limit/loan.rs
+++ b/crates/core/src/limit/loan.rs
@@ -36,6 +36,8 @@
     Loan(ids::Account, Loan),
     /// The lender asks for units.
     Recalled(Vec<Recall>),
+    /// The log can't store the count of returned units of an account.
+    Unrecorded(ids::Account),
     /// The log of the lender has stored what the leader sent to it (true), or may not have.
     Delivered(bool),
 }
--- a/crates/jobs/src/shard/append.rs
+++ b/crates/jobs/src/shard/append.rs
@@ -122,8 +122,15 @@
             error!(self.setup.logger, "record too large for the log"; "shard" => self.setup.shard,
                 "term" => term, "key" => ?overflow.key, "bytes" => overflow.size,
                 "limit" => self.setup.log_limits.record_bytes, "replaced" => overflow.is_replaced);
-            if let Key::Progress(job) = overflow.key {
-                self.step_scheduler_in_term(term, Event::Overflowed(job), ctx);
+            match overflow.key {
+                Key::Progress(job) => {
+                    self.step_scheduler_in_term(term, Event::Overflowed(job), ctx);
+                }
+                Key::Returned(_, account) => {
+                    let notice = Notice::Unrecorded(account);
+                    self.step_scheduler_in_term(term, Event::Limit(notice), ctx);
+                }
+                _ => {}
             }
         }
     }
