--- a/crates/core/src/limit/borrower.rs
+++ b/crates/core/src/limit/borrower.rs
@@ -10,6 +10,9 @@
 const HEADROOM_DIVISOR: Units = 4;
 /// Least units that a shard holds beyond those in use.
 const MIN_HEADROOM: Units = WHOLE / 32;
+/// Units that a shard asks for before it has work of an account, so that its first task need not wait for them: less
+/// than the lender has for each of 100 pools.
+const INITIAL_UNITS: Units = WHOLE / 128;
 /// Least units that a shard returns while nobody lacks them, so that each return is worth its record.
 const MIN_RETURN: Units = WHOLE / 64;
 /// Time for which a shard goes on returning units after it was asked to: until the lender asks again while units are
@@ -229,6 +232,14 @@
             let wanted = known.plus(held_back).units(limit);
             let entry = self.accounts.get(account);
             let loan = entry.map(|entry| entry.loan).unwrap_or_default();
+            if wanted == 0 && loan == Loan::default() {
+                let demand = Demand {
+                    account: account.clone(),
+                    units: INITIAL_UNITS,
+                    lent: 0,
+                };
+                shortfalls.push((INITIAL_UNITS, demand));
+            }
             if wanted == 0 && loan.outstanding() == 0 {
                 continue;
             }
--- a/crates/core/src/limit/lender.rs
+++ b/crates/core/src/limit/lender.rs
@@ -13,6 +13,11 @@
 const RECALL_INTERVAL: Duration = Duration::from_secs(1);
 /// Units that the lender likes to have at hand. When it has less, shards return what they have no use for.
 const RESERVE: Units = WHOLE / 8;
+/// Units that the lender keeps when it lends more than a shard asks for. While there is more, a shard gets
+/// one part in [`EXTRA_DIVISOR`] of it beyond its demand, so that it need not ask again while nobody comes near the limit.
+const EXTRA_RESERVE: Units = WHOLE / 4;
+/// Divisor of the units beyond [`EXTRA_RESERVE`] that gives what a shard gets beyond its demand.
+const EXTRA_DIVISOR: Units = 4;
 /// Time after which a count of lent units is sent again to a shard that does not know it.
 const COPY_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of accounts in one request to return units.
@@ -252,6 +257,10 @@
         let units = entry.unmet().min(most).min(spare);
         if units > 0 {
             spare -= units;
+            let extra = spare.saturating_sub(EXTRA_RESERVE) / EXTRA_DIVISOR;
+            let extra = if is_short { 0 } else { extra };
+            spare -= extra;
+            let units = units + extra;
             entry.loan.lent = entry.loan.lent.saturating_add(units);
             records.push(Record::Lent(*shard, account.clone(), entry.loan.lent));
         }
