--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -3,6 +3,7 @@
 mod append;
 mod dump;
 mod gauge;
+mod intake;
 mod lag;
 mod leadership;
 mod line;
@@ -38,6 +39,7 @@
 use crate::platform::{Partition, Platform};
 use crate::reader::Reader;
 use crate::roster::{Roster, Subscribe};
+use intake::Intakes;
 use leadership::Leadership;
 
 /// Pause of a leader between two reads, so that one read returns several records. It is short compared
@@ -144,6 +146,8 @@
     last_queried_at: Option<Instant>,
     /// Time of the latest failed call to the log, if no call has succeeded since.
     log_failed_at: Option<Instant>,
+    /// Records of callers that the log does not hold yet.
+    intakes: Intakes,
     /// Counts of the shards that this process leads.
     led_shards: Gauge<u64>,
     /// Processor time of accounts with limits, in millicores.
@@ -178,6 +182,7 @@
             setup.skipped_entries.clone(),
             setup.logger.clone(),
         );
+        let intakes = Intakes::new(&setup.log_limits);
         Self {
             setup,
             reader,
@@ -192,6 +197,7 @@
             last_complete_read: None,
             last_queried_at: None,
             log_failed_at: None,
+            intakes,
             led_shards,
             account_limits,
             leadership: None,
--- a/crates/jobs/src/shard/replay.rs
+++ b/crates/jobs/src/shard/replay.rs
@@ -61,6 +61,9 @@
                 self.step_election(term::Event::Heartbeat { offset, heartbeat }, ctx);
             }
             Record::Canceled(job) => self.step_scheduler(Event::Canceled(job.clone()), ctx),
+            Record::Barred(job, _) if self.job_index.is_canceled(job) => {
+                self.step_scheduler(Event::Canceled(job.clone()), ctx);
+            }
             Record::Drain(worker, drain) => {
                 match drain {
                     Some(drain) => self.drains.insert(worker.clone(), drain.clone()),
@@ -87,7 +90,8 @@
             Record::Recall(shard, recalls) if *shard == self.setup.shard => {
                 self.step_scheduler(Event::Limit(Notice::Recalled(recalls.clone())), ctx);
             }
-            Record::Dropped(_)
+            Record::Barred(..)
+            | Record::Dropped(_)
             | Record::Drained(..)
             | Record::Payload(..)
             | Record::Wave(..)
