--- a/crates/core/examples/measure/placement.rs
+++ b/crates/core/examples/measure/placement.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use persimmongate_core::account::{Account, Directory, Limit};
+use persimmongate_core::ids;
 use persimmongate_core::job::{Job, Progress, Step};
 use persimmongate_core::queue::{Config, Policy, Queue, Service};
 use persimmongate_core::sched::{
@@ -23,6 +25,8 @@
 const PASS_SHARE_MAX: f64 = 50.0;
 /// Shortest time between two passes for each worker and each waiting job.
 const INTERVAL_PER_ENTRY: Duration = Duration::from_micros(50);
+/// Processor time that an account may have in use, in millicores.
+const ACCOUNT_CPU_MILLICORES: u64 = 100_000;
 const SERVICE: &str = "service";
 const QUEUE: &str = "queue";
 
@@ -39,24 +43,38 @@
     Unlabelled,
     /// The policy service permits no worker.
     Forbidden,
+    /// Each job belongs to one of a number of accounts, of whose limits the shard has no part.
+    Limited(usize),
 }
 
 impl Pattern {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 8] = [
         Self::Alike,
         Self::Mixed,
         Self::Shrinking,
         Self::Unlabelled,
         Self::Forbidden,
+        Self::Limited(20),
+        Self::Limited(120),
+        Self::Limited(1_200),
     ];
 
-    fn name(self) -> &'static str {
+    fn name(self) -> String {
         match self {
-            Self::Alike => "no room, jobs alike",
-            Self::Mixed => "no room, many sizes",
-            Self::Shrinking => "no room, each job smaller",
-            Self::Unlabelled => "label that no worker has",
-            Self::Forbidden => "no worker permitted",
+            Self::Alike => "no room, jobs alike".to_owned(),
+            Self::Mixed => "no room, many sizes".to_owned(),
+            Self::Shrinking => "no room, each job smaller".to_owned(),
+            Self::Unlabelled => "label that no worker has".to_owned(),
+            Self::Forbidden => "no worker permitted".to_owned(),
+            Self::Limited(accounts) => format!("limits of {accounts} accounts"),
+        }
+    }
+
+    /// Returns the account of a job.
+    fn account(self, number: usize) -> Option<ids::Account> {
+        match self {
+            Self::Limited(accounts) => Some(format!("account-{}", number % accounts).into()),
+            _ => None,
         }
     }
 
@@ -88,7 +106,7 @@
                 required_label: Some("missing".into()),
                 ..base
             },
-            Self::Forbidden => base,
+            Self::Forbidden | Self::Limited(_) => base,
         }
     }
 }
@@ -104,7 +122,7 @@
             let share = 100.0 * mean.as_secs_f64() / (INTERVAL_PER_ENTRY * entries).as_secs_f64();
             targets_met &= share <= PASS_SHARE_MAX;
             table.add(vec![
-                pattern.name().to_owned(),
+                pattern.name(),
                 workers.to_string(),
                 jobs.to_string(),
                 mean.as_micros().to_string(),
@@ -120,7 +138,7 @@
 fn measure(pattern: Pattern, workers: usize, jobs: usize) -> (Duration, Duration) {
     let mut leader = Leader::new(pattern, workers);
     for number in 0..jobs {
-        leader.submit(number, pattern.step(number, jobs));
+        leader.submit(number, pattern.step(number, jobs), pattern.account(number));
     }
     let (mut sum, mut slowest) = (Duration::ZERO, Duration::ZERO);
     for _ in 0..PASSES {
@@ -154,12 +172,12 @@
         leader
     }
 
-    fn submit(&mut self, number: usize, step: Step) {
+    fn submit(&mut self, number: usize, step: Step, account: Option<ids::Account>) {
         let job = Job {
             id: format!("job-{number:06}").into(),
             queue: QUEUE.into(),
             service: SERVICE.into(),
-            account: None,
+            account,
             payload: "text".into(),
             steps: vec![step],
             schedule: None,
@@ -272,5 +290,18 @@
         rejects_overload: false,
         is_spare: false,
     };
-    Config::new(1, vec![queue], vec![service])
+    let config = Config::new(1, vec![queue], vec![service]);
+    let Pattern::Limited(accounts) = pattern else {
+        return config;
+    };
+    let account = |number| Account {
+        name: format!("account-{number}").into(),
+        keys: Vec::new(),
+        weight: 1.0,
+        limit: Limit {
+            cpu_millicores: Some(ACCOUNT_CPU_MILLICORES),
+            ..Limit::default()
+        },
+    };
+    config.with_accounts(Directory::new((0..accounts).map(account).collect()))
 }
--- a/crates/core/src/limit/borrower.rs
+++ b/crates/core/src/limit/borrower.rs
@@ -222,9 +222,6 @@
     pub fn review(&mut self, now: Instant, usage: &Usage, budget: &Budget) {
         self.demands.clear();
         self.reports.clear();
-        if usage.is_unknown() {
-            return;
-        }
         let mut shortfalls = Vec::new();
         for (account, limit) in &self.limits {
             let known = usage.attributed(account).plus(budget.taken(account));
@@ -258,11 +255,15 @@
             self.reports.push(Report {
                 account: account.clone(),
                 used: known,
+                unconfirmed: usage.unattributed(),
                 held_back,
                 allowance: Amount::share(limit, loan.outstanding()),
                 limit: Amount::share(limit, WHOLE),
             });
         }
+        if usage.is_unknown() {
+            return;
+        }
         shortfalls.sort_by(|a, b| (b.0, &a.1.account).cmp(&(a.0, &b.1.account)));
         let demands = shortfalls.into_iter().map(|(_, demand)| demand);
         self.demands = demands.take(MAX_DEMANDS).collect();
--- a/crates/core/src/limit/report.rs
+++ b/crates/core/src/limit/report.rs
@@ -10,6 +10,9 @@
     pub account: ids::Account,
     /// What its runs on the workers of the shard reserve.
     pub used: Amount,
+    /// What other runs may reserve that an older leader started for any account; `None` while nothing is known of the
+    /// workers that it may have used, so that nothing starts.
+    pub unconfirmed: Option<Amount>,
     /// What the tasks would reserve that did not start because of the limit.
     pub held_back: Amount,
     /// What it may have in use on these workers.
--- a/crates/core/src/limit/usage.rs
+++ b/crates/core/src/limit/usage.rs
@@ -45,6 +45,12 @@
         self.amounts.get(account).copied().unwrap_or_default()
     }
 
+    /// Returns what runs may reserve that may belong to any account; `None` if nothing is known of some.
+    #[must_use]
+    pub fn unattributed(&self) -> Option<Amount> {
+        (!self.is_unknown).then_some(self.unattributed)
+    }
+
     /// Returns what the runs of an account may reserve.
     #[must_use]
     pub fn of(&self, account: &ids::Account) -> Amount {
--- a/crates/jobs/src/shard/dump.rs
+++ b/crates/jobs/src/shard/dump.rs
@@ -46,6 +46,7 @@
     json!({
         "account": report.account.to_string(),
         "used": amount(&report.used),
+        "unconfirmed": report.unconfirmed.as_ref().map(amount),
         "held_back": amount(&report.held_back),
         "allowance": amount(&report.allowance),
         "limit": amount(&report.limit),
--- a/crates/jobs/src/shard/line.rs
+++ b/crates/jobs/src/shard/line.rs
@@ -109,10 +109,12 @@
 ) {
     for report in reports {
         let (used, held_back) = (&report.used, &report.held_back);
+        let unconfirmed = report.unconfirmed.map(|amount| amount.cpu_millicores);
         info!(logger, "tasks wait for the limit of their account"; "account" => %report.account,
             "shard" => shard, "term" => term, "held_back_millicores" => held_back.cpu_millicores,
             "held_back_mb" => held_back.memory_mb, "held_back_gpus" => held_back.gpus,
             "used_millicores" => used.cpu_millicores, "used_mb" => used.memory_mb, "used_gpus" => used.gpus,
+            "unconfirmed_millicores" => unconfirmed,
             "allowance_millicores" => limited(report.allowance.cpu_millicores),
             "allowance_mb" => limited(report.allowance.memory_mb),
             "limit_millicores" => limited(report.limit.cpu_millicores),
