--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -19,7 +19,7 @@
 use persimmongate_core::map::Map;
 use persimmongate_core::queue::Config;
 use persimmongate_core::term::{self, Election};
-use persimmongate_core::upkeep::{Event, Options, Wave};
+use persimmongate_core::upkeep::{Event, History, Options, Wave};
 use persimmongate_node::admin::Dump;
 use persimmongate_node::clock;
 use persimmongate_node::supervisor::Guard;
@@ -82,6 +82,8 @@
     maintained: Map<ids::WaveNumber, Vec<ids::Host>>,
     drains: Map<ids::Worker, Drain>,
     loads: Map<ids::Service, Load>,
+    /// What a new leader here knows of the demand before its term.
+    history: History,
     /// Units of the accounts' limits that were lent and returned.
     ledger: Ledger,
     election: Election,
@@ -103,6 +105,7 @@
             maintained: Map::default(),
             drains: Map::default(),
             loads: Map::default(),
+            history: History::default(),
             ledger: Ledger::default(),
             election,
             leadership: None,
@@ -215,7 +218,9 @@
                 self.step_planner(Event::DrainRecorded(worker, drain), ctx);
             }
             Observation::Loads(loads) => {
+                let now = clock::now();
                 for load in &loads {
+                    self.history.add_sample(now, load);
                     self.loads.insert(load.service.clone(), load.clone());
                 }
                 self.step_planner(Event::Loads(loads), ctx);
--- a/crates/jobs/src/operator/mod.rs
+++ b/crates/jobs/src/operator/mod.rs
@@ -76,7 +76,7 @@
     config_max_age: Duration,
     /// Send time of the latest read that reached the end of the partition.
     last_complete_read: Option<Instant>,
-    /// Whether the latest read failed.
+    /// Whether the latest read failed, or was slow after one that failed.
     has_failed: bool,
     waves: Vec<Wave>,
     config_subscribers: Vec<Recipient<Configured>>,
@@ -137,24 +137,40 @@
             }
         };
         ctx.spawn(read.into_actor(self).map(|(cursor, batch), act, ctx| {
-            act.has_failed = batch.is_err();
+            let had_failed = act.has_failed;
+            act.has_failed = match &batch {
+                // A log that answers slowly is read without waiting for records until it is quick again.
+                Ok(batch) => {
+                    let elapsed = clock::now().saturating_duration_since(batch.sent_at);
+                    had_failed && elapsed > act.config_max_age / READ_SHARE
+                }
+                Err(_) => true,
+            };
             match batch {
                 Ok(batch) => {
+                    if had_failed && !act.has_failed {
+                        info!(act.logger, "operator records read again"; "unread_ms" => act.age_ms());
+                    }
                     act.apply(&batch);
                     if cursor.has_reached(batch.end_offset) {
                         act.confirm(batch.sent_at);
                     }
                 }
                 Err(failure) => {
-                    let age = act.last_complete_read;
-                    let age = age.map(|at| clock::now().saturating_duration_since(at).as_millis());
-                    warn!(act.logger, "cannot read operator records"; "reason" => ?failure, "age_ms" => age);
+                    warn!(act.logger, "cannot read operator records"; "reason" => ?failure,
+                        "age_ms" => act.age_ms());
                 }
             }
             act.read_next(cursor, ctx);
         }));
     }
 
+    /// Returns the time since the send time of the latest complete read, in milliseconds.
+    fn age_ms(&self) -> Option<u128> {
+        let elapsed = |at| clock::now().saturating_duration_since(at).as_millis();
+        self.last_complete_read.map(elapsed)
+    }
+
     /// Tells the followers that all records from before a read are applied.
     fn confirm(&mut self, sent_at: Instant) {
         self.last_complete_read = Some(sent_at);
--- a/crates/jobs/src/shard/replay.rs
+++ b/crates/jobs/src/shard/replay.rs
@@ -47,8 +47,8 @@
         self.job_index.apply(offset, record);
         match record {
             Record::Accepted(job) => {
-                let id = job.id.clone();
-                self.schedule_job(&id, ctx);
+                self.restore_acceptance(offset, job, ctx);
+                self.schedule_job(&job.id, ctx);
             }
             Record::Heartbeat(heartbeat) => {
                 if heartbeat.term > 0 {
