Let shards take turns when the fair part of an account is smaller than a task

All shards stalled for good when the level was below a task: each held a part that started nothing. Demands now tell what the first waiting task or gang needs, and the lender serves whole ones in the order in which shards have waited.

--- a/crates/core/src/journal/units.rs
+++ b/crates/core/src/journal/units.rs
@@ -6,7 +6,7 @@
 pub type Units = u64;
 
 /// `Demand` is the units of an account that a shard asks for.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Demand {
     /// Account.
     pub account: ids::Account,
@@ -14,6 +14,17 @@
     pub units: Units,
     /// Count of lent units that the shard knows of.
     pub lent: Units,
+    /// Units that the first task or gang needs that waits for the limit; 0 if none waits.
+    #[serde(default, rename = "first", skip_serializing_if = "is_zero")]
+    pub first_need: Units,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_zero(units: &Units) -> bool {
+    *units == 0
 }
 
 /// `Recall` asks a shard to return units of an account.
--- a/crates/core/src/limit/borrower.rs
+++ b/crates/core/src/limit/borrower.rs
@@ -233,7 +233,7 @@
                 let demand = Demand {
                     account: account.clone(),
                     units: INITIAL_UNITS,
-                    lent: 0,
+                    ..Demand::default()
                 };
                 shortfalls.push((INITIAL_UNITS, demand));
             }
@@ -247,6 +247,7 @@
                     account: account.clone(),
                     units: (wanted + headroom).min(WHOLE),
                     lent: loan.lent,
+                    first_need: budget.first_need(account).units(limit),
                 };
                 if demand.units > loan.outstanding() {
                     shortfalls.push((demand.units - loan.outstanding(), demand));
@@ -354,7 +355,9 @@
         let growth = |demand: &Demand| {
             let known = sent.iter().find(|sent| sent.account == demand.account);
             let growth = known.map_or(WHOLE, |sent| demand.units.saturating_sub(sent.units));
-            growth >= SMALL_GROWTH || (growth > 0 && age >= SMALL_DEMAND_INTERVAL)
+            let has_changed =
+                growth > 0 || known.is_some_and(|sent| demand.first_need != sent.first_need);
+            growth >= SMALL_GROWTH || (has_changed && age >= SMALL_DEMAND_INTERVAL)
         };
         let is_withdrawn = |demand: &Demand| {
             let entry = self.accounts.get(&demand.account);
--- a/crates/core/src/limit/budget.rs
+++ b/crates/core/src/limit/budget.rs
@@ -18,6 +18,8 @@
     /// What was started in the pass.
     taken: Amount,
     held_back: Amount,
+    /// What the first task or gang needs that was held back.
+    first_need: Option<Amount>,
 }
 
 impl Budget {
@@ -36,6 +38,7 @@
             may_exceed,
             taken: Amount::default(),
             held_back: Amount::default(),
+            first_need: None,
         };
         self.accounts.insert(account, entry);
     }
@@ -69,6 +72,7 @@
     pub fn hold_back(&mut self, account: Option<&ids::Account>, need: Amount, count: u64) {
         if let Some(entry) = account.and_then(|account| self.accounts.get_mut(account)) {
             entry.held_back = entry.held_back.plus(need.times(count));
+            entry.first_need.get_or_insert(need);
             entry.room = Amount::default();
         }
     }
@@ -95,4 +99,11 @@
         let entry = self.accounts.get(account);
         entry.map(|entry| entry.held_back).unwrap_or_default()
     }
+
+    /// Returns what the first task or gang of an account needs that did not start because of its limit.
+    #[must_use]
+    pub fn first_need(&self, account: &ids::Account) -> Amount {
+        let entry = self.accounts.get(account);
+        entry.and_then(|entry| entry.first_need).unwrap_or_default()
+    }
 }
--- a/crates/core/src/limit/lender.rs
+++ b/crates/core/src/limit/lender.rs
@@ -20,6 +20,9 @@
 const EXTRA_DIVISOR: Units = 4;
 /// Time after which a count of lent units is sent again to a shard that does not know it.
 const COPY_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a shard keeps the units of its turn when there are too few for a task in each shard: long against the
+/// time in which units move between shards.
+const TURN_DURATION: Duration = Duration::from_secs(1);
 /// Maximum number of accounts in one request to return units.
 const MAX_RECALLS: usize = 256;
 
@@ -49,6 +52,18 @@
     Schedule(Duration),
 }
 
+/// `Turn` is the state of a shard while shards take turns.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Turn {
+    /// The shard has no turn.
+    #[default]
+    Over,
+    /// It gets units for its first task.
+    Filling,
+    /// It has had them since a point in time.
+    Filled(Instant),
+}
+
 /// `Entry` is the units of one account that one shard has.
 #[derive(Debug, Default)]
 struct Entry {
@@ -59,11 +74,29 @@
     copied_at: Option<Instant>,
     /// Units that the shard asks for.
     wanted: Option<Units>,
-    /// Latest request to return units, and whether they were short then.
-    recalled: Option<(Instant, bool)>,
+    /// Units that the first task or gang needs that waits for the limit.
+    first_need: Units,
+    /// Most units that the shard may have.
+    max_units: Units,
+    turn: Turn,
+    /// Number of its latest turn.
+    turn_number: u64,
+    /// Latest request to return units, and the most units that the shard may have by it.
+    recalled: Option<(Instant, Option<Units>)>,
 }
 
 impl Entry {
+    /// Returns the units that the shard asks for, or those that it has if it asks for none.
+    fn wish(&self) -> Units {
+        self.wanted.unwrap_or_else(|| self.loan.outstanding())
+    }
+
+    /// Removes the demand, and returns whether there was one.
+    fn withdraw(&mut self) -> bool {
+        self.first_need = 0;
+        self.wanted.take().is_some()
+    }
+
     fn unmet(&self) -> Units {
         let wanted = self.wanted.unwrap_or(0);
         wanted.saturating_sub(self.loan.outstanding())
@@ -140,13 +173,15 @@
     fn set_demands(&mut self, shard: ids::Shard, demands: &[Demand]) {
         for (account, entries) in &mut self.accounts {
             let entry = entries.get_mut(&shard);
-            if entry.is_some_and(|entry| entry.wanted.take().is_some()) {
+            if entry.is_some_and(Entry::withdraw) {
                 self.changed.insert(account.clone());
             }
         }
         for demand in demands {
             let units = demand.units.min(WHOLE);
-            self.entry(shard, &demand.account).wanted = Some(units);
+            let entry = self.entry(shard, &demand.account);
+            entry.wanted = Some(units);
+            entry.first_need = demand.first_need.min(units);
             self.changed.insert(demand.account.clone());
         }
     }
@@ -210,8 +245,10 @@
             let Some(entries) = self.accounts.get_mut(&account) else {
                 continue;
             };
-            let is_short = lend(&account, entries, &mut records);
-            recall(now, &account, entries, is_short, &mut recalls);
+            let division = divide(now, entries);
+            lend(&account, entries, division, &mut records);
+            recall(now, &account, entries, division, &mut recalls);
+            let is_short = division != Division::Unlimited;
             if is_short {
                 self.short.insert(account);
             } else {
@@ -235,25 +272,109 @@
     WHOLE.saturating_sub(outstanding.fold(0, Units::saturating_add))
 }
 
-/// Lends units of an account to the shards that ask for them, those with the fewest units first, and returns whether
-/// there are too few.
+/// `Division` is how the units of an account are divided.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Division {
+    /// There are enough for all.
+    Unlimited,
+    /// Each shard may have as many as any other.
+    Level,
+    /// Some shards have enough for a task, each in its turn.
+    Turns,
+}
+
+/// Sets the most units that each shard may have.
+fn divide(now: Instant, entries: &mut Map<ids::Shard, Entry>) -> Division {
+    let unmet = entries.values().map(Entry::unmet);
+    let unmet = unmet.fold(0, Units::saturating_add);
+    let is_short = unmet > spare(entries);
+    let level = if is_short { level(entries) } else { WHOLE };
+    for entry in entries.values_mut() {
+        entry.max_units = level;
+    }
+    if entries.values().any(|entry| entry.first_need > level) {
+        take_turns(now, level, entries);
+        return Division::Turns;
+    }
+    for entry in entries.values_mut() {
+        entry.turn = Turn::Over;
+    }
+    if is_short {
+        Division::Level
+    } else {
+        Division::Unlimited
+    }
+}
+
+/// Gives all units to the shards that have a turn. The one that has waited longest is next, and none passes it, so that
+/// small tasks elsewhere don't keep a large one from its turn.
+fn take_turns(now: Instant, level: Units, entries: &mut Map<ids::Shard, Entry>) {
+    let mut last_number = entries.values().map(|e| e.turn_number).max().unwrap_or(0);
+    for entry in entries.values_mut() {
+        let is_over = |since: Instant| now.saturating_duration_since(since) >= TURN_DURATION;
+        let is_done = matches!(entry.turn, Turn::Filled(since) if is_over(since));
+        if entry.first_need == 0 || is_done {
+            entry.turn = Turn::Over;
+        }
+        entry.max_units = 0;
+    }
+    let mut order: Vec<(&ids::Shard, &mut Entry)> = entries.iter_mut().collect();
+    order.sort_by_key(|(shard, entry)| {
+        let (has_turn, waits) = (entry.turn != Turn::Over, entry.first_need > 0);
+        (!has_turn, !waits, entry.turn_number, **shard)
+    });
+    let mut left = WHOLE;
+    let mut is_blocked = false;
+    for (_, entry) in &mut order {
+        let share = entry.wish().min(level.max(entry.first_need)).min(left);
+        if entry.first_need == 0 {
+            // Nothing waits there, so it is not owed what those before it can't use.
+            entry.max_units = if is_blocked { 0 } else { share };
+        } else if entry.turn != Turn::Over || (!is_blocked && share >= entry.first_need) {
+            if entry.turn == Turn::Over {
+                last_number += 1;
+                entry.turn_number = last_number;
+                entry.turn = Turn::Filling;
+            }
+            entry.max_units = share;
+        } else {
+            is_blocked = true;
+        }
+        left -= entry.max_units;
+    }
+    for (_, entry) in &mut order {
+        if entry.turn != Turn::Over {
+            let more = entry.wish().saturating_sub(entry.max_units).min(left);
+            entry.max_units += more;
+            left -= more;
+        }
+        if entry.turn == Turn::Filling && entry.loan.outstanding() >= entry.first_need {
+            entry.turn = Turn::Filled(now);
+        }
+    }
+}
+
+/// Lends units of an account to the shards that ask for them: in the order of their turns, or those with the fewest
+/// units first.
 fn lend(
     account: &ids::Account,
     entries: &mut Map<ids::Shard, Entry>,
+    division: Division,
     records: &mut Vec<Record>,
-) -> bool {
+) {
     let mut spare = spare(entries);
-    let unmet = entries.values().map(Entry::unmet);
-    let unmet = unmet.fold(0, Units::saturating_add);
-    let is_short = unmet > spare;
-    let level = if is_short { level(entries) } else { WHOLE };
+    let is_short = division != Division::Unlimited;
     let mut takers: Vec<(&ids::Shard, &mut Entry)> = entries
         .iter_mut()
         .filter(|(_, entry)| entry.unmet() > 0)
         .collect();
-    takers.sort_by_key(|(shard, entry)| (entry.loan.outstanding(), **shard));
+    takers.sort_by_key(|(shard, entry)| {
+        let turn =
+            (division == Division::Turns).then_some((entry.turn == Turn::Over, entry.turn_number));
+        (turn, entry.loan.outstanding(), **shard)
+    });
     for (shard, entry) in takers {
-        let most = level.saturating_sub(entry.loan.outstanding());
+        let most = entry.max_units.saturating_sub(entry.loan.outstanding());
         let units = entry.unmet().min(most).min(spare);
         if units > 0 {
             spare -= units;
@@ -265,14 +386,11 @@
             records.push(Record::Lent(*shard, account.clone(), entry.loan.lent));
         }
     }
-    is_short
 }
 
 /// Returns the most units that a shard may have so that all shards have what they ask for or as much as any other.
 fn level(entries: &Map<ids::Shard, Entry>) -> Units {
-    let wishes = entries
-        .values()
-        .map(|entry| entry.wanted.unwrap_or_else(|| entry.loan.outstanding()));
+    let wishes = entries.values().map(Entry::wish);
     let mut wishes: Vec<Units> = wishes.filter(|wish| *wish > 0).collect();
     wishes.sort_unstable();
     let mut left = WHOLE;
@@ -293,17 +411,23 @@
     now: Instant,
     account: &ids::Account,
     entries: &mut Map<ids::Shard, Entry>,
-    is_short: bool,
+    division: Division,
     recalls: &mut Map<ids::Shard, Vec<Recall>>,
 ) {
+    let is_short = division != Division::Unlimited;
     if !is_short && spare(entries) >= RESERVE {
         return;
     }
-    let max_units = is_short.then(|| level(entries));
     for (shard, entry) in entries {
-        let is_in_force = |(at, was_short)| {
+        let max_units = is_short.then_some(entry.max_units);
+        let is_in_force = |(at, known): (Instant, Option<Units>)| {
             let is_recent = now.saturating_duration_since(at) < RECALL_INTERVAL;
-            is_recent && (was_short || !is_short)
+            let holds = match division {
+                Division::Unlimited => true,
+                Division::Level => known.is_some(),
+                Division::Turns => known == max_units,
+            };
+            is_recent && holds
         };
         // A shard that gets units now has none to return.
         let has_none = entry.loan.outstanding() == 0
@@ -311,7 +435,7 @@
         if has_none || entry.recalled.is_some_and(is_in_force) {
             continue;
         }
-        entry.recalled = Some((now, is_short));
+        entry.recalled = Some((now, max_units));
         recalls.entry(*shard).or_default().push(Recall {
             account: account.clone(),
             max_units,
--- a/crates/core/tests/limit/main.rs
+++ b/crates/core/tests/limit/main.rs
@@ -19,6 +19,7 @@
         account: "a".into(),
         units,
         lent,
+        ..Demand::default()
     }
 }
 
--- a/crates/core/tests/limit/size.rs
+++ b/crates/core/tests/limit/size.rs
@@ -40,6 +40,7 @@
         account: account(number),
         units: WHOLE / 2,
         lent: WHOLE * 1_000,
+        first_need: WHOLE,
     });
     let demand_bytes = size(&Record::Demand(SHARDS, demands.collect()));
     println!(
--- a/crates/core/tests/sched/limit/failure.rs
+++ b/crates/core/tests/sched/limit/failure.rs
@@ -60,6 +60,7 @@
         account: "a".into(),
         units: WHOLE,
         lent: 0,
+        ..Demand::default()
     };
     federation.step_old_lender(0, &mut old_lender, Event::Demand(2, vec![demand]));
     flood(&mut federation, 1, "a", "flood", 40);
@@ -90,6 +91,7 @@
         account: "a".into(),
         units: WHOLE,
         lent: 0,
+        ..Demand::default()
     };
     federation.demand(1, demand);
     federation.run(millis(100));
--- a/crates/core/tests/sched/limit/mod.rs
+++ b/crates/core/tests/sched/limit/mod.rs
@@ -209,6 +209,54 @@
     assert_sound(&federation);
 }
 
+// The fair part of each shard is 1.5 cores, and each task needs 2.
+#[test]
+fn verify_shards_take_turns_when_their_parts_are_smaller_than_a_task() {
+    let mut federation = Federation::new(8, 2, 1, &[("a", 12)]);
+    federation.run(seconds(1));
+    for position in 0..8 {
+        flood(&mut federation, position, "a", "flood", 20);
+    }
+    federation.run(seconds(2));
+    let mut starved = 0;
+    for _ in 0..200 {
+        federation.run(millis(50));
+        if federation.used("a") < 6_000 {
+            starved += 1;
+        }
+    }
+    assert_sound(&federation);
+    assert!(starved < 40, "{starved}");
+    for shard in &federation.shards {
+        assert!(shard.start_count >= 4, "{}", shard.start_count);
+    }
+}
+
+// Small tasks in the other shards come all the time.
+#[test]
+fn verify_task_larger_than_its_part_gets_its_turn() {
+    let mut federation = Federation::new(4, 4, 2, &[("a", 8)]);
+    federation.largest_task = 8_000;
+    federation.run(seconds(1));
+    let large = Step {
+        cpu_millicores: 6_000,
+        ..step(1, 500, &[])
+    };
+    federation.shards[3].submit_for("a", "large", vec![large]);
+    for position in 0..3 {
+        flood(&mut federation, position, "a", "flood", 40);
+    }
+    federation.run(seconds(8));
+    assert_eq!(
+        federation.shards[3].outcome("large"),
+        Some(Outcome::Completed)
+    );
+    for shard in &federation.shards[..3] {
+        assert!(shard.start_count >= 4, "{}", shard.start_count);
+    }
+    assert_sound(&federation);
+}
+
 // A task that exceeds the limit by itself is one task more.
 #[test]
 fn verify_task_larger_than_its_limit_runs_alone() {
