Lend no units while what runs is worth more than all, and count use beyond a shard's units

After a limit fell or appeared, the lender counted only the units that shards held, so others got units and started tasks on top of the excess. Shards now report use beyond their units.

--- a/crates/core/src/journal/units.rs
+++ b/crates/core/src/journal/units.rs
@@ -17,6 +17,10 @@
     /// Units that the first task or gang needs that waits for the limit; 0 if none waits.
     #[serde(default, rename = "first", skip_serializing_if = "is_zero")]
     pub first_need: Units,
+    /// Units whose share covers what the runs of the shard reserve, if that is more than it has, as after a limit has
+    /// fallen; otherwise 0. It may exceed the whole.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub used: Units,
 }
 
 #[expect(
--- a/crates/core/src/limit/amount.rs
+++ b/crates/core/src/limit/amount.rs
@@ -34,19 +34,23 @@
 
     /// Returns the units whose share of a limit covers the amount; at most [`WHOLE`].
     pub(super) fn units(self, limit: &Limit) -> Units {
+        self.unbounded_units(limit).min(WHOLE)
+    }
+
+    /// Returns the units whose share of a limit would cover the amount, also if they are more than [`WHOLE`].
+    pub(super) fn unbounded_units(self, limit: &Limit) -> Units {
         let units = |amount: u64, limit: Option<u64>| match limit {
             None => 0,
             Some(_) if amount == 0 => 0,
             Some(0) => WHOLE,
             Some(limit) => {
                 let units = (u128::from(amount) * u128::from(WHOLE)).div_ceil(u128::from(limit));
-                Units::try_from(units).unwrap_or(WHOLE)
+                Units::try_from(units).unwrap_or(Units::MAX)
             }
         };
         units(self.cpu_millicores, limit.cpu_millicores)
             .max(units(self.memory_mb, limit.memory_mb))
             .max(units(self.gpus, limit.gpus))
-            .min(WHOLE)
     }
 
     /// Returns how many times `need` fits into the amount.
--- a/crates/core/src/limit/borrower.rs
+++ b/crates/core/src/limit/borrower.rs
@@ -240,6 +240,7 @@
             if wanted == 0 && loan.outstanding() == 0 {
                 continue;
             }
+            let used = known.unbounded_units(limit);
             let pressure = entry.map_or(Pressure::None, |entry| entry.pressure(now));
             let headroom = pressure.headroom(wanted);
             if wanted > 0 && wanted + headroom / 2 > loan.outstanding() {
@@ -248,9 +249,11 @@
                     units: (wanted + headroom).min(WHOLE),
                     lent: loan.lent,
                     first_need: budget.first_need(account).units(limit),
+                    used: if used > loan.outstanding() { used } else { 0 },
                 };
                 if demand.units > loan.outstanding() {
-                    shortfalls.push((demand.units - loan.outstanding(), demand));
+                    let most = demand.units.max(demand.used);
+                    shortfalls.push((most - loan.outstanding(), demand));
                 }
             }
             self.reports.push(Report {
@@ -355,9 +358,12 @@
         let growth = |demand: &Demand| {
             let known = sent.iter().find(|sent| sent.account == demand.account);
             let growth = known.map_or(WHOLE, |sent| demand.units.saturating_sub(sent.units));
-            let has_changed =
-                growth > 0 || known.is_some_and(|sent| demand.first_need != sent.first_need);
-            growth >= SMALL_GROWTH || (has_changed && age >= SMALL_DEMAND_INTERVAL)
+            let known_use = known.map_or(0, |sent| sent.used);
+            let has_changed = growth > 0
+                || demand.used != known_use
+                || known.is_some_and(|sent| demand.first_need != sent.first_need);
+            growth.max(demand.used.abs_diff(known_use)) >= SMALL_GROWTH
+                || (has_changed && age >= SMALL_DEMAND_INTERVAL)
         };
         let is_withdrawn = |demand: &Demand| {
             let entry = self.accounts.get(&demand.account);
--- a/crates/core/src/limit/lender.rs
+++ b/crates/core/src/limit/lender.rs
@@ -23,6 +23,9 @@
 /// Time for which a shard keeps the units of its turn when there are too few for a task in each shard: long against the
 /// time in which units move between shards.
 const TURN_DURATION: Duration = Duration::from_secs(1);
+/// Time for which a shard's use beyond its units counts without being told again: until the leases of its workers have
+/// ended, if nobody leads it any more.
+const USE_VALIDITY: Duration = Duration::from_secs(20);
 /// Maximum number of accounts in one request to return units.
 const MAX_RECALLS: usize = 256;
 
@@ -76,6 +79,10 @@
     wanted: Option<Units>,
     /// Units that the first task or gang needs that waits for the limit.
     first_need: Units,
+    /// Units that its use is worth, if that is more than it has.
+    used: Units,
+    /// Time at which the lender first counted this use.
+    used_at: Option<Instant>,
     /// Most units that the shard may have.
     max_units: Units,
     turn: Turn,
@@ -94,9 +101,31 @@
     /// Removes the demand, and returns whether there was one.
     fn withdraw(&mut self) -> bool {
         self.first_need = 0;
+        self.used = 0;
+        self.used_at = None;
         self.wanted.take().is_some()
     }
 
+    /// Returns the units that others can't have: those of the shard, or as many as its use is worth.
+    fn committed(&self) -> Units {
+        self.loan.outstanding().max(self.used)
+    }
+
+    /// Returns the units that the shard lacks for what runs there.
+    fn uncovered(&self) -> Units {
+        self.committed() - self.loan.outstanding()
+    }
+
+    /// Drops the use if the shard has not told of it for long.
+    fn expire_use(&mut self, now: Instant) {
+        if self.used > 0 {
+            let used_at = *self.used_at.get_or_insert(now);
+            if now.saturating_duration_since(used_at) >= USE_VALIDITY {
+                self.used = 0;
+            }
+        }
+    }
+
     fn unmet(&self) -> Units {
         let wanted = self.wanted.unwrap_or(0);
         wanted.saturating_sub(self.loan.outstanding())
@@ -182,6 +211,8 @@
             let entry = self.entry(shard, &demand.account);
             entry.wanted = Some(units);
             entry.first_need = demand.first_need.min(units);
+            entry.used = demand.used;
+            entry.used_at = None;
             self.changed.insert(demand.account.clone());
         }
     }
@@ -266,10 +297,15 @@
     }
 }
 
-/// Returns the units that no shard has.
+/// Returns the units that shards have or that their use is worth.
+fn committed(entries: &Map<ids::Shard, Entry>) -> Units {
+    let committed = entries.values().map(Entry::committed);
+    committed.fold(0, Units::saturating_add)
+}
+
+/// Returns the units that no shard has and no use is worth.
 fn spare(entries: &Map<ids::Shard, Entry>) -> Units {
-    let outstanding = entries.values().map(|entry| entry.loan.outstanding());
-    WHOLE.saturating_sub(outstanding.fold(0, Units::saturating_add))
+    WHOLE.saturating_sub(committed(entries))
 }
 
 /// `Division` is how the units of an account are divided.
@@ -281,11 +317,25 @@
     Level,
     /// Some shards have enough for a task, each in its turn.
     Turns,
+    /// What runs is worth more than all units, as the limit has fallen or is new. No shard may start anything.
+    Exceeded,
 }
 
 /// Sets the most units that each shard may have.
 fn divide(now: Instant, entries: &mut Map<ids::Shard, Entry>) -> Division {
-    let unmet = entries.values().map(Entry::unmet);
+    for entry in entries.values_mut() {
+        entry.expire_use(now);
+    }
+    if committed(entries) > WHOLE {
+        for entry in entries.values_mut() {
+            entry.max_units = 0;
+            entry.turn = Turn::Over;
+        }
+        return Division::Exceeded;
+    }
+    let unmet = entries
+        .values()
+        .map(|entry| entry.unmet().saturating_sub(entry.uncovered()));
     let unmet = unmet.fold(0, Units::saturating_add);
     let is_short = unmet > spare(entries);
     let level = if is_short { level(entries) } else { WHOLE };
@@ -362,6 +412,9 @@
     division: Division,
     records: &mut Vec<Record>,
 ) {
+    if division == Division::Exceeded {
+        return;
+    }
     let mut spare = spare(entries);
     let is_short = division != Division::Unlimited;
     let mut takers: Vec<(&ids::Shard, &mut Entry)> = entries
@@ -375,9 +428,12 @@
     });
     for (shard, entry) in takers {
         let most = entry.max_units.saturating_sub(entry.loan.outstanding());
-        let units = entry.unmet().min(most).min(spare);
+        // Units for what runs were never spare.
+        let uncovered = entry.uncovered();
+        let beyond = entry.unmet().min(most).saturating_sub(uncovered).min(spare);
+        let units = uncovered + beyond;
         if units > 0 {
-            spare -= units;
+            spare -= beyond;
             let extra = spare.saturating_sub(EXTRA_RESERVE) / EXTRA_DIVISOR;
             let extra = if is_short { 0 } else { extra };
             spare -= extra;
@@ -425,7 +481,7 @@
             let holds = match division {
                 Division::Unlimited => true,
                 Division::Level => known.is_some(),
-                Division::Turns => known == max_units,
+                Division::Turns | Division::Exceeded => known == max_units,
             };
             is_recent && holds
         };
--- a/crates/core/tests/limit/lender.rs
+++ b/crates/core/tests/limit/lender.rs
@@ -1,7 +1,7 @@
 use std::time::Instant;
 
 use persimmongate_core::ids;
-use persimmongate_core::journal::{Recall, Record, Units};
+use persimmongate_core::journal::{Demand, Recall, Record, Units};
 use persimmongate_core::limit::{Action, Event, Ledger, Lender, WHOLE};
 
 use super::{demand, lent, millis, start};
@@ -152,3 +152,51 @@
     ask(&mut lender, now, 4, WHOLE);
     assert_eq!(lender.outstanding(4, &"a".into()), 0);
 }
+
+// Runs of an account that had no limit before.
+#[test]
+fn verify_nothing_is_lent_while_the_use_is_the_whole_or_more() {
+    let (mut lender, now) = (Lender::default(), start());
+    ask(&mut lender, now, 1, WHOLE / 4);
+    let over = Demand {
+        used: WHOLE * 2,
+        ..demand(WHOLE, 0)
+    };
+    let actions = step(&mut lender, now + millis(30), Event::Demand(2, vec![over]));
+    assert_eq!(actions, [recall(1, Some(0), 0)]);
+    assert_eq!(ask(&mut lender, now + millis(60), 3, WHOLE / 8), []);
+    let returned = Event::Returned(1, "a".into(), WHOLE);
+    assert_eq!(step(&mut lender, now + millis(90), returned), []);
+    assert_eq!(lender.outstanding(2, &"a".into()), 0);
+    // Once the use is less, units for it are lent, and the others share the rest.
+    let actions = ask(&mut lender, now + millis(120), 3, WHOLE);
+    assert_eq!(actions, []);
+    step(&mut lender, now + millis(150), Event::Demand(1, Vec::new()));
+    let under = Demand {
+        used: WHOLE / 2,
+        ..demand(WHOLE / 2, 0)
+    };
+    let actions = step(
+        &mut lender,
+        now + millis(180),
+        Event::Demand(2, vec![under]),
+    );
+    let records = vec![lent(2, WHOLE / 2), lent(3, WHOLE / 2)];
+    assert_eq!(actions[0], Action::Record(records));
+}
+
+// Nobody leads the shard any more that told of the use.
+#[test]
+fn verify_use_that_is_not_told_again_expires() {
+    let (mut lender, now) = (Lender::default(), start());
+    let over = Demand {
+        used: WHOLE * 2,
+        ..demand(WHOLE, 0)
+    };
+    step(&mut lender, now, Event::Demand(2, vec![over]));
+    assert_eq!(ask(&mut lender, now + millis(30), 3, WHOLE), []);
+    step(&mut lender, now + millis(19_000), Event::Tick);
+    assert_eq!(lender.outstanding(3, &"a".into()), 0);
+    step(&mut lender, now + millis(20_000), Event::Tick);
+    assert_eq!(lender.outstanding(3, &"a".into()), WHOLE / 2);
+}
--- a/crates/core/tests/limit/size.rs
+++ b/crates/core/tests/limit/size.rs
@@ -41,6 +41,7 @@
         units: WHOLE / 2,
         lent: WHOLE * 1_000,
         first_need: WHOLE,
+        used: WHOLE * 1_000,
     });
     let demand_bytes = size(&Record::Demand(SHARDS, demands.collect()));
     println!(
--- a/crates/core/tests/sched/limit/mod.rs
+++ b/crates/core/tests/sched/limit/mod.rs
@@ -110,6 +110,71 @@
     assert_sound(&federation);
 }
 
+// Long tasks run in two shards when the limit falls below them; units that are free elsewhere start nothing meanwhile.
+#[test]
+fn verify_nothing_starts_while_use_in_other_shards_exceeds_a_limit_that_fell() {
+    let mut federation = Federation::new(4, 6, 1, &[("a", 400)]);
+    federation.run(seconds(1));
+    for (position, wait) in [(0, 5_000), (1, 8_000)] {
+        let steps = vec![step(10, wait, &[])];
+        federation.shards[position].submit_for("a", "running", steps);
+    }
+    federation.run(seconds(1));
+    assert_eq!(federation.used("a"), 40_000);
+    federation.set_limits(&[("a", 8)]);
+    // The shards that use more tell the lender of it.
+    federation.run(millis(200));
+    federation.settle_limits(&[("a", 8)]);
+    for position in 0..4 {
+        federation.shards[position].submit_for("a", "later", vec![step(8, 500, &[])]);
+    }
+    federation.run(seconds(2));
+    assert_eq!(federation.used("a"), 40_000);
+    federation.run(seconds(3));
+    assert_eq!(federation.used("a"), 20_000);
+    assert_sound(&federation);
+    // The units are used again soon.
+    federation.run(seconds(3));
+    assert!(peak(&mut federation, "a", seconds(1)) >= 6_000);
+    federation.run(seconds(6));
+    for position in 0..4 {
+        let outcome = federation.shards[position].outcome("later");
+        assert_eq!(outcome, Some(Outcome::Completed));
+    }
+    assert_sound(&federation);
+}
+
+// The use above the limit shrinks by a task at a time.
+#[test]
+fn verify_use_that_falls_below_the_limit_leaves_room_for_others() {
+    let mut federation = Federation::new(3, 6, 1, &[("a", 400)]);
+    federation.run(seconds(1));
+    for number in 0..10 {
+        let steps = vec![step(1, 2_000 + 500 * number, &[])];
+        let id = format!("running-{number}");
+        federation.shards[0].submit_for("a", &id, steps);
+    }
+    federation.run(seconds(1));
+    assert_eq!(federation.used("a"), 20_000);
+    federation.set_limits(&[("a", 12)]);
+    federation.run(millis(200));
+    federation.settle_limits(&[("a", 12)]);
+    for position in 1..3 {
+        flood(&mut federation, position, "a", "later", 20);
+    }
+    let mut most = 0;
+    for _ in 0..90 {
+        federation.run(millis(50));
+        let later = federation.shards[1..].iter().map(|s| s.used_by("a"));
+        most = later.sum::<u64>().max(most);
+    }
+    assert_sound(&federation);
+    // Half of the limit is free by now.
+    assert!(most >= 4_000, "{most}");
+    assert!(peak(&mut federation, "a", seconds(2)) >= 10_000);
+    assert_sound(&federation);
+}
+
 // Nothing that runs is stopped, and nothing more starts until there is room.
 #[test]
 fn verify_limit_falls_far_below_what_runs() {
