--- a/crates/core/examples/measure/placement.rs
+++ b/crates/core/examples/measure/placement.rs
@@ -25,6 +25,8 @@
 const PASS_SHARE_MAX: f64 = 50.0;
 /// Shortest time between two passes for each worker and each waiting job.
 const INTERVAL_PER_ENTRY: Duration = Duration::from_micros(50);
+/// Processor time that an account may have in use, in millicores.
+const ACCOUNT_CPU_MILLICORES: u64 = 100_000;
 const SERVICE: &str = "service";
 const QUEUE: &str = "queue";
 
@@ -43,29 +45,44 @@
     Forbidden,
     /// All jobs are alike, of many client accounts, and no worker has room.
     Accounts,
+    /// Each job belongs to one of a number of accounts, of whose limits the shard has no part.
+    Limited(usize),
 }
 
 /// Client accounts among which a room is divided.
 const ACCOUNTS: usize = 1_200;
 
 impl Pattern {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 9] = [
         Self::Alike,
         Self::Mixed,
         Self::Shrinking,
         Self::Unlabelled,
         Self::Forbidden,
         Self::Accounts,
+        Self::Limited(20),
+        Self::Limited(120),
+        Self::Limited(1_200),
     ];
 
-    fn name(self) -> &'static str {
+    fn name(self) -> String {
         match self {
-            Self::Alike => "no room, jobs alike",
-            Self::Mixed => "no room, many sizes",
-            Self::Shrinking => "no room, each job smaller",
-            Self::Unlabelled => "label that no worker has",
-            Self::Forbidden => "no worker permitted",
-            Self::Accounts => "no room, 1,200 accounts",
+            Self::Alike => "no room, jobs alike".to_owned(),
+            Self::Mixed => "no room, many sizes".to_owned(),
+            Self::Shrinking => "no room, each job smaller".to_owned(),
+            Self::Unlabelled => "label that no worker has".to_owned(),
+            Self::Forbidden => "no worker permitted".to_owned(),
+            Self::Accounts => "no room, 1,200 accounts".to_owned(),
+            Self::Limited(accounts) => format!("limits of {accounts} accounts"),
+        }
+    }
+
+    /// Returns the account of a job.
+    fn account(self, number: usize) -> Option<ids::Account> {
+        match self {
+            Self::Accounts => Some(account_name(number % ACCOUNTS)),
+            Self::Limited(accounts) => Some(account_name(number % accounts)),
+            _ => None,
         }
     }
 
@@ -97,7 +114,7 @@
                 required_label: Some("missing".into()),
                 ..base
             },
-            Self::Forbidden => base,
+            Self::Forbidden | Self::Limited(_) => base,
         }
     }
 }
@@ -113,7 +130,7 @@
             let share = 100.0 * mean.as_secs_f64() / (INTERVAL_PER_ENTRY * entries).as_secs_f64();
             targets_met &= share <= PASS_SHARE_MAX;
             table.add(vec![
-                pattern.name().to_owned(),
+                pattern.name(),
                 workers.to_string(),
                 jobs.to_string(),
                 mean.as_micros().to_string(),
@@ -129,7 +146,7 @@
 fn measure(pattern: Pattern, workers: usize, jobs: usize) -> (Duration, Duration) {
     let mut leader = Leader::new(pattern, workers);
     for number in 0..jobs {
-        leader.submit(number, pattern.step(number, jobs));
+        leader.submit(number, pattern.step(number, jobs), pattern.account(number));
     }
     let (mut sum, mut slowest) = (Duration::ZERO, Duration::ZERO);
     for _ in 0..PASSES {
@@ -163,12 +180,12 @@
         leader
     }
 
-    fn submit(&mut self, number: usize, step: Step) {
+    fn submit(&mut self, number: usize, step: Step, account: Option<ids::Account>) {
         let job = Job {
             id: format!("job-{number:06}").into(),
             queue: QUEUE.into(),
             service: SERVICE.into(),
-            account: Some(account_name(number % ACCOUNTS)),
+            account,
             payload: "text".into(),
             steps: vec![step],
             schedule: None,
@@ -285,17 +302,20 @@
         rejects_overload: false,
         is_spare: false,
     };
+    let config = Config::new(1, vec![queue], vec![service]);
+    let (count, limit) = match pattern {
+        Pattern::Accounts => (ACCOUNTS, None),
+        Pattern::Limited(count) => (count, Some(ACCOUNT_CPU_MILLICORES)),
+        _ => return config,
+    };
     let account = |number| Account {
         name: account_name(number),
         keys: Vec::new(),
         weight: 10.0,
-        limit: Limit::default(),
-    };
-    let count = if pattern == Pattern::Accounts {
-        ACCOUNTS
-    } else {
-        0
+        limit: Limit {
+            cpu_millicores: limit,
+            ..Limit::default()
+        },
     };
-    let accounts = Directory::new((0..count).map(account).collect());
-    Config::new(1, vec![queue], vec![service]).with_accounts(accounts)
+    config.with_accounts(Directory::new((0..count).map(account).collect()))
 }
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -30,6 +30,7 @@
 mod run;
 mod scheduler;
 mod share;
+mod usage;
 mod worker;
 
 pub use belief::{Belief, Census, Change};
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -118,6 +118,8 @@
                 max_descriptors: max_descriptors?,
                 config_max_age: config_max_age?,
                 sched: sched::Options {
+                    // Each shard sets its own number.
+                    shard: 0,
                     node: instance,
                     max_lease: max_lease?,
                     stop_timeout: stop_timeout?,
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -5,6 +5,8 @@
 mod capacity;
 mod crash;
 mod drain;
+mod federation;
+mod limit;
 mod line;
 mod odd;
 mod overload;
--- a/crates/core/tests/sched/share.rs
+++ b/crates/core/tests/sched/share.rs
@@ -22,7 +22,7 @@
 
 fn world(accounts: &[(&str, f64)]) -> World {
     let mut world = World::new(WORKERS, 1);
-    world.set_accounts(accounts);
+    world.set_weights(accounts);
     world.run(seconds(1));
     world
 }
@@ -148,7 +148,7 @@
     }
     world.leaders[0].is_up = false;
     world.elect_leader();
-    world.set_accounts(&accounts);
+    world.set_weights(&accounts);
     world.run(millis(500));
     assert_eq!(load(&world).excesses, []);
 }
