--- a/crates/core/src/limit/amount.rs
+++ b/crates/core/src/limit/amount.rs
@@ -54,7 +54,7 @@
     }
 
     /// Returns how many times `need` fits into the amount.
-    pub(super) fn fit_count(self, need: Self) -> u64 {
+    pub(crate) fn fit_count(self, need: Self) -> u64 {
         let count = |amount: u64, need: u64| amount.checked_div(need).unwrap_or(u64::MAX);
         count(self.cpu_millicores, need.cpu_millicores)
             .min(count(self.memory_mb, need.memory_mb))
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -197,7 +197,7 @@
         graph: &Graph,
         stage: usize,
         service: &ids::Service,
-        pool: &Pool,
+        pool: &mut Pool,
         budget: &mut Budget,
     ) -> Outcome {
         if graph.stages[stage].idle_count == 0 || !graph.is_ready(stage) {
@@ -206,12 +206,16 @@
             || self.is_at_limit(now, graph, stage, service, pool)
         {
             Outcome::NoRoom
-        } else if Self::is_held_back(graph, stage, pool, budget) {
-            Outcome::Limited
         } else if self.awaits_advice(now, graph, stage) {
             Outcome::Unadvised
-        } else {
+        } else if !Self::is_limited(graph, stage, budget) {
             Outcome::Unplaced
+        } else if pool.has_room_for(&self.workers, graph, stage) {
+            Self::hold_back_all(graph, stage, pool, budget);
+            Outcome::Limited
+        } else {
+            // The rest of the account does not wait for what no worker could take.
+            Outcome::NoRoom
         }
     }
 
--- a/crates/core/src/sched/pool.rs
+++ b/crates/core/src/sched/pool.rs
@@ -1,8 +1,10 @@
+use super::graph::Graph;
 use super::pick::Candidate;
 use super::rank::Rank;
 use super::worker::{Resources, Worker};
 use crate::ids;
 use crate::job::Step;
+use crate::limit::Amount;
 use crate::map::Map;
 
 /// Consecutive jobs without a placed task that a pass looks at from the front of the ranking.
@@ -176,15 +178,31 @@
         shortage.is_some_and(|shortage| shortage.excludes(Resources::reserved_by(step)))
     }
 
+    /// Checks if workers with the required label have room for a task of a stage, or for all of a gang.
+    pub(super) fn has_room_for(
+        &mut self,
+        workers: &Map<ids::Worker, Worker>,
+        graph: &Graph,
+        stage: usize,
+    ) -> bool {
+        let step = graph.step_of(stage);
+        if !step.is_gang {
+            return self.has_room(workers, step);
+        }
+        let need = Amount::from(Resources::reserved_by(step));
+        let max = step.max_per_worker.map_or(u64::MAX, u64::from);
+        let members = self
+            .members
+            .iter()
+            .filter(|entry| has_label(workers, entry, step));
+        let counts = members.map(|entry| Amount::from(entry.free).fit_count(need).min(max));
+        counts.fold(0, u64::saturating_add) >= graph.stages[stage].tasks.len() as u64
+    }
+
     /// Checks if a worker with the required label has room for a task of a step.
     pub(super) fn has_room(&mut self, workers: &Map<ids::Worker, Worker>, step: &Step) -> bool {
         let need = Resources::reserved_by(step);
-        let has_label = |entry: &&Candidate| {
-            step.required_label.as_ref().is_none_or(|label| {
-                let worker = workers.get(&entry.worker);
-                worker.is_some_and(|worker| worker.has_label(label))
-            })
-        };
+        let has_label = |entry: &&Candidate| has_label(workers, entry, step);
         let mut with_room = self.members.iter().filter(|c| c.free.covers(need));
         if with_room.any(|entry| has_label(&entry)) {
             return true;
@@ -196,3 +214,11 @@
         false
     }
 }
+
+/// Checks if a worker has the label that a step requires.
+fn has_label(workers: &Map<ids::Worker, Worker>, entry: &Candidate, step: &Step) -> bool {
+    step.required_label.as_ref().is_none_or(|label| {
+        let worker = workers.get(&entry.worker);
+        worker.is_some_and(|worker| worker.has_label(label))
+    })
+}
--- a/crates/core/src/sched/usage.rs
+++ b/crates/core/src/sched/usage.rs
@@ -51,28 +51,26 @@
         usage
     }
 
-    /// Checks if the limit of its account allows no task of a stage to start, and records what waits for it.
-    pub(super) fn is_held_back(
-        graph: &Graph,
-        stage: usize,
-        pool: &Pool,
-        budget: &mut Budget,
-    ) -> bool {
+    /// Checks if the limit of its account allows no task of a stage to start.
+    pub(super) fn is_limited(graph: &Graph, stage: usize, budget: &Budget) -> bool {
         let (step, account) = (graph.step_of(stage), graph.job.account.as_ref());
-        let need = charge(step);
-        let max_starts = budget.max_starts(account, need);
+        let max_starts = budget.max_starts(account, charge(step));
         if !step.is_gang {
-            if max_starts == 0 {
-                Self::hold_back(graph, stage, 0, pool, budget);
-            }
             return max_starts == 0;
         }
         let size = graph.stages[stage].tasks.len() as u64;
-        let is_held_back = u64::from(graph.stages[stage].idle_count) == size && max_starts < size;
-        if is_held_back {
-            budget.hold_back_gang(account, need.times(size));
+        u64::from(graph.stages[stage].idle_count) == size && max_starts < size
+    }
+
+    /// Records a stage of which the limit of its account allows no task to start.
+    pub(super) fn hold_back_all(graph: &Graph, stage: usize, pool: &Pool, budget: &mut Budget) {
+        let (step, account) = (graph.step_of(stage), graph.job.account.as_ref());
+        if step.is_gang {
+            let size = graph.stages[stage].tasks.len() as u64;
+            budget.hold_back_gang(account, charge(step).times(size));
+        } else {
+            Self::hold_back(graph, stage, 0, pool, budget);
         }
-        is_held_back
     }
 
     /// Records the idle tasks of a stage that its account's limit holds back, `started` of them being started in this
--- a/crates/core/tests/sched/limit/mod.rs
+++ b/crates/core/tests/sched/limit/mod.rs
@@ -377,3 +377,48 @@
     assert_eq!(peak(&mut federation, "a", seconds(2)), 20_000);
     assert_sound(&federation);
 }
+
+/// Submits work that no worker can take and that ranks before all other of its account, and then small tasks.
+fn submit_behind_blocked(blocked: Step) -> Federation {
+    let mut federation = Federation::new(1, 2, 1, &[("a", 16)]);
+    federation.run(seconds(1));
+    federation.shards[0].submit_for("a", "long", vec![step(3, 60_000, &[])]);
+    federation.run(millis(500));
+    federation.shards[0].submit_for("a", "blocked", vec![blocked]);
+    federation.run(millis(500));
+    flood(&mut federation, 0, "a", "later", 2);
+    federation.run(seconds(5));
+    for id in ["a-0-later-0", "a-0-later-1"] {
+        assert_eq!(
+            federation.shards[0].outcome(id),
+            Some(Outcome::Completed),
+            "{id}"
+        );
+    }
+    assert_eq!(federation.shards[0].outcome("blocked"), None);
+    assert_sound(&federation);
+    federation
+}
+
+#[test]
+fn verify_task_that_no_worker_can_take_holds_nothing_up() {
+    submit_behind_blocked(Step {
+        cpu_millicores: 12_000,
+        ..step(1, 500, &[])
+    });
+    submit_behind_blocked(Step {
+        required_label: Some("absent".into()),
+        cpu_millicores: 11_000,
+        ..step(1, 500, &[])
+    });
+}
+
+// Each of its tasks finds room, but not all at once.
+#[test]
+fn verify_gang_that_workers_have_no_room_for_holds_nothing_up() {
+    submit_behind_blocked(Step {
+        is_gang: true,
+        cpu_millicores: 7_000,
+        ..step(2, 500, &[])
+    });
+}
