--- a/crates/core/examples/measure/main.rs
+++ b/crates/core/examples/measure/main.rs
@@ -1,5 +1,6 @@
 //! Measurements of the decision code, each printed as a table next to its baselines.
 
+mod accounts;
 mod capacity;
 mod flood;
 mod log;
@@ -38,6 +39,7 @@
 /// `Measurement` is one of the measurements.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Measurement {
+    Accounts,
     Capacity,
     Flood,
     Log,
@@ -64,6 +66,7 @@
 impl Measurement {
     /// Every measurement, in the order of their names.
     const ALL: &[Self] = &[
+        Self::Accounts,
         Self::Capacity,
         Self::Flood,
         Self::Log,
@@ -81,6 +84,7 @@
     /// Gets the name under which the command line selects the measurement.
     fn name(self) -> &'static str {
         match self {
+            Self::Accounts => "accounts",
             Self::Capacity => "capacity",
             Self::Flood => "flood",
             Self::Log => "log",
@@ -105,6 +109,7 @@
             options.steps
         );
         match self {
+            Self::Accounts => accounts::run(),
             Self::Capacity => capacity::run(),
             Self::Flood => flood::run(options.seed),
             Self::Log => log::run(),
