--- a/crates/jobs/src/shard/append.rs
+++ b/crates/jobs/src/shard/append.rs
@@ -10,9 +10,14 @@
 
 use super::Shard;
 use crate::leadership::{Overflow, append_with_retry};
-use crate::platform::{Failure, Platform};
+use crate::platform::{Failure, Partition, Platform};
 
 impl<P: Platform, C: Copy + Send + Unpin + 'static> Shard<P, C> {
+    /// Returns the partition of the log that holds the shard's records.
+    pub(super) fn partition(&self) -> Partition {
+        Partition::Jobs(self.setup.shard)
+    }
+
     /// Appends the records of an action of the scheduler, which gets an event once all are stored.
     pub(super) fn append(
         &mut self,
