Tell the gateway the memory of its host

Cause: the process knows how many descriptors it may open, not how much memory it has, so nothing that it holds for clients can be bounded by it. Ruled out: reading the memory from the operating system, which reports the machine's and not the process's.

--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -18,6 +18,11 @@
 const DEFAULT_MAX_DESCRIPTORS: usize = 4_096;
 /// Accepted numbers of descriptors.
 const DESCRIPTORS_RANGE: std::ops::RangeInclusive<usize> = 256..=1_048_576;
+/// Default memory of the host, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 256 * 1_024 * 1_024;
+/// Accepted memory of the host, in bytes. A process without clients takes up to 32 MiB.
+const MEMORY_BYTES_RANGE: std::ops::RangeInclusive<usize> =
+    64 * 1_024 * 1_024..=1_024 * 1_024 * 1_024 * 1_024;
 /// Accepted limits of the size of a record, in bytes.
 const RECORD_BYTES_RANGE: std::ops::RangeInclusive<usize> = 1_024..=64 * 1_024 * 1_024;
 /// Accepted limits of the size of an append, in bytes.
@@ -50,6 +55,8 @@
     pub cpu_millicores: u32,
     /// Maximum number of descriptors that the process may have open.
     pub max_descriptors: usize,
+    /// Memory of the host, in bytes.
+    pub memory_bytes: usize,
     /// Options of the schedulers.
     pub sched: sched::Options,
     /// Options of the maintenance planner.
@@ -80,6 +87,7 @@
             let cpu_millicores = reader.read_cores("processor", DEFAULT_CPU_MILLICORES);
             let max_descriptors =
                 reader.read_count("descriptors", DEFAULT_MAX_DESCRIPTORS, DESCRIPTORS_RANGE);
+            let memory_bytes = reader.read_size("memory", DEFAULT_MEMORY_BYTES, MEMORY_BYTES_RANGE);
             let max_lease = reader.read_duration("lease_max", sched_defaults.max_lease);
             let stop_timeout = reader.read_duration("stop", sched_defaults.stop_timeout);
             let holder_lease = reader.read_duration("holder_lease", upkeep_defaults.lease);
@@ -102,6 +110,7 @@
                 shard_count: ids::Shard::try_from(shard_count?).ok()?,
                 cpu_millicores: cpu_millicores?,
                 max_descriptors: max_descriptors?,
+                memory_bytes: memory_bytes?,
                 sched: sched::Options {
                     node: instance,
                     max_lease: max_lease?,
