Bound what a process holds for its clients

Cause: bodies of 512 KiB on 3,000 connections, 128 KiB of read-ahead and any number of unread answers a connection, heads without a time limit after the first answer, and 3,000 connections beside three quarters of the descriptors for the platform; nothing was bounded for the process.

Each connection is now a small adapter below the HTTP library that gives it a few KiB at a time, nothing while a request is handled or an answer unread, and publishes its activity. The listener, the actor that owns the server, keeps a table of its connections: above the limit it closes the one without progress; bodies above 8 KiB ask it for room, and when there is none, the body that stalls gives its room to the next in turn. Sizes follow from `memory` and `descriptors`; each is a setting. The decisions are `core::intake`, without I/O or clock. A small body needs no message and no timer. All HTTP listeners of all programs go through it: callers, readiness, admin, the API of the entry daemon, that of the fleet daemon.

Refusals: 413 above the maximum; 503 with Retry-After for a body without room or too slow, as nothing was passed on; otherwise the connection closes. Entry daemon: as before, and 503 not-run `crowded`.

Ruled out: limits of the library alone (its read-ahead of 128 KiB is fixed, pipelined answers grow without bound); a share for each address of a client (callers share one behind the balancer); time limits alone (a crowd that reconnects holds as much).

--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -3,12 +3,16 @@
 //! Names are UTF-8 strings with shared buffers, so that clones are cheap. They are checked once,
 //! when they enter a process.
 
+use std::net::SocketAddr;
+
 use bytestring::ByteString;
 
 /// `Account` names the client account that jobs are submitted for.
 pub type Account = ByteString;
 /// `Caller` names the client account that requests are charged to: one caller or a team.
 pub type Caller = ByteString;
+/// `Connection` identifies an open connection of a listener: the address of the other end.
+pub type Connection = SocketAddr;
 /// `Generation` numbers the starts of a host, as the platform counts them.
 pub type Generation = u64;
 /// `Host` names a host of the fleet; the worker on it has the same name.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`fleet`]: claims, moves, drains and waves of one pool
 //! - [`gate`]: admission, routing and retries of one entry host
 //! - [`ids`]: type aliases of identifiers
+//! - [`intake`]: admission of connections and bodies at a listener
 //! - [`invariant`]: checks of the guarantees given to users
 //! - [`job`]: jobs of callers, their tasks and their outcomes
 //! - [`journal`]: records about jobs and the state built from them
@@ -33,6 +34,7 @@
 pub mod fleet;
 pub mod gate;
 pub mod ids;
+pub mod intake;
 pub mod invariant;
 pub mod job;
 pub mod journal;
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -1,11 +1,12 @@
 //! Settings of the gateway daemon.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::reader::Reader;
 use crate::errors::{Error, Result};
 use crate::journal::Limits;
-use crate::{ids, sched, upkeep};
+use crate::{ids, intake, sched, upkeep};
 
 /// Default number of shards of the fleet.
 const DEFAULT_SHARD_COUNT: usize = 24;
@@ -23,6 +24,20 @@
 /// Accepted memory of the host, in bytes. A process without clients takes up to 32 MiB.
 const MEMORY_BYTES_RANGE: std::ops::RangeInclusive<usize> =
     64 * 1_024 * 1_024..=1_024 * 1_024 * 1_024 * 1_024;
+/// Accepted numbers of connections of callers.
+const CONNECTIONS_RANGE: std::ops::RangeInclusive<usize> = 8..=65_536;
+/// Accepted limits of the head of a request, in bytes. The HTTP library ends larger heads.
+const HEAD_BYTES_RANGE: std::ops::RangeInclusive<usize> = 1_024..=128 * 1_024;
+/// Accepted limits of the body of a request, in bytes.
+const BODY_BYTES_RANGE: std::ops::RangeInclusive<usize> = 1_024..=64 * 1_024 * 1_024;
+/// Accepted limits of all large bodies of unfinished requests, in bytes.
+const TOTAL_BODY_BYTES_RANGE: std::ops::RangeInclusive<usize> = 64 * 1_024..=1_024 * 1_024 * 1_024;
+/// Accepted time limits of clients. Shorter ones end before a packet that was lost arrives again.
+const CLIENT_TIMEOUT_RANGE: std::ops::RangeInclusive<Duration> =
+    Duration::from_secs(1)..=Duration::from_mins(10);
+/// Accepted times without progress after which a body gives its room to another one.
+const STALL_RANGE: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(50)..=Duration::from_secs(10);
 /// Accepted limits of the size of a record, in bytes.
 const RECORD_BYTES_RANGE: std::ops::RangeInclusive<usize> = 1_024..=64 * 1_024 * 1_024;
 /// Accepted limits of the size of an append, in bytes.
@@ -55,8 +70,8 @@
     pub cpu_millicores: u32,
     /// Maximum number of descriptors that the process may have open.
     pub max_descriptors: usize,
-    /// Memory of the host, in bytes.
-    pub memory_bytes: usize,
+    /// Limits of what the process holds for callers.
+    pub limits: intake::Limits,
     /// Options of the schedulers.
     pub sched: sched::Options,
     /// Options of the maintenance planner.
@@ -88,6 +103,7 @@
             let max_descriptors =
                 reader.read_count("descriptors", DEFAULT_MAX_DESCRIPTORS, DESCRIPTORS_RANGE);
             let memory_bytes = reader.read_size("memory", DEFAULT_MEMORY_BYTES, MEMORY_BYTES_RANGE);
+            let limits = read_limits(reader, memory_bytes, max_descriptors);
             let max_lease = reader.read_duration("lease_max", sched_defaults.max_lease);
             let stop_timeout = reader.read_duration("stop", sched_defaults.stop_timeout);
             let holder_lease = reader.read_duration("holder_lease", upkeep_defaults.lease);
@@ -110,7 +126,7 @@
                 shard_count: ids::Shard::try_from(shard_count?).ok()?,
                 cpu_millicores: cpu_millicores?,
                 max_descriptors: max_descriptors?,
-                memory_bytes: memory_bytes?,
+                limits: limits?,
                 sched: sched::Options {
                     node: instance,
                     max_lease: max_lease?,
@@ -124,3 +140,51 @@
         })
     }
 }
+
+/// Reads the limits of what the process holds for callers; the defaults follow from its memory and descriptors.
+fn read_limits(
+    reader: &mut Reader<'_>,
+    memory_bytes: Option<usize>,
+    max_descriptors: Option<usize>,
+) -> Option<intake::Limits> {
+    let memory_bytes = memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES);
+    let max_descriptors = max_descriptors.unwrap_or(DEFAULT_MAX_DESCRIPTORS);
+    let head_bytes = reader.read_size("head_max", intake::HEAD_BYTES, HEAD_BYTES_RANGE);
+    let head_max = head_bytes.unwrap_or(intake::HEAD_BYTES);
+    let defaults = intake::Limits::for_callers(memory_bytes, max_descriptors, head_max);
+    let connections = reader.read_count("connections", defaults.connections, CONNECTIONS_RANGE);
+    let body_bytes = reader.read_size("body_max", defaults.body_bytes, BODY_BYTES_RANGE);
+    let total_body_bytes =
+        reader.read_size("bodies", defaults.total_body_bytes, TOTAL_BODY_BYTES_RANGE);
+    let head_timeout =
+        reader.read_duration_within("head_time", defaults.head_timeout, CLIENT_TIMEOUT_RANGE);
+    let body_timeout =
+        reader.read_duration_within("body_time", defaults.body_timeout, CLIENT_TIMEOUT_RANGE);
+    let answer_timeout =
+        reader.read_duration_within("answer_time", defaults.answer_timeout, CLIENT_TIMEOUT_RANGE);
+    let idle_timeout =
+        reader.read_duration_within("idle_time", defaults.idle_timeout, CLIENT_TIMEOUT_RANGE);
+    let stall = reader.read_duration_within("stall", defaults.stall, STALL_RANGE);
+    let limits = intake::Limits {
+        connections: connections?,
+        head_bytes: head_bytes?,
+        body_bytes: body_bytes?,
+        total_body_bytes: total_body_bytes?,
+        head_timeout: head_timeout?,
+        body_timeout: body_timeout?,
+        answer_timeout: answer_timeout?,
+        idle_timeout: idle_timeout?,
+        stall: stall?,
+    };
+    if limits.body_bytes > limits.total_body_bytes {
+        let accepted = "at least as much as body_max";
+        reader.add_finding("bodies", "one body does not fit", accepted);
+        return None;
+    }
+    if limits.connections > max_descriptors / 4 {
+        let accepted = "at most a quarter of descriptors";
+        reader.add_finding("connections", "there are too few descriptors", accepted);
+        return None;
+    }
+    Some(limits)
+}
--- a/crates/core/tests/settings/main.rs
+++ b/crates/core/tests/settings/main.rs
@@ -141,6 +141,13 @@
 #[test_case("# processor = 1.0", "processor = \"fast\"", "processor"; "text as processor time")]
 #[test_case("# lease_max = \"10s\"", "lease_max = 10", "lease_max"; "lease without unit")]
 #[test_case("# shards = 24", "shards = 1", "shards"; "too few shards")]
+#[test_case("# memory = \"256MiB\"", "memory = \"32MiB\"", "memory"; "too little memory")]
+#[test_case("# memory = \"256MiB\"", "memory = 256", "memory"; "memory without unit")]
+#[test_case("# connections = 672", "connections = 2000", "connections"; "more connections than descriptors")]
+#[test_case("# head_max = \"16KiB\"", "head_max = \"1MiB\"", "head_max"; "heads longer than the library takes")]
+#[test_case("# bodies = \"42MiB\"", "bodies = \"256KiB\"", "bodies"; "no room for one body")]
+#[test_case("# head_time = \"5s\"", "head_time = \"10ms\"", "head_time"; "no time for a head")]
+#[test_case("# stall = \"250ms\"", "stall = \"1m\"", "stall"; "no room for others")]
 fn verify_invalid_gateway_setting_is_reported(from: &str, to: &str, key: &str) {
     let text = GATEWAY.replacen(from, to, 1);
     assert_ne!(text, GATEWAY);
@@ -151,6 +158,25 @@
     );
 }
 
+// The smallest machine of the platform, and a larger one whose descriptors are the limit.
+#[test_case("160MiB", 4_100, 416, 26; "little memory")]
+#[test_case("512MiB", 4_100, 738, 85; "few descriptors")]
+fn verify_limits_follow_from_the_host(
+    memory: &str,
+    descriptors: usize,
+    connections: usize,
+    mebibytes: usize,
+) {
+    let text = format!("memory = \"{memory}\"\ndescriptors = {descriptors}\n{GATEWAY}");
+    let limits = Gateway::try_from(&*text).expect("gateway").limits;
+    assert_eq!(limits.connections, connections);
+    assert_eq!(limits.total_body_bytes, mebibytes * 1024 * 1024);
+    // What callers may send: heads of 16,384 bytes in 3 s, bodies of 262,144, and 15 s without a request.
+    assert!(limits.head_bytes >= 16_384 && limits.body_bytes >= 262_144);
+    assert!(limits.head_timeout > Duration::from_secs(3));
+    assert!(limits.idle_timeout > Duration::from_secs(15));
+}
+
 #[test]
 fn verify_processor_time_is_read_in_cores() {
     for (text, millicores) in [("0.25", 250), ("2", 2_000), ("0.12", 120)] {
--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -3,17 +3,17 @@
 //! `POST /{service}/{path}` runs a request. Each answer carries its outcome in a header, and the
 //! reason in another if the request was not run or its outcome is unknown.
 
-mod body;
 mod request;
 
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
-use actix_web::web::{self, Data, Payload, ServiceConfig};
+use actix_web::web::{self, Data, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use persimmongate_core::outcome::{Doubt, Outcome, Refusal};
+use persimmongate_node::http::{self, Body};
 use persimmongate_wire::platform::{OUTCOME_HEADER, REASON_HEADER};
 
 use crate::gate::{self, submit};
@@ -23,8 +23,6 @@
 pub(crate) struct Options {
     /// Deadline of requests that set none, counted from their arrival.
     pub(crate) default_deadline: Duration,
-    /// Largest request body, in bytes.
-    pub(crate) body_max_bytes: usize,
     /// Number of requests rejected before they reached the gate.
     pub(crate) rejections: Counter<u64>,
 }
@@ -43,10 +41,10 @@
 async fn handle(
     gate_address: Data<gate::AddressWatch>,
     options: Data<Options>,
-    http: HttpRequest,
-    payload: Payload,
+    request: HttpRequest,
+    body: Result<Body, http::Refusal>,
 ) -> HttpResponse {
-    let body = match body::read(payload, options.body_max_bytes).await {
+    let body = match body {
         Ok(body) => body,
         Err(error) => {
             options.count_rejection(error.as_str());
@@ -56,7 +54,7 @@
                 .finish();
         }
     };
-    match request::parse(&http, body, options.default_deadline) {
+    match request::parse(&request, body.bytes.clone(), options.default_deadline) {
         Ok(request) => respond(submit(&gate_address, request).await),
         Err(error) => {
             options.count_rejection("malformed");
--- a/crates/entry/src/tree/mod.rs
+++ b/crates/entry/src/tree/mod.rs
@@ -1,16 +1,16 @@
 //! Supervisor tree of the entry daemon.
 
 use std::future::ready;
-use std::time::Duration;
 
 use actix::{Actor, Addr, ResponseFuture};
+use actix_web::App;
 use actix_web::web::Data;
-use actix_web::{App, HttpServer};
+use persimmongate_core::intake::Limits;
 use persimmongate_core::record::Role;
 use persimmongate_core::settings;
 use persimmongate_node::admin::{self, Directory};
-use persimmongate_node::errors::{Result, io_error};
-use persimmongate_node::http::{Close, Listener};
+use persimmongate_node::errors::Result;
+use persimmongate_node::http::{Close, Listener, Server};
 use persimmongate_node::log::{Follower, Leave, Options, Subscribe};
 use persimmongate_node::metrics::Metrics;
 use persimmongate_node::supervisor::{self, ChildSet, Guard, Policy, Supervisor};
@@ -26,12 +26,6 @@
 
 /// Time that callers' open connections have to finish when their server stops, in seconds.
 const SHUTDOWN_TIMEOUT_S: u64 = 30;
-/// Largest number of open connections of callers; further ones wait in the listen backlog.
-const MAX_CONNECTIONS: usize = 4096;
-/// Time limit for a caller to send the header of a request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time for which an idle connection of a caller is kept open.
-const KEEP_ALIVE_TIME: Duration = Duration::from_secs(5);
 
 /// `Child` identifies a supervised child of the entry daemon, in the order in which they start.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -163,8 +157,12 @@
             return Ok(());
         };
         let (address, metrics) = (self.settings.node.http_address, self.metrics.clone());
-        let server = admin::serve(address, directory.recipient(), metrics, |_| {})?;
-        self.admin = Some(Listener::new(server, self.logger.clone(), guard).start());
+        let limits = Limits::for_others(self.settings.max_descriptors);
+        let logger = self.logger.clone();
+        let directory = directory.recipient();
+        let server = admin::serve(address, &limits, logger, directory, metrics, |_| {})?;
+        let (meter, logger) = (self.metrics.meter(), self.logger.clone());
+        self.admin = Some(Listener::new(server, &meter, logger, guard).start());
         Ok(())
     }
 
@@ -173,25 +171,18 @@
         let address = self.settings.listen_address;
         let options = api::Options {
             default_deadline: self.settings.default_deadline,
-            body_max_bytes: self.settings.body_max_bytes,
             rejections: self.metrics.meter().u64_counter("api_refused").build(),
         };
-        let server = HttpServer::new(move || {
+        let application = move || {
             App::new()
                 .app_data(Data::new(gate_address.clone()))
                 .app_data(Data::new(options.clone()))
                 .configure(api::configure)
-        })
-        .workers(1)
-        .disable_signals()
-        .max_connections(MAX_CONNECTIONS)
-        .client_request_timeout(HEADER_TIMEOUT)
-        .keep_alive(KEEP_ALIVE_TIME)
-        .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
-        .bind(address)
-        .map_err(|error| io_error(format!("listen address {address}"), error))?
-        .run();
-        self.api = Some(Listener::new(server, self.logger.clone(), guard).start());
+        };
+        let (meter, logger) = (self.metrics.meter(), self.logger.clone());
+        let server = Server::new(SHUTDOWN_TIMEOUT_S, logger.clone());
+        let server = server.bind("callers", address, &self.settings.limits, application)?;
+        self.api = Some(Listener::new(server, &meter, logger, guard).start());
         Ok(())
     }
 }
--- a/crates/fleet/src/api/mod.rs
+++ b/crates/fleet/src/api/mod.rs
@@ -17,7 +17,7 @@
 mod wave;
 
 use actix::Addr;
-use actix_web::web::{self, Data, Path, PayloadConfig, ServiceConfig};
+use actix_web::web::{self, Data, Path, ServiceConfig};
 use actix_web::{HttpResponse, Responder};
 use bytestring::ByteString;
 use persimmongate_core::report::{self, Subject};
@@ -27,16 +27,12 @@
 
 use crate::tree::Child;
 
-/// Largest sheet accepted, in bytes; a longer one is rejected before it is read.
-const SHEET_MAX_BYTES: usize = 16 * 1024 * 1024;
-
 /// `LogFollower` is the address of the actor that reads the log and holds the replayed state.
 pub(crate) type LogFollower = Addr<Follower<Child>>;
 
 /// Registers the routes for operators.
 pub(crate) fn configure(config: &mut ServiceConfig) {
     config
-        .app_data(PayloadConfig::new(SHEET_MAX_BYTES))
         .route("/v1/status", web::get().to(show_status))
         .route("/v1/state", web::get().to(show_state))
         .route("/v1/explain/{kind}/{name}", web::get().to(explain))
--- a/crates/fleet/src/api/sheet.rs
+++ b/crates/fleet/src/api/sheet.rs
@@ -1,11 +1,12 @@
 //! Handlers for calls that show, plan or apply a sheet.
 
-use actix_web::web::{Bytes, Data, Query};
+use actix_web::web::{Data, Query};
 use actix_web::{HttpResponse, Responder};
 use persimmongate_core::errors::Error;
 use persimmongate_core::report::{self, Answer, Decision, Proposal};
 use persimmongate_core::sheet;
 use persimmongate_core::{ids, name};
+use persimmongate_node::http::Body;
 use serde::Deserialize;
 use serde_json::json;
 
@@ -31,8 +32,8 @@
 }
 
 /// Returns the changes that a sheet would make, without applying it.
-pub(super) async fn plan(follower: Data<LogFollower>, bytes: Bytes) -> impl Responder {
-    let rows = match sheet::parse_rows(&bytes) {
+pub(super) async fn plan(follower: Data<LogFollower>, body: Body) -> impl Responder {
+    let rows = match sheet::parse_rows(&body.bytes) {
         Ok(rows) => rows,
         Err(error) => return respond_error(error),
     };
@@ -46,9 +47,9 @@
 pub(super) async fn apply(
     follower: Data<LogFollower>,
     parameters: Query<Parameters>,
-    bytes: Bytes,
+    body: Body,
 ) -> impl Responder {
-    let rows = match sheet::parse_rows(&bytes) {
+    let rows = match sheet::parse_rows(&body.bytes) {
         Ok(rows) => rows,
         Err(error) => return respond_error(error),
     };
--- a/crates/fleet/src/tree/mod.rs
+++ b/crates/fleet/src/tree/mod.rs
@@ -4,6 +4,7 @@
 
 use actix::{Actor, Addr, ResponseFuture};
 use actix_web::web::{Data, ServiceConfig};
+use persimmongate_core::intake::Limits;
 use persimmongate_core::record::Role;
 use persimmongate_core::settings;
 use persimmongate_node::admin::{self, Directory};
@@ -19,6 +20,13 @@
 use crate::api;
 use crate::manager::{Manager, Register};
 
+/// Largest sheet accepted, in bytes.
+const SHEET_MAX_BYTES: usize = 16 * 1024 * 1024;
+/// Number of sheets of the largest size that are received at the same time: one for an operator, and one to spare.
+const MAX_SHEETS: usize = 2;
+/// Maximum number of connections of operators and of those that read metrics.
+const MAX_CONNECTIONS: usize = 64;
+
 /// `Child` identifies a supervised child of the fleet daemon, in the order in which they start.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum Child {
@@ -101,8 +109,17 @@
             config.app_data(Data::new(follower.clone()));
             api::configure(config);
         };
-        let server = admin::serve(address, directory.recipient(), metrics, routes)?;
-        self.api = Some(Listener::new(server, self.logger.clone(), guard).start());
+        let limits = Limits {
+            body_bytes: SHEET_MAX_BYTES,
+            total_body_bytes: SHEET_MAX_BYTES * MAX_SHEETS,
+            connections: MAX_CONNECTIONS,
+            ..Limits::default()
+        };
+        let logger = self.logger.clone();
+        let directory = directory.recipient();
+        let server = admin::serve(address, &limits, logger, directory, metrics, routes)?;
+        let (meter, logger) = (self.metrics.meter(), self.logger.clone());
+        self.api = Some(Listener::new(server, &meter, logger, guard).start());
         Ok(())
     }
 
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -4,12 +4,14 @@
 use std::net::SocketAddr;
 
 use actix::{Actor, Addr, Context, Handler, Message, Recipient, ResponseFuture};
-use actix_web::dev::Server;
 use actix_web::web::{Data, Json, ServiceConfig, get};
-use actix_web::{App, HttpResponse, HttpServer, Responder};
+use actix_web::{App, HttpResponse, Responder};
+use persimmongate_core::intake::Limits;
 use serde_json::Value;
+use slog::Logger;
 
-use crate::errors::{Result, io_error};
+use crate::errors::Result;
+use crate::http::Server;
 use crate::metrics::Metrics;
 use crate::supervisor::Guard;
 
@@ -97,7 +99,7 @@
     }
 }
 
-/// Starts the server of the interface.
+/// Creates the server of the interface, with its limits.
 ///
 /// The function `extra_routes` adds routes that are specific to the daemon.
 ///
@@ -106,6 +108,8 @@
 /// Returns an error when the address can't be bound.
 pub fn serve(
     address: SocketAddr,
+    limits: &Limits,
+    logger: Logger,
     directory: Recipient<Collect>,
     metrics: Metrics,
     extra_routes: impl Fn(&mut ServiceConfig) + Clone + Send + 'static,
@@ -117,13 +121,7 @@
             .configure(configure)
             .configure(extra_routes.clone())
     };
-    let server = HttpServer::new(app)
-        .workers(1)
-        .disable_signals()
-        .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
-        .bind(address)
-        .map_err(|error| io_error(format!("http address {address}"), error))?;
-    Ok(server.run())
+    Server::new(SHUTDOWN_TIMEOUT_S, logger).bind("admin", address, limits, app)
 }
 
 /// Adds the routes for metrics, health and dumps.
