--- a/crates/tests/src/cluster/mod.rs
+++ b/crates/tests/src/cluster/mod.rs
@@ -49,6 +49,8 @@
     pub entries: Vec<Node>,
     /// Fleet instances in the order of their start.
     pub fleet: Vec<Node>,
+    /// Additional settings of entry hosts.
+    entry_settings: &'static str,
     /// Reserved addresses that no process uses yet.
     free_addresses: Vec<SocketAddr>,
     _platform: Process,
@@ -62,7 +64,17 @@
     ///
     /// Panics if the system is not ready in time.
     pub async fn start() -> Self {
+        Self::start_with("").await
+    }
+
+    /// Starts the same with additional settings of the entry hosts.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not ready in time.
+    pub async fn start_with(entry_settings: &'static str) -> Self {
         let mut cluster = Self::start_platform();
+        cluster.entry_settings = entry_settings;
         for index in 0..3 {
             cluster.start_node(Program::Entry, &format!("entry-{index}"), &[]);
             cluster.start_node(Program::Fleet, &format!("fleet-{index}"), &[]);
@@ -96,6 +108,7 @@
             platform_address,
             entries: Vec::new(),
             fleet: Vec::new(),
+            entry_settings: "",
             free_addresses,
             _platform: process,
         }
@@ -113,6 +126,7 @@
             self.platform_address,
             &addresses,
             seeds,
+            self.entry_settings,
         );
         match program {
             Program::Entry => self.entries.push(node),
--- a/crates/tests/src/cluster/node.rs
+++ b/crates/tests/src/cluster/node.rs
@@ -59,6 +59,7 @@
         platform_address: SocketAddr,
         addresses: &[SocketAddr],
         seeds: &[SocketAddr],
+        entry_settings: &str,
     ) -> Self {
         let [http_address, peer_address] = [addresses[0], addresses[1]];
         let listen_address = addresses.get(2).copied();
@@ -69,7 +70,9 @@
             seeds.join(", ")
         );
         match listen_address {
-            Some(address) => writeln!(settings, "listen = \"{address}\"").unwrap(),
+            Some(address) => {
+                writeln!(settings, "listen = \"{address}\"\n{entry_settings}").unwrap();
+            }
             None => settings.push_str("member_timeout = \"3s\"\nreport_timeout = \"2s\"\n"),
         }
         let path = folder.join(format!("{name}.toml"));
--- a/crates/tests/src/process/mod.rs
+++ b/crates/tests/src/process/mod.rs
@@ -56,6 +56,12 @@
         Self { child, log_path }
     }
 
+    /// Returns the id of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     ///
     /// # Panics
