--- a/crates/core/src/intake/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -1,7 +1,7 @@
 //! Admission of connections and of large request bodies at a listener, within limits of memory, descriptors and time.
 //!
 //! Each connection publishes its [`Activity`]. When there are too many connections, or too many bytes of unfinished bodies,
-//! the intake ends those that made no progress for the longest time, so that a crowd does not keep out other callers.
+//! the table ends those that made no progress for the longest time, so that a crowd does not keep out other callers.
 
 mod limits;
 mod table;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,12 +4,12 @@
 //! event, and returns actions that the daemons execute.
 //!
 //! - [`account`]: client accounts with their keys, shares and limits
+//! - [`admission`]: admission of connections and bodies at a listener
 //! - [`errors`]: error type, result alias and constructors
 //! - [`finding`]: problems in operator input, with their locations
 //! - [`fleet`]: claims, moves, drains and waves of one pool
 //! - [`gate`]: admission, routing and retries of one entry host
 //! - [`ids`]: type aliases of identifiers
-//! - [`intake`]: admission of connections and bodies at a listener
 //! - [`invariant`]: checks of the guarantees given to users
 //! - [`job`]: jobs of callers, their tasks and their outcomes
 //! - [`journal`]: records about jobs and the state built from them
@@ -29,12 +29,12 @@
 //! - [`upkeep`]: planner of maintenance waves and host moves
 
 pub mod account;
+pub mod admission;
 pub mod errors;
 pub mod finding;
 pub mod fleet;
 pub mod gate;
 pub mod ids;
-pub mod intake;
 pub mod invariant;
 pub mod job;
 pub mod journal;
--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -6,9 +6,9 @@
 
 use super::Node;
 use super::reader::Reader;
+use crate::admission::Limits;
 use crate::errors::{Error, Result};
 use crate::gate::Options;
-use crate::intake::Limits;
 
 /// Default limit of the body of a request, in bytes.
 const DEFAULT_BODY_MAX_BYTES: usize = 1024 * 1024;
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -6,7 +6,7 @@
 use super::reader::Reader;
 use crate::errors::{Error, Result};
 use crate::journal::Limits;
-use crate::{ids, intake, sched, upkeep};
+use crate::{admission, ids, sched, upkeep};
 
 /// Default number of shards of the fleet.
 const DEFAULT_SHARD_COUNT: usize = 24;
@@ -71,7 +71,7 @@
     /// Maximum number of descriptors that the process may have open.
     pub max_descriptors: usize,
     /// Limits of what the process holds for callers.
-    pub limits: intake::Limits,
+    pub limits: admission::Limits,
     /// Options of the schedulers.
     pub sched: sched::Options,
     /// Options of the maintenance planner.
@@ -146,12 +146,12 @@
     reader: &mut Reader<'_>,
     memory_bytes: Option<usize>,
     max_descriptors: Option<usize>,
-) -> Option<intake::Limits> {
+) -> Option<admission::Limits> {
     let memory_bytes = memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES);
     let max_descriptors = max_descriptors.unwrap_or(DEFAULT_MAX_DESCRIPTORS);
-    let head_bytes = reader.read_size("head_max", intake::HEAD_BYTES, HEAD_BYTES_RANGE);
-    let head_max = head_bytes.unwrap_or(intake::HEAD_BYTES);
-    let defaults = intake::Limits::for_callers(memory_bytes, max_descriptors, head_max);
+    let head_bytes = reader.read_size("head_max", admission::HEAD_BYTES, HEAD_BYTES_RANGE);
+    let head_max = head_bytes.unwrap_or(admission::HEAD_BYTES);
+    let defaults = admission::Limits::for_callers(memory_bytes, max_descriptors, head_max);
     let connections = reader.read_count("connections", defaults.connections, CONNECTIONS_RANGE);
     let body_bytes = reader.read_size("body_max", defaults.body_bytes, BODY_BYTES_RANGE);
     let total_body_bytes =
@@ -165,7 +165,7 @@
     let idle_timeout =
         reader.read_duration_within("idle_time", defaults.idle_timeout, CLIENT_TIMEOUT_RANGE);
     let stall = reader.read_duration_within("stall", defaults.stall, STALL_RANGE);
-    let limits = intake::Limits {
+    let limits = admission::Limits {
         connections: connections?,
         head_bytes: head_bytes?,
         body_bytes: body_bytes?,
--- a/crates/core/tests/intake/main.rs
+++ b/crates/core/tests/admission/main.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use persimmongate_core::intake::{Action, Activity, Event, Limits, Phase, Reason, Table};
+use persimmongate_core::admission::{Action, Activity, Event, Limits, Phase, Reason, Table};
 use test_case::test_case;
 
 /// `Fixture` is a table with a simulated clock and the activities of its connections.
--- a/crates/fleet/src/tree/mod.rs
+++ b/crates/fleet/src/tree/mod.rs
@@ -4,7 +4,7 @@
 
 use actix::{Actor, Addr, ResponseFuture};
 use actix_web::web::{Data, ServiceConfig};
-use persimmongate_core::intake::Limits;
+use persimmongate_core::admission::Limits;
 use persimmongate_core::record::Role;
 use persimmongate_core::settings;
 use persimmongate_node::admin::{self, Directory};
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -6,7 +6,7 @@
 use actix::{Actor, Addr, Context, Handler, Message, Recipient, ResponseFuture};
 use actix_web::web::{Data, Json, ServiceConfig, get};
 use actix_web::{App, HttpResponse, Responder};
-use persimmongate_core::intake::Limits;
+use persimmongate_core::admission::Limits;
 use serde_json::Value;
 use slog::Logger;
 
--- a/crates/node/src/http/body.rs
+++ b/crates/node/src/http/body.rs
@@ -14,7 +14,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::future::LocalBoxFuture;
 use futures_util::{FutureExt, StreamExt, poll};
-use persimmongate_core::intake::{Phase, Reason};
+use persimmongate_core::admission::{Phase, Reason};
 use tokio::sync::mpsc;
 
 use super::link::{Link, Message, Verdict};
--- a/crates/node/src/http/connection.rs
+++ b/crates/node/src/http/connection.rs
@@ -9,7 +9,7 @@
 use std::task::{Context, Poll, ready};
 
 use actix_rt::net::TcpStream;
-use persimmongate_core::intake::{Phase, Reason};
+use persimmongate_core::admission::{Phase, Reason};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::oneshot;
 
--- a/crates/node/src/http/link.rs
+++ b/crates/node/src/http/link.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use persimmongate_core::admission::{Activity, Limits, Phase, Reason};
 use persimmongate_core::ids;
-use persimmongate_core::intake::{Activity, Limits, Phase, Reason};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::clock;
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -14,7 +14,7 @@
     map_config,
 };
 use actix_web::dev::AppConfig;
-use persimmongate_core::intake::Limits;
+use persimmongate_core::admission::Limits;
 use slog::{Logger, warn};
 use tokio::sync::mpsc;
 
