--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`account`]: client accounts with their keys, shares and limits
 //! - [`admission`]: admission of connections and bodies at a listener
+//! - [`batch`]: appends of callers' records
 //! - [`errors`]: error type, result alias and constructors
 //! - [`finding`]: problems in operator input, with their locations
 //! - [`fleet`]: claims, moves, drains and waves of one pool
@@ -30,6 +31,7 @@
 
 pub mod account;
 pub mod admission;
+pub mod batch;
 pub mod errors;
 pub mod finding;
 pub mod fleet;
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -38,6 +38,11 @@
 /// Accepted times without progress after which a body gives its room to another one.
 const STALL_RANGE: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(50)..=Duration::from_secs(10);
+/// Default age of the latest read of operators' records from which on a configuration with accounts is not used.
+const DEFAULT_CONFIG_MAX_AGE: Duration = Duration::from_secs(2);
+/// Accepted values of that age. It takes several reads, of which one may get no answer.
+const CONFIG_MAX_AGE_RANGE: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(200)..=Duration::from_hours(1);
 /// Accepted limits of the size of a record, in bytes.
 const RECORD_BYTES_RANGE: std::ops::RangeInclusive<usize> = 1_024..=64 * 1_024 * 1_024;
 /// Accepted limits of the size of an append, in bytes.
@@ -72,6 +77,8 @@
     pub max_descriptors: usize,
     /// Limits of what the process holds for callers.
     pub limits: admission::Limits,
+    /// Age of the latest complete read of operators' records from which on a configuration with accounts is not used.
+    pub config_max_age: Duration,
     /// Options of the schedulers.
     pub sched: sched::Options,
     /// Options of the maintenance planner.
@@ -104,6 +111,11 @@
                 reader.read_count("descriptors", DEFAULT_MAX_DESCRIPTORS, DESCRIPTORS_RANGE);
             let memory_bytes = reader.read_size("memory", DEFAULT_MEMORY_BYTES, MEMORY_BYTES_RANGE);
             let limits = read_limits(reader, memory_bytes, max_descriptors);
+            let config_max_age = reader.read_duration_within(
+                "config_max_age",
+                DEFAULT_CONFIG_MAX_AGE,
+                CONFIG_MAX_AGE_RANGE,
+            );
             let max_lease = reader.read_duration("lease_max", sched_defaults.max_lease);
             let stop_timeout = reader.read_duration("stop", sched_defaults.stop_timeout);
             let holder_lease = reader.read_duration("holder_lease", upkeep_defaults.lease);
@@ -127,6 +139,7 @@
                 cpu_millicores: cpu_millicores?,
                 max_descriptors: max_descriptors?,
                 limits: limits?,
+                config_max_age: config_max_age?,
                 sched: sched::Options {
                     node: instance,
                     max_lease: max_lease?,
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs of one shard: their state replayed from the log, callers' requests, and leadership of the shard.
 
 mod append;
+mod batch;
 mod dump;
 mod gauge;
 mod lag;
@@ -36,6 +37,7 @@
 use crate::platform::{Partition, Platform};
 use crate::reader::Reader;
 use crate::roster::{Roster, Subscribe};
+use batch::Batchers;
 use leadership::Leadership;
 
 /// Pause of a leader between two reads, so that one read returns several records. It is short compared
@@ -140,6 +142,8 @@
     last_queried_at: Option<Instant>,
     /// Time of the latest failed call to the log, if no call has succeeded since.
     log_failed_at: Option<Instant>,
+    /// Records of callers that the log does not hold yet.
+    batchers: Batchers,
     /// Counts of the shards that this process leads.
     led_shards: Gauge<u64>,
     leadership: Option<Leadership>,
@@ -171,6 +175,7 @@
             setup.skipped_entries.clone(),
             setup.logger.clone(),
         );
+        let batchers = Batchers::new(&setup.log_limits);
         Self {
             setup,
             reader,
@@ -184,6 +189,7 @@
             last_complete_read: None,
             last_queried_at: None,
             log_failed_at: None,
+            batchers,
             led_shards,
             leadership: None,
             _guard: guard,
@@ -317,6 +323,9 @@
                 self.step_election(term::Event::Heartbeat { offset, heartbeat }, ctx);
             }
             Record::Canceled(job) => self.step_scheduler(Event::Canceled(job.clone()), ctx),
+            Record::Barred(job, _) if self.job_index.is_canceled(job) => {
+                self.step_scheduler(Event::Canceled(job.clone()), ctx);
+            }
             Record::Drain(worker, drain) => {
                 match drain {
                     Some(drain) => self.drains.insert(worker.clone(), drain.clone()),
@@ -333,7 +342,11 @@
                     .observer
                     .do_send(Observation::Drained(worker.clone()));
             }
-            Record::Dropped(_) | Record::Drained(..) | Record::Payload(..) | Record::Wave(..) => {}
+            Record::Barred(..)
+            | Record::Dropped(_)
+            | Record::Drained(..)
+            | Record::Payload(..)
+            | Record::Wave(..) => {}
         }
     }
 }
