--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -38,7 +38,8 @@
 /// Accepted times without progress after which a body gives its room to another one.
 const STALL_RANGE: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(50)..=Duration::from_secs(10);
-/// Default age of the latest read of operators' records from which on a configuration with accounts is not used.
+/// Default age of the latest read of operators' records from which on a configuration with accounts is not used: the
+/// shortest time in which platforms ask for a change to be in force everywhere.
 const DEFAULT_CONFIG_MAX_AGE: Duration = Duration::from_secs(2);
 /// Accepted values of that age. It takes several reads, of which one may get no answer.
 const CONFIG_MAX_AGE_RANGE: std::ops::RangeInclusive<Duration> =
