--- a/crates/core/src/sched/rank.rs
+++ b/crates/core/src/sched/rank.rs
@@ -1,10 +1,9 @@
 use std::cmp::Ordering;
 use std::time::{Duration, Instant};
 
-use super::graph::Graph;
-
-/// Multiple of its time objective after which a late job has no value to its caller.
-const LATE_FACTOR: u32 = 3;
+use super::graph::{Graph, Stage};
+use super::worker::Resources;
+use crate::share::{LATE_FACTOR, Standing};
 
 /// Share of its declared run time, in percent, that a task is expected to take. Declared run times
 /// are only rough estimates.
@@ -15,17 +14,30 @@
 /// `Rank` is the position of a job in the order in which tasks are started, the least first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct Rank {
-    /// False for jobs with long-running tasks, which come first: they are few, and each second
-    /// without them counts.
-    is_finite: bool,
+    tier: Tier,
     timeliness: Timeliness,
+    /// Whether its account has its share of the pool without it.
+    pub(super) exceeds_share: bool,
     priority: u32,
     deadline: Instant,
 }
 
+/// `Tier` is the most important part of the rank of a job.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Tier {
+    /// It has long-running tasks: they are few, and each second without them counts.
+    LongRunning,
+    /// Its account is within its rate.
+    WithinRate,
+    /// Its account has sent more than its rate, so that it gets only room that is left.
+    BeyondRate,
+    /// Its result will have no value to its caller.
+    Expired,
+}
+
 /// `Timeliness` is whether a job can still complete before its deadline.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Timeliness {
+pub(super) enum Timeliness {
     OnTime,
     /// It is expected to complete after its deadline.
     Late,
@@ -37,19 +49,27 @@
     /// Returns the rank of the job.
     pub(super) fn rank(&self, now: Instant, priority: u32) -> Rank {
         let is_long_running = self.job.steps.iter().any(|step| step.is_long_running);
+        let timeliness = if is_long_running {
+            Timeliness::OnTime
+        } else {
+            self.timeliness(now)
+        };
+        let tier = match timeliness {
+            _ if is_long_running => Tier::LongRunning,
+            Timeliness::Expired => Tier::Expired,
+            _ if self.standing == Standing::BeyondRate => Tier::BeyondRate,
+            Timeliness::OnTime | Timeliness::Late => Tier::WithinRate,
+        };
         Rank {
-            is_finite: !is_long_running,
-            timeliness: if is_long_running {
-                Timeliness::OnTime
-            } else {
-                self.timeliness(now)
-            },
+            tier,
+            timeliness,
+            exceeds_share: false,
             priority,
             deadline: self.deadline,
         }
     }
 
-    fn timeliness(&self, now: Instant) -> Timeliness {
+    pub(super) fn timeliness(&self, now: Instant) -> Timeliness {
         if self.job.schedule.is_some() {
             return Timeliness::OnTime;
         }
@@ -89,12 +109,8 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns the declared work of the tasks that could start now, in millicore-seconds; 0 for
-    /// a job that can no longer complete in time.
-    pub(super) fn backlog(&self, now: Instant) -> u64 {
-        if self.timeliness(now) != Timeliness::OnTime {
-            return 0;
-        }
+    /// Returns the declared work of the tasks that could start now, in millicore-seconds.
+    pub(super) fn ready_work(&self) -> u64 {
         let work = |stage: usize| {
             let step = self.step_of(stage);
             if step.is_long_running || !self.is_ready(stage) {
@@ -105,4 +121,28 @@
         let stages = 0..self.stages.len();
         stages.map(work).fold(0, u64::saturating_add)
     }
+
+    /// Returns the processor time that its running tasks reserve, in millicores.
+    pub(super) fn running_cpu(&self) -> u64 {
+        let cpu = |(index, stage): (usize, &Stage)| {
+            let reserved = Resources::reserved_by(self.step_of(index)).cpu_millicores;
+            reserved.saturating_mul(stage.running_count())
+        };
+        let stages = self.stages.iter().enumerate();
+        stages.map(cpu).fold(0, u64::saturating_add)
+    }
+
+    /// Returns the processor time that the tasks that could start now want, in millicores.
+    pub(super) fn ready_cpu(&self) -> u64 {
+        let cpu = |stage: usize| {
+            let step = self.step_of(stage);
+            if step.is_long_running || !self.is_ready(stage) {
+                return 0;
+            }
+            let reserved = Resources::reserved_by(step).cpu_millicores;
+            reserved.saturating_mul(u64::from(self.stages[stage].idle_count))
+        };
+        let stages = 0..self.stages.len();
+        stages.map(cpu).fold(0, u64::saturating_add)
+    }
 }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -9,6 +9,8 @@
 mod line;
 mod ownership;
 mod payload;
+mod refusal;
+mod report;
 mod request;
 mod resignation;
 
@@ -35,11 +37,12 @@
 use crate::cursor::{Batch, Cursor};
 use crate::leadership::{MAX_READ_WAIT, read_pause, read_wait};
 use crate::operator::Configured;
-use crate::platform::{Partition, Platform};
+use crate::platform::Platform;
 use crate::reader::Reader;
 use crate::roster::{Roster, Subscribe};
 use batch::Batchers;
 use leadership::Leadership;
+use report::Report;
 
 /// Pause of a leader between two reads, so that one read returns several records. It is short compared
 /// with the run time of a task.
@@ -133,7 +136,7 @@
     is_active: bool,
     job_index: Index,
     drains: Map<ids::Worker, Drain>,
-    loads: Vec<Load>,
+    report: Report,
     election: Election,
     /// Offset up to which all records were read.
     read_through: ids::Offset,
@@ -171,6 +174,7 @@
         let election_timeout = term::election_timeout(setup.cpu_millicores, 0, rand::random());
         let election = Election::new(setup.node.clone(), rand::random(), election_timeout);
         let led_shards = setup.meter.u64_gauge("led_shard").build();
+        let report = Report::new(&setup.meter, setup.shard);
         let reader = Reader::new(
             setup.shard,
             setup.skipped_entries.clone(),
@@ -184,7 +188,7 @@
             is_active: false,
             job_index: Index::default(),
             drains: Map::default(),
-            loads: Vec::new(),
+            report,
             election,
             read_through: 0,
             last_complete_read: None,
@@ -197,10 +201,6 @@
         }
     }
 
-    fn partition(&self) -> Partition {
-        Partition::Jobs(self.setup.shard)
-    }
-
     fn owns(&self, service: &ids::Service) -> bool {
         shard_of(service, self.setup.shard_count) == self.setup.shard
     }
@@ -315,7 +315,8 @@
             }
             Record::Heartbeat(heartbeat) => {
                 if heartbeat.term > 0 {
-                    self.loads.clone_from(&heartbeat.loads);
+                    self.report
+                        .update(&heartbeat.loads, self.leadership.is_some());
                     self.setup
                         .observer
                         .do_send(Observation::Loads(heartbeat.loads.clone()));
