--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! event, and returns actions that the daemons execute.
 //!
 //! - [`account`]: client accounts with their keys, shares and limits
+//! - [`admission`]: admission of connections and bodies at a listener
 //! - [`batch`]: appends of callers' records
 //! - [`errors`]: error type, result alias and constructors
 //! - [`finding`]: problems in operator input, with their locations
@@ -31,6 +32,7 @@
 //! - [`upkeep`]: planner of maintenance waves and host moves
 
 pub mod account;
+pub mod admission;
 pub mod batch;
 pub mod errors;
 pub mod finding;
