Count the head of a request from its first byte on a connection that is kept

Cause: the bytes of a body counted for the head of the next request, so that a connection ended after a body of 16 KiB (found by a review of the bounds). Test: verify_connection_is_kept_after_a_large_body, seen to fail.

--- a/crates/node/src/http/link.rs
+++ b/crates/node/src/http/link.rs
@@ -163,6 +163,8 @@
                 _ => Phase::Drain,
             };
             progress.enter(next, now);
+            // The next head on the connection is counted from its first byte.
+            progress.received_bytes = 0;
             progress.activity.is_served = true;
         });
     }
