Wait for a place near the data, or on one rack, while that pays

A task off the rack of its data takes a multiple of its time, yet such a place only lost a tie, and a group that prefers one rack was placed on the first label, the kind of its workers, so that it was spread although a rack had room. The scheduler now asks a decision without I/O how long a wait pays: the time lost elsewhere against the expected time until the rack has room, behind those who wait before. Without remote_slowdown in the settings no task waits. Tests fail before: a group is spread by its kind.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`invariant`]: checks of the guarantees given to users
 //! - [`job`]: jobs of callers, their tasks and their outcomes
 //! - [`journal`]: records about jobs and the state built from them
+//! - [`locality`]: waits for a place near the data of a task
 //! - [`map`]: hash maps with a fast hasher
 //! - [`name`]: syntax of names
 //! - [`outcome`]: outcomes of requests
@@ -38,6 +39,7 @@
 pub mod invariant;
 pub mod job;
 pub mod journal;
+pub mod locality;
 pub mod map;
 pub mod name;
 pub mod outcome;
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -12,6 +12,7 @@
 use crate::ids;
 use crate::job::{Job, Progress, Task};
 use crate::journal::Record;
+use crate::locality::Ending;
 use crate::queue::Config;
 
 /// `Report` is the entry of a worker in the worker list, as the worker published it.
@@ -384,6 +385,8 @@
     LogIdle(Box<Idle>),
     /// Write a log line about the waiting jobs of a service.
     LogWaiting(ids::Service, Box<Tally>),
+    /// Write a log line about a wait for a place near the data that has ended.
+    LogPlaceWait(Box<Ending>),
     /// Write a log line, as the wait for runs of older terms has ended or begun again.
     LogRecovery(Wait),
 }
--- a/crates/core/src/sched/handler.rs
+++ b/crates/core/src/sched/handler.rs
@@ -68,7 +68,10 @@
                 self.clear_scheduled_poll(&worker);
                 self.poll_worker(now, &worker, actions);
             }
-            Event::PlacementDue => self.is_placement_scheduled = false,
+            Event::PlacementDue => {
+                self.is_placement_scheduled = false;
+                self.needs_placement |= self.near.is_due(now);
+            }
             Event::Tick => self.tick(now, actions),
         }
     }
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -19,6 +19,8 @@
 mod handler;
 mod idle;
 mod load;
+mod near;
+mod outlook;
 mod pace;
 mod payload;
 mod pick;
--- a/crates/core/src/sched/pick.rs
+++ b/crates/core/src/sched/pick.rs
@@ -3,6 +3,8 @@
 use super::crash::MAX_SHARED_CRASHES;
 use super::exit::to_u32;
 use super::graph::{Advice, Placement};
+use super::near::Places;
+use super::pool::Pool;
 use super::scheduler::Scheduler;
 use super::worker::Resources;
 use crate::ids;
@@ -11,6 +13,10 @@
 
 /// `Candidate` is a worker that may get tasks, with its free resources.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is a reason of its own to pass the worker over"
+)]
 pub(super) struct Candidate {
     pub(super) worker: ids::Worker,
     pub(super) free: Resources,
@@ -26,6 +32,8 @@
     pub(super) is_isolated: bool,
     /// Task that is to run alone on it once its other tasks have ended.
     pub(super) reserved_for: Option<Task>,
+    /// Tasks wait for a place in its rack.
+    pub(super) is_wanted: bool,
 }
 
 /// `Fit` is how well a worker suits a task; the smallest value is the best.
@@ -45,6 +53,8 @@
     is_failing: bool,
     /// The worker is not in the rack of the task's data.
     is_remote: bool,
+    /// Others wait for a place in the worker's rack, and the task's data is not there.
+    is_wanted: bool,
     /// Processor time left, so that whole hosts stay free; inverted for best-effort tasks.
     cpu_left: u64,
     /// Other best-effort tasks on the worker, if the task is one.
@@ -56,6 +66,17 @@
     pub(super) index: usize,
     pub(super) worker: ids::Worker,
     pub(super) ticket: Option<ByteString>,
+    /// Whether the worker is not in the rack of the task's data, or its group is spread over racks.
+    pub(super) is_away: bool,
+}
+
+/// `Miss` is why no worker was chosen for a task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Miss {
+    /// No worker can take it.
+    NoPlace,
+    /// It waits for a place near its data.
+    AwaitsPlace,
 }
 
 impl Scheduler {
@@ -65,26 +86,34 @@
         job: &ids::Job,
         stage: usize,
         step: &Step,
-        pool: &mut [Candidate],
+        pool: &mut Pool,
     ) -> Vec<Pick> {
         let Some(graph) = self.jobs.get(job) else {
             return Vec::new();
         };
+        let Pool {
+            members, places, ..
+        } = pool;
         let mut counts = self.count_tasks(job, stage, step);
         let mut picks = Vec::new();
         for (index, task_state) in graph.stages[stage].tasks.iter().enumerate() {
             if task_state.placement != Placement::Idle || task_state.has_unrecorded_crash {
                 continue;
             }
-            let Some(pick) = self.pick(job, stage, index, step, pool, &mut counts, None) else {
-                // The remaining tasks of the stage differ only in the workers that they avoid, and in crashes.
-                if task_state.avoided_workers.is_empty() && !graph.progress.has_crashes() {
-                    break;
+            let places = Some(&mut *places);
+            match self.pick(job, stage, index, step, members, &mut counts, None, places) {
+                Ok(pick) => picks.push(pick),
+                // Others of the stage may find that a wait behind it does not pay.
+                Err(Miss::AwaitsPlace) => {}
+                Err(Miss::NoPlace) => {
+                    // The remaining tasks of the stage differ only in the workers that they avoid, and in crashes.
+                    if task_state.avoided_workers.is_empty() && !graph.progress.has_crashes() {
+                        break;
+                    }
                 }
-                continue;
-            };
-            picks.push(pick);
+            }
         }
+        places.occupy(step, &picks);
         picks
     }
 
@@ -94,7 +123,7 @@
         job: &ids::Job,
         stage: usize,
         step: &Step,
-        pool: &mut [Candidate],
+        pool: &mut Pool,
     ) -> Vec<Pick> {
         let Some(graph) = self.jobs.get(job) else {
             return Vec::new();
@@ -108,33 +137,38 @@
         }
         let mut racks: Vec<Option<ids::Label>> = Vec::new();
         if step.prefers_same_rack {
-            for entry in pool.iter() {
-                let labels = self
-                    .workers
-                    .get(&entry.worker)
-                    .map(|worker| worker.report.labels.clone());
-                let labels = labels.unwrap_or_default();
-                let new_labels = labels
-                    .into_iter()
-                    .map(Some)
-                    .filter(|label| !racks.contains(label));
-                racks.extend(new_labels.collect::<Vec<_>>());
+            for entry in &pool.members {
+                let worker = self.workers.get(&entry.worker);
+                let rack = worker.and_then(|worker| worker.rack().cloned());
+                if rack.is_some() && !racks.contains(&rack) {
+                    racks.push(rack);
+                }
             }
         }
         racks.push(None);
         for rack in racks {
-            let mut trial = pool.to_vec();
+            let mut trial = pool.members.clone();
             let mut counts = self.count_tasks(job, stage, step);
             let mut picks = Vec::with_capacity(size);
             for index in 0..size {
                 let rack = rack.as_ref();
-                match self.pick(job, stage, index, step, &mut trial, &mut counts, rack) {
-                    Some(pick) => picks.push(pick),
-                    None => break,
+                match self.pick(job, stage, index, step, &mut trial, &mut counts, rack, None) {
+                    Ok(pick) => picks.push(pick),
+                    Err(_) => break,
                 }
             }
             if picks.len() == size {
-                pool.clone_from_slice(&trial);
+                let is_spread = step.prefers_same_rack && rack.is_none();
+                for pick in &mut picks {
+                    pick.is_away |= is_spread;
+                }
+                if picks.iter().any(|pick| pick.is_away)
+                    && self.group_awaits_place(graph, stage, step, pool)
+                {
+                    return Vec::new();
+                }
+                pool.members = trial;
+                pool.places.occupy(step, &picks);
                 return picks;
             }
         }
@@ -163,7 +197,10 @@
     }
 
     /// Chooses the worker for a task: one without failures, near its data, the fullest that fits it.
-    #[expect(clippy::too_many_arguments, reason = "pool and counts change per pick")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "pool, counts and places change per pick"
+    )]
     fn pick(
         &self,
         job: &ids::Job,
@@ -173,8 +210,9 @@
         pool: &mut [Candidate],
         counts: &mut Map<ids::Worker, u32>,
         rack: Option<&ids::Label>,
-    ) -> Option<Pick> {
-        let graph = self.jobs.get(job)?;
+        places: Option<&mut Places>,
+    ) -> Result<Pick, Miss> {
+        let graph = self.jobs.get(job).ok_or(Miss::NoPlace)?;
         let task_state = &graph.stages[stage].tasks[index];
         let task = graph.task(
             graph.stages[stage].occurrence,
@@ -184,7 +222,7 @@
         let need = Resources::reserved_by(step);
         let crashes = self.crash_count(&task);
         if crashes > 0 && graph.is_given_up(&graph.counted(&task)) {
-            return None;
+            return Err(Miss::NoPlace);
         }
         let is_suspect = crashes > 0;
         // The members of a gang start together, so none can run alone.
@@ -217,6 +255,7 @@
                 is_unstable: is_suspect && entry.is_unstable,
                 is_failing: entry.consecutive_failures > 0,
                 is_remote: false,
+                is_wanted: false,
                 cpu_left,
                 peers,
             };
@@ -247,11 +286,19 @@
                 .data_rack
                 .as_ref()
                 .is_some_and(|rack| !worker.has_label(rack));
+            fit.is_wanted = entry.is_wanted && (step.data_rack.is_none() || fit.is_remote);
             if best.is_none_or(|(best_fit, _)| fit < best_fit) {
                 best = Some((fit, position));
             }
         }
-        let (_, position) = best?;
+        let (fit, position) = best.ok_or(Miss::NoPlace)?;
+        // A suspect of a crash waits for particular workers as it is.
+        if let Some(places) = places.filter(|_| !is_suspect)
+            && fit.is_remote
+            && self.awaits_place(graph, (stage, index), step, pool, counts, places)
+        {
+            return Err(Miss::AwaitsPlace);
+        }
         let entry = &mut pool[position];
         entry.free = entry.free.minus(need);
         entry.is_isolated |= is_to_run_alone;
@@ -266,10 +313,11 @@
                 .map(|ticket| ticket.ticket.clone()),
             Advice::Requested(_) | Advice::Unanswered(_) | Advice::NotRequested => None,
         };
-        Some(Pick {
+        Ok(Pick {
             index,
             worker: entry.worker.clone(),
             ticket,
+            is_away: fit.is_remote,
         })
     }
 }
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -61,20 +61,24 @@
                 runs: worker.suspect_count(),
                 is_isolated: worker.is_isolated(),
                 reserved_for: reservation.map(|(task, _)| task.clone()),
+                is_wanted: false,
             };
             let pool = pools.entry(worker.report.service.clone()).or_default();
             pool.add(entry);
         }
+        self.open_places(now, &mut pools);
         ranked_jobs.retain(|position| self.place_job(now, position, &mut pools, actions));
         self.ranked_jobs = ranked_jobs;
         self.tallies.clear();
-        for (service, pool) in pools {
+        for (service, mut pool) in pools {
+            self.near.close(&service, &mut pool.places);
             let (cursor, tally) = pool.finish();
             if let Some(cursor) = cursor {
                 self.placement_cursors.insert(service.clone(), cursor);
             }
             self.tallies.insert(service, tally);
         }
+        self.end_place_waits(now, actions);
     }
 
     /// Takes the jobs with idle tasks, in the order of rank. The ranking is rebuilt at intervals that
@@ -153,17 +157,21 @@
                 continue;
             }
             let picks = if step.is_gang {
-                self.pick_gang(job, stage, step, &mut pool.members)
+                self.pick_gang(job, stage, step, pool)
             } else {
-                self.pick_each(job, stage, step, &mut pool.members)
+                self.pick_each(job, stage, step, pool)
             };
             if !picks.is_empty() {
                 outcome = Outcome::Started;
+            } else if pool.places.take_held() {
+                outcome = outcome.max(Outcome::AwaitingPlace);
             }
+            self.record_places(now, job, stage, &picks, &mut pool.places);
             self.start_tasks(now, job, stage, step, picks, actions);
         }
         pool.record(outcome);
-        if outcome != Outcome::Started && !has_suspects {
+        // A job that waits for a place keeps no other one from being looked at.
+        if outcome < Outcome::AwaitingPlace && !has_suspects {
             pool.record_miss(position);
         }
         self.jobs.get(job).is_some_and(Graph::has_idle_tasks)
--- a/crates/core/src/sched/pool.rs
+++ b/crates/core/src/sched/pool.rs
@@ -1,3 +1,4 @@
+use super::near::Places;
 use super::pick::Candidate;
 use super::rank::Rank;
 use super::worker::{Resources, Worker};
@@ -31,6 +32,8 @@
     pub unadvised: usize,
     /// Those that had room and of which no task could be placed for another reason.
     pub unplaced: usize,
+    /// Those whose tasks wait for a place near their data, or their group for one on one rack.
+    pub awaiting_place: usize,
     /// Those that the pass did not look at, as too many before them could not be placed.
     pub unexamined: usize,
     /// The first of those that were not looked at, in the order of rank.
@@ -52,6 +55,8 @@
     Unadvised,
     /// Workers had room, but no task could be placed for another reason.
     Unplaced,
+    /// Workers had room, but the tasks wait for a place near their data or on one rack.
+    AwaitingPlace,
     /// Tasks were started.
     Started,
 }
@@ -96,6 +101,8 @@
     resume_after: Option<Position>,
     /// Latest position of a further job that was looked at.
     rotated_to: Option<Position>,
+    /// Waits for places near the data.
+    pub(super) places: Places,
 }
 
 impl Pool {
@@ -140,6 +147,7 @@
             Outcome::NoRoom => tally.without_room += 1,
             Outcome::Unadvised => tally.unadvised += 1,
             Outcome::Unplaced => tally.unplaced += 1,
+            Outcome::AwaitingPlace => tally.awaiting_place += 1,
             Outcome::Started => {
                 tally.started += 1;
                 self.front_looks = 0;
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -6,12 +6,14 @@
 use super::event::{Action, Event};
 use super::graph::Graph;
 use super::load::Arrivals;
+use super::near::Near;
 use super::payload::Payloads;
 use super::pool::{Position, Tally};
 use super::recovery::{CONFIRMATION_VALIDITY, Recovery, START_VALIDITY};
 use super::worker::Worker;
 use crate::ids;
 use crate::job::Task;
+use crate::locality;
 use crate::map::{Map, Set};
 use crate::queue::Config;
 
@@ -24,6 +26,8 @@
     pub max_lease: Duration,
     /// Longest time that a worker takes to stop a run after it accepted the stop.
     pub stop_timeout: Duration,
+    /// Factor by which tasks take longer away from their data, in thousandths; 1,000 or less is none.
+    pub remote_slowdown: u32,
 }
 
 impl Default for Options {
@@ -32,6 +36,7 @@
             node: ids::Instance::new(),
             max_lease: Duration::from_secs(10),
             stop_timeout: Duration::from_millis(900),
+            remote_slowdown: locality::UNIT,
         }
     }
 }
@@ -87,6 +92,8 @@
     pub(super) tallies: Map<ids::Service, Tally>,
     /// Time of the latest log line about them, by service.
     pub(super) tallies_logged_at: Map<ids::Service, Instant>,
+    /// Waits for places near the data.
+    pub(super) near: Near,
     /// Time of day at the latest event, in milliseconds since the Unix epoch.
     pub(super) unix_ms: u64,
     /// Time of the latest heartbeat record.
@@ -140,6 +147,7 @@
             placement_cursors: Map::default(),
             tallies: Map::default(),
             tallies_logged_at: Map::default(),
+            near: Near::default(),
             unix_ms: 0,
             heartbeat_at: now,
             appended_at: now,
@@ -187,9 +195,10 @@
     /// Returns counts for operators: workers, those that are listed and those that may get tasks,
     /// runs, open jobs, idle long-running tasks, workers that have not yet answered under this
     /// term, passes of placement over all workers and waiting jobs in this term, and jobs that the
-    /// latest pass left waiting and those of them that it did not look at.
+    /// latest pass left waiting and those of them that it did not look at; waits for a place near the data,
+    /// those that ended there, their milliseconds, and tasks that started away from their data.
     #[must_use]
-    pub fn counts(&self, now: Instant) -> [(&'static str, usize); 10] {
+    pub fn counts(&self, now: Instant) -> [(&'static str, usize); 14] {
         let census = Census::of(now, self.workers.values());
         let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
         let open = self.jobs.values().filter(|graph| !graph.is_over());
@@ -205,6 +214,13 @@
             ("placement_passes", self.placement_passes),
             ("waiting_jobs", self.ranked_jobs.len()),
             ("unexamined_jobs", unexamined),
+            ("place_waits", self.near.tally.waits),
+            ("place_waits_paid", self.near.tally.paid),
+            (
+                "place_wait_ms",
+                usize::try_from(self.near.tally.waited.as_millis()).unwrap_or(usize::MAX),
+            ),
+            ("tasks_away", self.near.tally.away),
         ]
     }
 }
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -278,6 +278,11 @@
                 || self.acknowledged_through < self.recorded_through)
     }
 
+    /// Returns the label of its rack: a report names the kind first.
+    pub(super) fn rack(&self) -> Option<&ids::Label> {
+        self.report.labels.last()
+    }
+
     /// Checks if it has a label, which names its kind or its rack.
     pub(super) fn has_label(&self, label: &ids::Label) -> bool {
         self.report.labels.contains(label)
--- a/crates/core/src/settings/gateway.rs
+++ b/crates/core/src/settings/gateway.rs
@@ -95,6 +95,8 @@
             );
             let max_lease = reader.read_duration("lease_max", sched_defaults.max_lease);
             let stop_timeout = reader.read_duration("stop", sched_defaults.stop_timeout);
+            let remote_slowdown =
+                reader.read_factor("remote_slowdown", sched_defaults.remote_slowdown);
             let holder_lease = reader.read_duration("holder_lease", upkeep_defaults.lease);
             let maintenance_time =
                 reader.read_duration("maintenance", upkeep_defaults.maintenance_time);
@@ -120,6 +122,7 @@
                     node: instance,
                     max_lease: max_lease?,
                     stop_timeout: stop_timeout?,
+                    remote_slowdown: remote_slowdown?,
                 },
                 upkeep: upkeep::Options {
                     lease: holder_lease?,
--- a/crates/core/src/settings/reader.rs
+++ b/crates/core/src/settings/reader.rs
@@ -19,6 +19,10 @@
 const CORES_MIN: f64 = 0.01;
 /// Largest processor time accepted, in cores.
 const CORES_MAX: f64 = 1_024.0;
+/// Smallest factor accepted.
+const FACTOR_MIN: f64 = 0.0;
+/// Largest factor accepted.
+const FACTOR_MAX: f64 = 1_000.0;
 /// Problem of a value of the wrong TOML type.
 const WRONG_TYPE: &str = "value has the wrong type";
 
@@ -273,16 +277,32 @@
     /// Reads processor time in cores; returns it in thousandths of a core.
     pub(crate) fn read_cores(&mut self, key: &str, default: u32) -> Option<u32> {
         let accepted = format!("a number of cores from {CORES_MIN} to {CORES_MAX}");
-        self.read(key, Some(default), &accepted, |value| {
+        self.read_thousandths(key, default, &accepted, CORES_MIN..=CORES_MAX)
+    }
+
+    /// Reads a factor; returns it in thousandths.
+    pub(crate) fn read_factor(&mut self, key: &str, default: u32) -> Option<u32> {
+        let accepted = format!("a number from {FACTOR_MIN:.1} to {FACTOR_MAX:.1}");
+        self.read_thousandths(key, default, &accepted, FACTOR_MIN..=FACTOR_MAX)
+    }
+
+    fn read_thousandths(
+        &mut self,
+        key: &str,
+        default: u32,
+        accepted: &str,
+        range: RangeInclusive<f64>,
+    ) -> Option<u32> {
+        self.read(key, Some(default), accepted, |value| {
             let number = value.as_float().map(DeFloat::as_str);
             let number = number.or_else(|| value.as_integer().map(DeInteger::as_str));
-            let cores: f64 = number
+            let number: f64 = number
                 .and_then(|text| text.parse().ok())
                 .ok_or(WRONG_TYPE)?;
-            if !(CORES_MIN..=CORES_MAX).contains(&cores) {
+            if !range.contains(&number) {
                 return Err("number is out of range");
             }
-            Ok(unit::to_thousandths(cores))
+            Ok(unit::to_thousandths(number))
         })
     }
 
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -8,6 +8,7 @@
 mod odd;
 mod overload;
 mod payload;
+mod place;
 mod reachability;
 mod recovery;
 mod restart;
--- a/crates/core/tests/sched/world/mod.rs
+++ b/crates/core/tests/sched/world/mod.rs
@@ -97,6 +97,12 @@
     pub(crate) started_at: Instant,
     rng: SmallRng,
     pub(crate) faults: Faults,
+    /// Options of the leaders that are elected from now on.
+    pub(crate) options: Options,
+    /// Times that a task takes away from its data as long as near it.
+    pub(crate) remote_factor: u32,
+    /// Share of its estimate that a task takes, in percent.
+    pub(crate) run_percent: u32,
     activities: BTreeMap<(Instant, u64), Activity>,
     next_order: u64,
     pub(crate) leaders: Vec<Leader>,
@@ -162,6 +168,9 @@
             started_at: now,
             rng: SmallRng::seed_from_u64(seed),
             faults: Faults::default(),
+            options: Options::default(),
+            remote_factor: 1,
+            run_percent: 100,
             activities: BTreeMap::new(),
             next_order: 0,
             leaders: Vec::new(),
@@ -212,7 +221,7 @@
         let term = self.offset + 1;
         self.offset += 1;
         let has_predecessor = !self.leaders.is_empty();
-        let options = Options::default();
+        let options = self.options.clone();
         let scheduler = Scheduler::new(options, term, has_predecessor, false, self.now);
         self.leaders.push(Leader {
             scheduler,
@@ -442,6 +451,7 @@
                 Action::LogWorker(..)
                 | Action::LogIdle(_)
                 | Action::LogWaiting(..)
+                | Action::LogPlaceWait(_)
                 | Action::LogRecovery(_) => {
                     self.lines.push(action);
                 }
--- a/crates/core/tests/sched/world/transport.rs
+++ b/crates/core/tests/sched/world/transport.rs
@@ -218,11 +218,18 @@
         } else {
             Cause::Done
         };
+        let labels = &self.workers[name].report.labels;
+        let is_remote = step
+            .data_rack
+            .as_ref()
+            .is_some_and(|rack| !labels.contains(rack));
+        let factor = if is_remote { self.remote_factor } else { 1 };
+        let run_time = step.estimate * factor * self.run_percent / 100;
         let active = Active {
             run: call.run,
             resources: Resources::reserved_by(&step),
             started_at: now,
-            exit: (!step.is_long_running).then(|| (now + step.estimate, status)),
+            exit: (!step.is_long_running).then(|| (now + run_time, status)),
             stop_requested_at: None,
         };
         if matches!(call.command, Command::Stop) && leader != NO_LEADER {
--- a/crates/core/tests/settings/main.rs
+++ b/crates/core/tests/settings/main.rs
@@ -140,6 +140,8 @@
 #[test_case("# processor = 1.0", "processor = 0.0", "processor"; "no processor time")]
 #[test_case("# processor = 1.0", "processor = \"fast\"", "processor"; "text as processor time")]
 #[test_case("# lease_max = \"10s\"", "lease_max = 10", "lease_max"; "lease without unit")]
+#[test_case("# remote_slowdown = 1.0", "remote_slowdown = \"2\"", "remote_slowdown"; "slowdown in quotes")]
+#[test_case("# remote_slowdown = 1.0", "remote_slowdown = -2.0", "remote_slowdown"; "slowdown below zero")]
 #[test_case("# shards = 24", "shards = 1", "shards"; "too few shards")]
 fn verify_invalid_gateway_setting_is_reported(from: &str, to: &str, key: &str) {
     let text = GATEWAY.replacen(from, to, 1);
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -316,6 +316,7 @@
             Action::LogWaiting(service, tally) => {
                 line::log_waiting(logger, term, &service, &tally);
             }
+            Action::LogPlaceWait(ending) => line::log_place_wait(logger, term, &ending),
             Action::LogRecovery(wait) => line::log_recovery(logger, shard, term, wait),
         }
     }
--- a/crates/jobs/src/shard/line.rs
+++ b/crates/jobs/src/shard/line.rs
@@ -1,6 +1,7 @@
 use std::fmt::Write;
 
 use persimmongate_core::ids;
+use persimmongate_core::locality::Ending;
 use persimmongate_core::sched::{Answer, Belief, Change, Idle, Stop, Tally, Wait};
 use slog::{Logger, info, warn};
 
@@ -95,10 +96,21 @@
     info!(logger, "jobs wait for workers"; "service" => %service, "term" => term,
         "waiting" => tally.waiting, "started" => tally.started, "not_ready" => tally.not_ready,
         "without_room" => tally.without_room, "unadvised" => tally.unadvised, "unplaced" => tally.unplaced,
+        "awaiting_place" => tally.awaiting_place,
         "unexamined" => tally.unexamined, "first_unexamined" => first_unexamined,
         "eligible" => tally.eligible, "free_millicores" => tally.free_millicores);
 }
 
+/// Writes a log line about a wait for a place near the data that has ended.
+pub(super) fn log_place_wait(logger: &Logger, term: ids::Term, ending: &Ending) {
+    let task = &ending.task;
+    info!(logger, "wait for place ended"; "job" => %task.job,
+        "task" => format!("{}.{}.{}", task.occurrence, task.step, task.index), "term" => term,
+        "rack" => %ending.rack, "expected_ms" => ending.expected.as_millis(),
+        "longest_ms" => ending.longest.as_millis(), "waited_ms" => ending.waited.as_millis(),
+        "outcome" => format!("{:?}", ending.outcome));
+}
+
 /// Writes a log line about a leader that is behind its events.
 pub(super) fn log_lag(
     logger: &Logger,
