Let a step wait for its rack only if all its tasks find a place there in time

A step ends with its last task. A wait in vain now counts until its end, not until room elsewhere came.

--- a/crates/core/src/locality/demand.rs
+++ b/crates/core/src/locality/demand.rs
@@ -18,7 +18,8 @@
     pub run_time: Duration,
     /// Factor by which the run takes longer elsewhere, in thousandths.
     pub slowdown: u32,
-    /// Expected time until a place near the data is free, behind those who wait before it.
+    /// Expected time until a place near the data is free, behind those who wait before it; for a task, until the
+    /// last one of its step has such a place.
     pub expected: Duration,
     /// Time until the objective of its job; 0 if it has passed.
     pub time_left: Duration,
@@ -74,7 +75,8 @@
     /// Returns the time after which a wait that begins now ends by itself; `None` if no wait pays.
     #[must_use]
     pub fn patience(&self) -> Option<Duration> {
-        let expected = self.expected.saturating_mul(PATIENCE) + NOTICE;
+        let expected = self.expected.saturating_mul(PATIENCE);
+        let expected = expected.saturating_add(NOTICE);
         self.limit().map(|limit| limit.min(expected))
     }
 }
--- a/crates/core/src/locality/forecast.rs
+++ b/crates/core/src/locality/forecast.rs
@@ -147,6 +147,26 @@
         }
     }
 
+    /// Returns the time until the last one of a number of tasks finds room, if each takes the room that it finds;
+    /// `None` if one never does.
+    #[must_use]
+    pub fn find_last(
+        &self,
+        need: Room,
+        count: usize,
+        run_time: Duration,
+        is_usable: impl Fn(&ids::Worker) -> bool,
+    ) -> Option<Duration> {
+        let mut trial = self.clone();
+        let mut last = Duration::ZERO;
+        for _ in 0..count {
+            let place = trial.find(need, &is_usable)?;
+            trial.take(place, need, run_time);
+            last = last.max(place.at);
+        }
+        Some(last)
+    }
+
     /// Returns the time until a group has room for all its tasks at once, and takes that room; `None` if it
     /// never has, or if `is_usable`, which gets the number of the group's tasks on a worker, keeps it from that.
     pub fn queue_group(
--- a/crates/core/src/locality/ledger.rs
+++ b/crates/core/src/locality/ledger.rs
@@ -7,7 +7,7 @@
 
 /// Most tasks and groups of a service that wait, or have waited and not started yet. It bounds what a pass
 /// computes for them.
-const MAX_WAITS: usize = 64;
+pub const MAX_WAITS: usize = 64;
 /// Times the time left to a wait that a place may be expected to take before the wait ends early: forecasts vary
 /// from pass to pass.
 const TOLERANCE: u32 = 2;
@@ -103,7 +103,10 @@
             }
             let left = wait.until.saturating_duration_since(now);
             let outcome = match place {
-                _ if left.is_zero() => Outcome::Expired,
+                _ if left.is_zero() => {
+                    wait.ended = Some((Outcome::Expired, wait.until));
+                    return false;
+                }
                 None => Outcome::RackLost,
                 Some((_, demand))
                     if demand.limit().is_none()
@@ -174,7 +177,13 @@
     }
 
     fn end(&mut self, now: Instant, task: Task, wait: Wait, outcome: Outcome) {
-        let (outcome, ended_at) = wait.ended.unwrap_or((outcome, now));
+        // A place elsewhere may come free only after the end of the wait.
+        let ended_at = if outcome == Outcome::Expired {
+            now.min(wait.until)
+        } else {
+            now
+        };
+        let (outcome, ended_at) = wait.ended.unwrap_or((outcome, ended_at));
         let waited = ended_at.saturating_duration_since(wait.began_at);
         self.tally.paid += usize::from(outcome == Outcome::Near);
         self.tally.waited = self.tally.waited.saturating_add(waited);
--- a/crates/core/src/locality/mod.rs
+++ b/crates/core/src/locality/mod.rs
@@ -12,5 +12,5 @@
 
 pub use demand::{Demand, MAX_WAIT, UNIT};
 pub use forecast::{Forecast, Place, Progress, remaining};
-pub use ledger::{Ending, Ledger, Outcome, Tally, Wait};
+pub use ledger::{Ending, Ledger, MAX_WAITS, Outcome, Tally, Wait};
 pub use room::Room;
--- a/crates/core/src/sched/near.rs
+++ b/crates/core/src/sched/near.rs
@@ -31,6 +31,8 @@
     ledger: Ledger,
     /// Forecasts of the racks that were asked for in the pass.
     forecasts: Map<ids::Label, Forecast>,
+    /// Job and stage that was looked at last, and when the last of its idle tasks has a place near its data.
+    latest_step: Option<(ids::Job, usize, Option<Duration>)>,
     /// Whether a task was held back since the latest question.
     has_held: bool,
 }
@@ -128,13 +130,24 @@
             forecast.or_insert_with(|| self.forecast(pass.now, graph, rack, members, step));
         let avoided = &own.tasks[index].avoided_workers;
         let need = Resources::reserved_by(step).into();
-        let place = forecast.find(need, |id| {
+        let is_usable = |id: &ids::Worker| {
             let count = counts.get(id).copied().unwrap_or(0);
-            !avoided.contains(id)
-                && step.max_per_worker.is_none_or(|max| count < max)
+            step.max_per_worker.is_none_or(|max| count < max)
                 && self.is_suited(graph, stage, step, id)
+        };
+        let place = forecast.find(need, |id| !avoided.contains(id) && is_usable(id));
+        let key = (graph.job.id.clone(), stage);
+        let known = places.latest_step.take();
+        let last = match known.filter(|(job, known, _)| (job, known) == (&key.0, &key.1)) {
+            Some((.., last)) => last,
+            None => self.last_place(graph, (stage, index), step, rack, forecast, is_usable),
+        };
+        places.latest_step = Some((key.0, key.1, last));
+        // A step ends with its last task: if that one must run elsewhere, the others win nothing by a wait.
+        let demand = place.map(|_| {
+            let expected = last.unwrap_or(Duration::MAX);
+            self.demand(&pass, graph, stage, step, expected)
         });
-        let demand = place.map(|place| self.demand(&pass, graph, stage, step, place.at));
         let is_held = places
             .ledger
             .holds(pass.now, &task, demand.map(|demand| (rack, demand)));
--- a/crates/core/src/sched/outlook.rs
+++ b/crates/core/src/sched/outlook.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::graph::{Advice, Graph};
+use super::graph::{Advice, Graph, Placement};
 use super::near::Pass;
 use super::pick::Candidate;
 use super::run::{Phase, Run};
@@ -87,6 +87,37 @@
 }
 
 impl Scheduler {
+    /// Returns the time until the last idle task of a stage, from an index on, has a place near its data; `None` if a task of it runs
+    /// elsewhere, or if one never has such a place.
+    pub(super) fn last_place(
+        &self,
+        graph: &Graph,
+        (stage, index): (usize, usize),
+        step: &Step,
+        rack: &ids::Label,
+        forecast: &Forecast,
+        is_usable: impl Fn(&ids::Worker) -> bool,
+    ) -> Option<Duration> {
+        let own = &graph.stages[stage];
+        let is_away = own.tasks.iter().any(|state| match &state.placement {
+            Placement::On(id) => {
+                let worker = self.workers.get(id);
+                worker.is_some_and(|worker| !worker.has_label(rack))
+            }
+            Placement::Idle | Placement::Done => false,
+        });
+        // Those before it have found a place in this pass.
+        let idle = own.tasks[index..].iter();
+        let idle = idle
+            .filter(|state| state.placement == Placement::Idle)
+            .count();
+        if is_away || idle > locality::MAX_WAITS {
+            return None;
+        }
+        let need = Resources::reserved_by(step).into();
+        forecast.find_last(need, idle, step.run_time(), is_usable)
+    }
+
     /// Checks if a worker has the label that a step requires, and the permission of the policy service.
     pub(super) fn is_suited(
         &self,
--- a/crates/core/tests/locality/main.rs
+++ b/crates/core/tests/locality/main.rs
@@ -130,6 +130,16 @@
     assert_eq!(waits.map(Option::unwrap), [300, 700, 800, 900, 900, 1_200]);
 }
 
+#[test]
+fn verify_last_task_of_a_step_counts_those_before_it() {
+    let rack = rack();
+    let last = |count| rack.find_last(cores(2), count, ms(500), |_| true);
+    assert_eq!(last(1), Some(ms(300)));
+    assert_eq!(last(4), Some(ms(900)));
+    assert_eq!(last(6), Some(ms(1_200)));
+    assert_eq!(rack.find_last(cores(5), 1, ms(500), |_| true), None);
+}
+
 #[test]
 fn verify_room_that_no_worker_ever_has_is_not_waited_for() {
     let mut rack = rack();
