--- a/crates/core/src/locality/demand.rs
+++ b/crates/core/src/locality/demand.rs
@@ -27,7 +27,7 @@
     pub chain: Duration,
     /// Time by which its step may end later without a later end of the job; 0 on the longest chain.
     pub float: Duration,
-    /// Whether other jobs wait for room, which take the place that stays empty meanwhile.
+    /// Whether other jobs wait for room, which take each place that stays empty or becomes free meanwhile.
     pub is_room_short: bool,
 }
 
@@ -43,17 +43,13 @@
     #[must_use]
     pub fn limit(&self) -> Option<Duration> {
         let gain = self.gain();
-        if gain.is_zero() || self.expected.is_zero() {
-            // A rack that has room now, and did not get the task, won't get it by waiting.
+        // A rack that has room now, and did not get the task, won't get it by waiting.
+        let is_worthless = gain.is_zero() || self.expected.is_zero();
+        // While others wait for room, they take the place that stays empty, and the rack's when it is free: a
+        // task that gives up its turn may get neither.
+        if is_worthless || self.is_room_short {
             return None;
         }
-        // Away from its data it would hold the place of others for the time of the gain; off the longest chain,
-        // nobody is served later if it waits as long as the others of its job take anyway.
-        let worth = if self.is_room_short {
-            gain.max(self.float)
-        } else {
-            gain
-        };
         let delay_elsewhere = gain.saturating_sub(self.float);
         let slack_elsewhere = self
             .time_left
@@ -66,9 +62,9 @@
             // one that meets it.
             (_, Some(slack)) if slack >= self.expected => slack,
             // It is late either way, and the later the worse.
-            _ => worth,
+            _ => gain,
         };
-        let limit = worth.min(bound).min(MAX_WAIT);
+        let limit = gain.min(bound).min(MAX_WAIT);
         (self.expected < limit).then_some(limit)
     }
 
