--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -16,7 +16,7 @@
     Heartbeat,
     /// The cancellation of a job by a caller.
     Canceled(ids::Job),
-    /// The cancellation of a job by a caller that did not know its acceptance.
+    /// The cancellation of a job by a caller, where there are accounts.
     Barred(ids::Job, Caller),
     /// The drain request for a worker.
     Drain(ids::Worker),
@@ -37,9 +37,9 @@
     Accepted(Box<Job>),
     /// A process claims a term, or the leader shows that it is alive.
     Heartbeat(Heartbeat),
-    /// A caller canceled a job.
+    /// A caller canceled a job, whoever it belongs to.
     Canceled(ids::Job),
-    /// A caller canceled a job whose acceptance was not known. It has effect if the job is the caller's.
+    /// A caller canceled a job. It has effect if the job is the caller's, as those who read its acceptance know.
     Barred(ids::Job, Caller),
     /// A worker is to be drained; `None` withdraws the request.
     Drain(ids::Worker, Option<Drain>),
@@ -55,6 +55,10 @@
     Dropped(Key),
 }
 
+/// Most accounts whose excess a load reports: the heartbeat of a leader is written several times a second and read by
+/// all processes.
+pub const MAX_EXCESSES: usize = 32;
+
 /// `Heartbeat` is the periodic record of a leader.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
@@ -95,6 +99,18 @@
     /// Estimated time until the first start of a job that is submitted now.
     #[serde(rename = "delay")]
     pub queue_delay: Duration,
+    /// Estimated time until the first start of a job that is submitted now and will be late: such jobs come after all
+    /// that can complete in time.
+    #[serde(
+        default,
+        rename = "late_delay",
+        skip_serializing_if = "Duration::is_zero"
+    )]
+    pub late_delay: Duration,
+    /// Client accounts that exceed their rate or their share, [`MAX_EXCESSES`] at most. The delays above are those of
+    /// all others.
+    #[serde(default, rename = "excess", skip_serializing_if = "Vec::is_empty")]
+    pub excesses: Vec<Excess>,
     /// Work of newly accepted jobs per second, in millicore-seconds.
     #[serde(rename = "offered")]
     pub arrival_rate: u64,
@@ -107,6 +123,25 @@
     pub short_running_workers: Vec<(ids::Worker, u64)>,
 }
 
+/// `Excess` is what the jobs of a client account face that exceeds its rate or its share.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Excess {
+    /// Account.
+    pub account: ids::Account,
+    /// Estimated time until the first start of a job that is submitted now and is within the rate.
+    pub delay: Duration,
+    /// Part of the account's jobs that is within its rate, in parts per thousand.
+    pub admitted: u32,
+    /// Estimated time until the first start of a job that is submitted now and is beyond the rate.
+    #[serde(rename = "beyond_delay")]
+    pub beyond_rate_delay: Duration,
+}
+
+impl Excess {
+    /// Parts per thousand that stand for all jobs of an account.
+    pub const ALL_ADMITTED: u32 = 1_000;
+}
+
 /// `Drain` is a request to the leader of a shard to drain a worker.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Drain {
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -10,6 +10,7 @@
 use super::payload::Payloads;
 use super::pool::{Position, Tally};
 use super::recovery::{CONFIRMATION_VALIDITY, Recovery, START_VALIDITY};
+use super::share::Sharing;
 use super::worker::Worker;
 use crate::ids;
 use crate::job::Task;
@@ -102,6 +103,8 @@
     pub(super) appended_at: Instant,
     /// Work of recently accepted jobs.
     pub(super) arrivals: Arrivals,
+    /// Rates of client accounts, and hosts on their way.
+    pub(super) sharing: Sharing,
     /// Whether a worker has reported a newer term.
     pub(super) is_fenced: bool,
 }
@@ -152,6 +155,7 @@
             heartbeat_at: now,
             appended_at: now,
             arrivals: Arrivals::default(),
+            sharing: Sharing::default(),
             is_fenced: false,
         }
     }
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -13,6 +13,7 @@
 mod reachability;
 mod recovery;
 mod restart;
+mod share;
 mod soak;
 mod stale;
 mod starvation;
