--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`job`]: jobs of callers, their tasks and their outcomes
 //! - [`journal`]: records about jobs and the state built from them
 //! - [`limit`]: limits of client accounts that hold over all shards
+//! - [`locality`]: waits for a place near the data of a task
 //! - [`map`]: hash maps with a fast hasher
 //! - [`name`]: syntax of names
 //! - [`outcome`]: outcomes of requests
@@ -43,6 +44,7 @@
 pub mod job;
 pub mod journal;
 pub mod limit;
+pub mod locality;
 pub mod map;
 pub mod name;
 pub mod outcome;
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -13,6 +13,7 @@
 use crate::job::{Job, Progress, Task};
 use crate::journal::Record;
 use crate::limit::{self, Notice};
+use crate::locality::Ending;
 use crate::queue::Config;
 
 /// `Report` is the entry of a worker in the worker list, as the worker published it.
@@ -395,6 +396,8 @@
     LogWaiting(ids::Service, Box<Tally>),
     /// Write log lines about accounts whose tasks wait because of their limits.
     LogLimited(Vec<limit::Report>),
+    /// Write a log line about a wait for a place near the data that has ended.
+    LogPlaceWait(Box<Ending>),
     /// Write a log line, as the wait for runs of older terms has ended or begun again.
     LogRecovery(Wait),
 }
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -62,10 +62,12 @@
                 runs: worker.suspect_count(),
                 is_isolated: worker.is_isolated(),
                 reserved_for: reservation.map(|(task, _)| task.clone()),
+                is_wanted: false,
             };
             let pool = pools.entry(worker.report.service.clone()).or_default();
             pool.add(entry);
         }
+        self.open_places(now, &mut pools);
         let usage = (!self.borrower.is_idle()).then(|| self.usage());
         let budget = usage.as_ref().map(|usage| self.borrower.budget(now, usage));
         let mut budget = budget.unwrap_or_default();
@@ -76,13 +78,15 @@
             self.borrower.review(now, &usage, &budget);
         }
         self.tallies.clear();
-        for (service, pool) in pools {
+        for (service, mut pool) in pools {
+            self.near.close(&service, &mut pool.places);
             let (cursor, tally) = pool.finish();
             if let Some(cursor) = cursor {
                 self.placement_cursors.insert(service.clone(), cursor);
             }
             self.tallies.insert(service, tally);
         }
+        self.end_place_waits(now, actions);
     }
 
     /// Takes the jobs with idle tasks, in the order of rank. The ranking is rebuilt at intervals that
@@ -167,9 +171,9 @@
             let account = job_spec.account.as_ref();
             let max_starts = budget.max_starts(account, charge(step));
             let picks = if step.is_gang {
-                self.pick_gang(job, stage, step, &mut pool.members)
+                self.pick_gang(job, stage, step, pool)
             } else {
-                self.pick_each(job, stage, step, &mut pool.members, max_starts)
+                self.pick_each(job, stage, step, pool, max_starts)
             };
             let started = picks.len() as u64;
             budget.take(account, charge(step).times(started));
@@ -182,11 +186,15 @@
             }
             if !picks.is_empty() {
                 outcome = Outcome::Started;
+            } else if pool.places.take_held() {
+                outcome = outcome.max(Outcome::AwaitingPlace);
             }
+            self.record_places(now, job, stage, &picks, &mut pool.places);
             self.start_tasks(now, job, stage, step, picks, actions);
         }
         pool.record(outcome);
-        if outcome != Outcome::Started && !has_suspects {
+        // A job that waits for a place keeps no other one from being looked at.
+        if outcome < Outcome::AwaitingPlace && !has_suspects {
             pool.record_miss(position);
         }
         self.jobs.get(job).is_some_and(Graph::has_idle_tasks)
--- a/crates/core/src/sched/pool.rs
+++ b/crates/core/src/sched/pool.rs
@@ -1,4 +1,5 @@
 use super::graph::Graph;
+use super::near::Places;
 use super::pick::Candidate;
 use super::rank::Rank;
 use super::worker::{Resources, Worker};
@@ -35,6 +36,8 @@
     pub unadvised: usize,
     /// Those that had room and of which no task could be placed for another reason.
     pub unplaced: usize,
+    /// Those whose tasks wait for a place near their data, or their group for one on one rack.
+    pub awaiting_place: usize,
     /// Those that the pass did not look at, as too many before them could not be placed.
     pub unexamined: usize,
     /// The first of those that were not looked at, in the order of rank.
@@ -58,6 +61,8 @@
     Unadvised,
     /// Workers had room, but no task could be placed for another reason.
     Unplaced,
+    /// Workers had room, but the tasks wait for a place near their data or on one rack.
+    AwaitingPlace,
     /// Tasks were started.
     Started,
 }
@@ -102,6 +107,8 @@
     resume_after: Option<Position>,
     /// Latest position of a further job that was looked at.
     rotated_to: Option<Position>,
+    /// Waits for places near the data.
+    pub(super) places: Places,
 }
 
 impl Pool {
@@ -147,6 +154,7 @@
             Outcome::Limited => tally.limited += 1,
             Outcome::Unadvised => tally.unadvised += 1,
             Outcome::Unplaced => tally.unplaced += 1,
+            Outcome::AwaitingPlace => tally.awaiting_place += 1,
             Outcome::Started => {
                 tally.started += 1;
                 self.front_looks = 0;
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -11,6 +11,7 @@
 mod odd;
 mod overload;
 mod payload;
+mod place;
 mod reachability;
 mod recovery;
 mod restart;
--- a/crates/jobs/src/shard/leadership.rs
+++ b/crates/jobs/src/shard/leadership.rs
@@ -331,6 +331,7 @@
                 line::log_waiting(logger, term, &service, &tally);
             }
             Action::LogLimited(reports) => line::log_limited(logger, shard, term, &reports),
+            Action::LogPlaceWait(ending) => line::log_place_wait(logger, term, &ending),
             Action::LogRecovery(wait) => line::log_recovery(logger, shard, term, wait),
         }
     }
