--- a/crates/core/tests/sched/limit/soak.rs
+++ b/crates/core/tests/sched/limit/soak.rs
@@ -1,10 +1,13 @@
 //! Randomised simulations of several shards with overlapping failures.
 
+use std::time::Duration;
+
+use persimmongate_core::job::Step;
 use rand::RngExt;
 
 use super::{flood, millis};
 use crate::federation::Federation;
-use crate::world::Faults;
+use crate::world::{Faults, step};
 
 /// Number of seeds.
 const SEEDS: u64 = 12;
@@ -92,3 +95,46 @@
         assert!(starts > 200, "seed {seed}: {starts}");
     }
 }
+
+/// Simulates shards without failures whose tasks are up to 6 cores large, of an account of 10 cores, and returns the
+/// longest time in which less than half of them were in use.
+fn longest_idle_time(seed: u64) -> Duration {
+    let mut federation = Federation::new(6, 2, seed, &[("a", 10)]);
+    federation.largest_task = 6_000;
+    federation.run(millis(1_000));
+    let (mut idle, mut longest) = (Duration::ZERO, Duration::ZERO);
+    for round in 0..400 {
+        if round % 8 == 0 {
+            for position in 0..6 {
+                let cores = federation.shards[0].random().random_range(1..7);
+                let task = Step {
+                    cpu_millicores: cores * 1_000,
+                    ..step(4, 500, &[])
+                };
+                let id = format!("job-{position}-{round}");
+                federation.shards[position].submit_for("a", &id, vec![task]);
+            }
+        }
+        federation.run(millis(50));
+        idle = if federation.used("a") < 5_000 {
+            idle + millis(50)
+        } else {
+            Duration::ZERO
+        };
+        longest = longest.max(idle);
+    }
+    assert_eq!(federation.violations_found(), Vec::<String>::new());
+    for shard in &federation.shards {
+        assert!(shard.start_count >= 4, "seed {seed}: {}", shard.start_count);
+    }
+    longest
+}
+
+#[test]
+fn verify_account_with_large_tasks_in_all_shards_is_never_idle_for_long() {
+    for seed in 0..SEEDS {
+        let idle = longest_idle_time(seed);
+        println!("seed {seed}: {idle:?}");
+        assert!(idle < millis(3_000), "seed {seed}: {idle:?}");
+    }
+}
