--- a/crates/core/src/admission/limits.rs
+++ b/crates/core/src/admission/limits.rs
@@ -11,8 +11,8 @@
 /// Largest size of the buffer for a head, in sizes of a head: it doubles when it is full.
 const HEAD_BUFFER_FACTOR: usize = 2;
 /// Share of the descriptors of a process, in percent, for the connections of callers. Connections to the platform take 75,
-/// files and pipes 5.
-const CALLERS_PERCENT: usize = 18;
+/// files and pipes 5, and those that a server accepts above its limits a tenth of these.
+const CALLERS_PERCENT: usize = 16;
 /// Share of the descriptors of a process, in percent, for the connections of each other listener.
 const OTHERS_PERCENT: usize = 1;
 /// Smallest number of connections of a listener that is not for callers: some for each side that checks the process, and
--- a/crates/core/src/upkeep/demand.rs
+++ b/crates/core/src/upkeep/demand.rs
@@ -16,8 +16,6 @@
 /// Window over which the work that arrives is averaged for the height of a peak: most of a short peak. Work that
 /// arrives faster for a second waits about as long as callers grant beyond the run time of a job.
 const LEVEL_WINDOW: Duration = Duration::from_secs(4);
-/// Time in which the work that a sample counts has arrived.
-const ARRIVAL_WINDOW: Duration = Duration::from_secs(1);
 /// Time for which the growth is extrapolated: a host whose move begins now runs tasks by then.
 const FORECAST_TIME: Duration = Duration::from_millis(2_200);
 /// Rise of demand within the growth window, in percent of the highest demand seen, that counts as the start
@@ -28,8 +26,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Sample {
     at: Instant,
-    /// Time since the sample before.
-    covers: Duration,
     /// Processor time in use.
     used: u64,
     /// Work that arrived in the second before.
@@ -55,11 +51,8 @@
     /// Adds a sample from the load that a leader reported.
     pub(super) fn add_sample(&mut self, now: Instant, load: &Load) {
         let samples = self.samples.entry(load.service.clone()).or_default();
-        let before = samples.back().map(|before| before.at);
-        let covers = before.map_or(ARRIVAL_WINDOW, |at| now.saturating_duration_since(at));
         samples.push_back(Sample {
             at: now,
-            covers,
             used: load.used,
             arrived: load.arrival_rate,
         });
@@ -94,13 +87,12 @@
         };
         let recent = samples.into_iter().flatten().rev();
         let is_recent = |sample: &&Sample| last.at.saturating_duration_since(sample.at) < window;
-        let (mut work, mut time) = (0_u128, Duration::ZERO);
+        let (mut sum, mut count) = (0_u128, 0_u128);
         for sample in recent.take_while(is_recent) {
-            // What arrived while a leader was held up shows at once afterwards.
-            work += u128::from(sample.arrived) * sample.covers.min(ARRIVAL_WINDOW).as_millis();
-            time += sample.covers;
+            sum += u128::from(sample.arrived);
+            count += 1;
         }
-        u64::try_from(work / time.as_millis().max(1)).unwrap_or(u64::MAX)
+        u64::try_from(sum / count.max(1)).unwrap_or(u64::MAX)
     }
 
     /// Forecasts the growth of a service's demand until a host whose move begins now runs tasks, in millicores.
