--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -14,6 +14,7 @@
 mod amount;
 mod borrower;
 mod budget;
+mod division;
 mod ledger;
 mod lender;
 mod loan;
